Add the core decisions: model, ring, queue, submissions, fleet, placement

Commands and queries are in separate files, state is in plain exported structs, and variants are sealed interfaces. Nothing under core reads a clock, starts a goroutine or encodes a message.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+TOOLS := $(CURDIR)/.tools
+STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
+REVIVE := github.com/mgechev/revive@v1.17.0
+
+.PHONY: build test lint bench run
+
+build:
+	go build -o ragwortgap .
+
+test:
+	go test -race -count=1 ./...
+
+lint: $(TOOLS)/staticcheck $(TOOLS)/revive
+	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo "gofmt: the files above are not formatted"; exit 1; }
+	go vet ./...
+	$(TOOLS)/staticcheck ./...
+	$(TOOLS)/revive -config revive.toml -set_exit_status ./...
+
+bench:
+	go test -run '^$$' -bench . -benchtime 1x ./...
+
+run:
+	go run . demo --keep
+
+$(TOOLS)/staticcheck:
+	GOBIN=$(TOOLS) go install $(STATICCHECK)
+
+$(TOOLS)/revive:
+	GOBIN=$(TOOLS) go install $(REVIVE)
--- /dev/null
+++ b/core/rgmodel/job.go
@@ -0,0 +1,148 @@
+package rgmodel
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+)
+
+const (
+	// MaxTasks is the largest number of tasks in a job.
+	MaxTasks = 360
+	// ClockSkewLimit bounds how far apart the clocks of callers and entries are assumed to be.
+	ClockSkewLimit = 2 * time.Second
+	// DefaultResubmissionWindow is how long a submission is remembered where the team's answers give no other value.
+	DefaultResubmissionWindow = 10 * time.Minute
+)
+
+const (
+	// UrgencyLow work waits behind all other work of its flow.
+	UrgencyLow Urgency = -1
+	// UrgencyNormal is the zero value.
+	UrgencyNormal Urgency = 0
+	// UrgencyHigh work goes before all other work of its flow.
+	UrgencyHigh Urgency = 1
+)
+
+type (
+	// SubmissionID is a UUIDv7 in its canonical text form.
+	SubmissionID string
+
+	// Urgency orders tasks within a flow and has no effect on other flows.
+	Urgency int8
+
+	// Payload is a JSON value that ragwortgap passes through unchanged.
+	Payload []byte
+
+	// Flow is the unit of fair sharing: one kind of work of one team.
+	Flow struct {
+		Team string `json:"team"`
+		Kind string `json:"kind"`
+	}
+
+	// Resources is what a task needs of a worker, or what an upstream can use of it.
+	Resources struct {
+		Cores        float64 `json:"cores,omitempty"`
+		MemoryBytes  int64   `json:"memoryBytes,omitempty"`
+		Accelerators int     `json:"accelerators,omitempty"`
+	}
+
+	// Task is one unit of work of a job.
+	Task struct {
+		Index   int     `json:"index"`
+		Payload Payload `json:"payload,omitempty"`
+	}
+
+	// Job is a submission of 1 to MaxTasks tasks.
+	Job struct {
+		ID       SubmissionID `json:"submissionId"`
+		Digest   uint64       `json:"digest"`
+		Flow     Flow         `json:"flow"`
+		Urgency  Urgency      `json:"urgency"`
+		Deadline Duration     `json:"deadline"`
+		RunTime  Duration     `json:"runTime"`
+		Requires Resources    `json:"requires"`
+		Tasks    []Task       `json:"tasks"`
+	}
+
+	// Outcome is the final state of one task.
+	Outcome struct {
+		Index   int     `json:"index"`
+		Verdict Verdict `json:"verdict"`
+		Reason  Reason  `json:"reason,omitempty"`
+		Detail  string  `json:"detail,omitempty"`
+		Result  Payload `json:"result,omitempty"`
+	}
+
+	// Answer is the final state of a job, with one outcome for each task in the order of the tasks.
+	Answer struct {
+		ID       SubmissionID `json:"submissionId"`
+		Outcomes []Outcome    `json:"outcomes"`
+	}
+
+	// Batch is the part of a job that one sidecar runs.
+	Batch struct {
+		ID         SubmissionID `json:"submissionId"`
+		Digest     uint64       `json:"digest"`
+		Generation uint64       `json:"generation"`
+		Flow       Flow         `json:"flow"`
+		Urgency    Urgency      `json:"urgency"`
+		Remaining  Duration     `json:"remaining"`
+		RunTime    Duration     `json:"runTime"`
+		Window     Duration     `json:"window"`
+		Tasks      []Task       `json:"tasks"`
+	}
+)
+
+// MarshalJSON returns the payload as it is.
+func (pl Payload) MarshalJSON() ([]byte, error) {
+	if len(pl) == 0 {
+		return []byte("null"), nil
+	}
+	return pl, nil
+}
+
+// UnmarshalJSON keeps a copy of the raw value.
+func (pl *Payload) UnmarshalJSON(raw []byte) error {
+	*pl = append((*pl)[:0], raw...)
+	return nil
+}
+
+// Complete reports whether every task succeeded.
+func (ans Answer) Complete() bool {
+	for _, out := range ans.Outcomes {
+		if out.Verdict != RanOK {
+			return false
+		}
+	}
+	return len(ans.Outcomes) > 0
+}
+
+// Fits reports whether a task that needs res can run where have is available.
+func (res Resources) Fits(have Resources) bool {
+	return res.Cores <= have.Cores && res.MemoryBytes <= have.MemoryBytes && res.Accelerators <= have.Accelerators
+}
+
+// Created returns the time field of the id, with a resolution of one millisecond.
+// It fails with errors.NotValid when the id is not a canonical UUIDv7.
+func (id SubmissionID) Created() (time.Time, error) {
+	uid, err := uuid.Parse(string(id))
+	if err != nil || uid.Version() != 7 || uid.String() != string(id) {
+		return time.Time{}, errors.NotValidf("submission id %q (need a UUIDv7 in lower case)", string(id))
+	}
+	ms := int64(0)
+	for _, octet := range uid[:6] {
+		ms = ms<<8 | int64(octet)
+	}
+	return time.UnixMilli(ms), nil
+}
+
+// RefuseAll returns an answer in which every task of the job has the same outcome.
+func RefuseAll(jb Job, vd Verdict, rsn Reason, detail string) Answer {
+	ans := Answer{ID: jb.ID, Outcomes: make([]Outcome, len(jb.Tasks))}
+	for i, tsk := range jb.Tasks {
+		ans.Outcomes[i] = Outcome{Index: tsk.Index, Verdict: vd, Reason: rsn, Detail: detail}
+	}
+	return ans
+}
--- /dev/null
+++ b/core/rgqueue/command_cancel.go
@@ -0,0 +1,79 @@
+package rgqueue
+
+import (
+	"container/heap"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// Cancel removes the queued tasks of the submissions, with the verdict that they were not run.
+// Running tasks are not touched: their upstream request is for the caller to stop.
+func Cancel(sta *State, ids []rgmodel.SubmissionID) {
+	drop := make(map[rgmodel.SubmissionID]bool, len(ids))
+	for _, id := range ids {
+		drop[id] = true
+	}
+	removeQueued(sta, rgmodel.ReasonCancelled, func(que Queued) bool { return drop[que.ID] })
+}
+
+// ExpireQueued drops queued tasks past their deadline and returns their submissions.
+func ExpireQueued(sta *State, now time.Time) []rgmodel.SubmissionID {
+	if sta.Queued == 0 {
+		return nil
+	}
+	return removeQueued(sta, rgmodel.ReasonExpired, func(que Queued) bool { return !now.Before(que.Deadline) })
+}
+
+// ExpireRecords forgets settled records past their window, and flows without work or debt.
+func ExpireRecords(sta *State, now time.Time) {
+	for id, rec := range sta.Records {
+		if now.After(rec.Expires) && settled(rec) {
+			delete(sta.Records, id)
+		}
+	}
+	for key, flo := range sta.Flows {
+		if len(flo.Waiting) == 0 && flo.Running == 0 && flo.Finish <= sta.Virtual {
+			delete(sta.Flows, key)
+		}
+	}
+}
+
+// Drain refuses all batches from now on and drops the queued tasks that no slot can take within the bound.
+// It returns the submissions of the dropped tasks.
+func Drain(sta *State, bound time.Duration) []rgmodel.SubmissionID {
+	sta.Draining = true
+	if backlog(sta) <= bound {
+		return nil
+	}
+	return removeQueued(sta, rgmodel.ReasonDraining, func(Queued) bool { return true })
+}
+
+func removeQueued(sta *State, rsn rgmodel.Reason, drop func(Queued) bool) []rgmodel.SubmissionID {
+	var ids []rgmodel.SubmissionID
+	for _, flo := range sta.Flows {
+		kept := flo.Waiting[:0]
+		for _, que := range flo.Waiting {
+			if !drop(que) {
+				kept = append(kept, que)
+				continue
+			}
+			finalize(sta, que.ID, rgmodel.Outcome{Index: que.Task.Index, Verdict: rgmodel.NotRun, Reason: rsn})
+			ids = append(ids, que.ID)
+			sta.Queued--
+		}
+		clear(flo.Waiting[len(kept):])
+		flo.Waiting = kept
+		heap.Init((*waitingHeap)(&flo.Waiting))
+	}
+	return ids
+}
+
+func settled(rec *Record) bool {
+	for _, tsk := range rec.Tasks {
+		if tsk.State != rgmodel.TaskFinal {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/rgqueue/command_start.go
@@ -0,0 +1,71 @@
+package rgqueue
+
+import (
+	"container/heap"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// StartNext fills the free slots and drops the tasks that it meets past their deadline.
+func StartNext(sta *State, now time.Time) Progress {
+	var prg Progress
+	for sta.Running < sta.Self.Capacity.Slots && sta.Queued > 0 {
+		key := nextFlow(sta)
+		que := heap.Pop((*waitingHeap)(&sta.Flows[key].Waiting)).(Queued)
+		sta.Queued--
+		if !now.Before(que.Deadline) {
+			finalize(sta, que.ID, rgmodel.Outcome{Index: que.Task.Index, Verdict: rgmodel.NotRun, Reason: rgmodel.ReasonExpired})
+			prg.Expired = append(prg.Expired, que.ID)
+			continue
+		}
+		prg.Starts = append(prg.Starts, start(sta, key, que))
+	}
+	return prg
+}
+
+func start(sta *State, key rgmodel.Flow, que Queued) Start {
+	flo := sta.Flows[key]
+	cost := serviceTime(sta, key.Kind, que.RunTime)
+	sta.Virtual = max(sta.Virtual, flo.Finish)
+	flo.Finish = sta.Virtual + float64(cost)/float64(flo.Weight)
+	flo.Running++
+	sta.Running++
+	sta.Records[que.ID].Tasks[que.Task.Index].State = rgmodel.TaskRunning
+	return Start{ID: que.ID, Flow: key, Task: que.Task, Deadline: que.Deadline, Cost: cost}
+}
+
+// Finish records the outcome of a started task and frees its slot.
+// The flow is charged the difference between the service time that was assumed at the start and took.
+func Finish(sta *State, stt Start, out rgmodel.Outcome, took time.Duration) {
+	flo := sta.Flows[stt.Flow]
+	flo.Running--
+	flo.Finish += float64(took-stt.Cost) / float64(flo.Weight)
+	sta.Running--
+	if out.Verdict == rgmodel.RanOK {
+		sta.Succeeded++
+		learn(sta, stt.Flow.Kind, took)
+	} else {
+		sta.Failed++
+	}
+	finalize(sta, stt.ID, out)
+}
+
+func finalize(sta *State, id rgmodel.SubmissionID, out rgmodel.Outcome) {
+	tsk := sta.Records[id].Tasks[out.Index]
+	tsk.State = rgmodel.TaskFinal
+	tsk.Outcome = out
+}
+
+// learn uses successes only: an upstream that fails fast must not look fast.
+func learn(sta *State, kind string, took time.Duration) {
+	if sta.Times == nil {
+		sta.Times = map[string]time.Duration{}
+	}
+	old, ok := sta.Times[kind]
+	if !ok {
+		sta.Times[kind] = took
+		return
+	}
+	sta.Times[kind] = old + time.Duration(learnRate*float64(took-old))
+}
--- /dev/null
+++ b/core/rgqueue/query_wait.go
@@ -0,0 +1,137 @@
+package rgqueue
+
+import (
+	"math"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// ExpectedWait estimates how long a new task of the flow waits for a slot while all flows that have work now keep
+// having work.
+func ExpectedWait(sta *State, key rgmodel.Flow) time.Duration {
+	slots := sta.Self.Capacity.Slots
+	if slots == 0 {
+		return math.MaxInt64
+	}
+	if sta.Queued == 0 && sta.Running < slots {
+		return 0
+	}
+	own := max(1, sta.Weights[key])
+	total, work := own, time.Duration(0)
+	for oth, flo := range sta.Flows {
+		switch {
+		case oth == key:
+			work = flowWork(sta, key, flo)
+		case len(flo.Waiting) > 0:
+			total += flo.Weight
+		}
+	}
+	share := float64(slots) * float64(own) / float64(total)
+	// On average half a service time passes until a busy slot is free.
+	residual := float64(serviceTime(sta, key.Kind, 0)) / 2 / float64(slots)
+	return time.Duration(float64(work)/share + residual)
+}
+
+// Outcomes returns the outcomes of the named tasks and whether all of them are final.
+// A task that is in no record may have run here before its record expired.
+func Outcomes(sta *State, id rgmodel.SubmissionID, indexes []int) ([]rgmodel.Outcome, bool) {
+	rec := sta.Records[id]
+	outs := make([]rgmodel.Outcome, 0, len(indexes))
+	for _, idx := range indexes {
+		if rec == nil || rec.Tasks[idx] == nil {
+			outs = append(outs, rgmodel.Outcome{Index: idx, Reason: rgmodel.ReasonRecordLost})
+			continue
+		}
+		tsk := rec.Tasks[idx]
+		if tsk.State != rgmodel.TaskFinal {
+			return nil, false
+		}
+		outs = append(outs, tsk.Outcome)
+	}
+	return outs, true
+}
+
+// refusal returns why the batch must be refused, or an empty reason.
+func refusal(sta *State, bat rgmodel.Batch, tasks int) rgmodel.Reason {
+	limit := sta.MaxQueued
+	if limit == 0 {
+		limit = DefaultMaxQueued
+	}
+	switch {
+	case !announcedToAll(sta):
+		return rgmodel.ReasonNotReady
+	case sta.Draining:
+		return rgmodel.ReasonDraining
+	case bat.Remaining.Duration <= 0:
+		return rgmodel.ReasonExpired
+	case sta.Queued+tasks > limit:
+		return rgmodel.ReasonQueueFull
+	case ExpectedWait(sta, bat.Flow) > bat.Remaining.Duration:
+		return rgmodel.ReasonQueueFull
+	default:
+		return ""
+	}
+}
+
+// announcedToAll reports whether every entry of the ring knows this sidecar. Only then can any one of them name it
+// to a new entry that must seal all sidecars.
+func announcedToAll(sta *State) bool {
+	for _, ent := range sta.Ring.Entries {
+		if !sta.Announced[ent.Incarnation] {
+			return false
+		}
+	}
+	return len(sta.Ring.Entries) > 0
+}
+
+// nextFlow returns the flow with waiting tasks whose virtual start is the earliest.
+// Ties go to the flow whose head arrived first, so that the choice does not depend on map order.
+func nextFlow(sta *State) rgmodel.Flow {
+	var best rgmodel.Flow
+	var bestFlow *Flow
+	for key, flo := range sta.Flows {
+		if len(flo.Waiting) == 0 {
+			continue
+		}
+		if bestFlow == nil || before(sta, flo, bestFlow) {
+			best, bestFlow = key, flo
+		}
+	}
+	return best
+}
+
+func before(sta *State, fst, snd *Flow) bool {
+	fstStart, sndStart := max(sta.Virtual, fst.Finish), max(sta.Virtual, snd.Finish)
+	if fstStart != sndStart {
+		return fstStart < sndStart
+	}
+	return fst.Waiting[0].Arrival < snd.Waiting[0].Arrival
+}
+
+func serviceTime(sta *State, kind string, declared time.Duration) time.Duration {
+	if tim, ok := sta.Times[kind]; ok {
+		return tim
+	}
+	if declared > 0 {
+		return declared
+	}
+	return DefaultServiceTime
+}
+
+func flowWork(sta *State, key rgmodel.Flow, flo *Flow) time.Duration {
+	work := time.Duration(0)
+	if len(flo.Waiting) > 0 {
+		work = time.Duration(len(flo.Waiting)) * serviceTime(sta, key.Kind, flo.Waiting[0].RunTime)
+	}
+	return work
+}
+
+// backlog is the time that the slots need for all queued tasks.
+func backlog(sta *State) time.Duration {
+	work := time.Duration(0)
+	for key, flo := range sta.Flows {
+		work += flowWork(sta, key, flo)
+	}
+	return work / time.Duration(max(1, sta.Self.Capacity.Slots))
+}
--- /dev/null
+++ b/core/rgsubmission/command_register.go
@@ -0,0 +1,76 @@
+package rgsubmission
+
+import (
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// Register adds a job that is about to run. The id must not be in the table, except as one whose answer was dropped.
+func Register(sta *State, jb rgmodel.Job, win time.Duration, now time.Time) {
+	if sta.Submissions == nil {
+		sta.Submissions = map[rgmodel.SubmissionID]*Submission{}
+	}
+	sta.Submissions[jb.ID] = &Submission{
+		Digest:  jb.Digest,
+		Flow:    jb.Flow,
+		Started: now,
+		Expires: now.Add(win + jb.Deadline.Duration),
+	}
+}
+
+// Finish stores the final answer of a job, and drops the oldest answers above the byte bound.
+// Answers that are not complete are always kept: their verdicts cannot be collected again.
+func Finish(sta *State, ans rgmodel.Answer, places []Place) {
+	sub := sta.Submissions[ans.ID]
+	if sub == nil {
+		return
+	}
+	sub.Final, sub.Complete, sub.Answer, sub.Places = true, ans.Complete(), ans, places
+	if !sub.Complete {
+		return
+	}
+	sta.AnswerBytes += size(ans)
+	sta.Answered = append(sta.Answered, ans.ID)
+	trim(sta)
+}
+
+// Forget removes the id, because another entry has become its home.
+func Forget(sta *State, id rgmodel.SubmissionID) {
+	sub := sta.Submissions[id]
+	if sub == nil {
+		return
+	}
+	release(sta, sub)
+	delete(sta.Submissions, id)
+}
+
+// Expire removes the final submissions whose window has passed.
+func Expire(sta *State, now time.Time) {
+	for id, sub := range sta.Submissions {
+		if sub.Final && now.After(sub.Expires) {
+			Forget(sta, id)
+		}
+	}
+}
+
+func trim(sta *State) {
+	limit := sta.MaxAnswerBytes
+	if limit == 0 {
+		limit = DefaultMaxAnswerBytes
+	}
+	for sta.AnswerBytes > limit && len(sta.Answered) > 0 {
+		if sub := sta.Submissions[sta.Answered[0]]; sub != nil {
+			release(sta, sub)
+		}
+		sta.Answered = sta.Answered[1:]
+	}
+}
+
+// release drops a complete answer from memory.
+func release(sta *State, sub *Submission) {
+	if sub.Complete && len(sub.Answer.Outcomes) > 0 {
+		sta.AnswerBytes -= size(sub.Answer)
+		sub.Answer = rgmodel.Answer{}
+	}
+}
--- /dev/null
+++ b/core/rgsubmission/query_find.go
@@ -0,0 +1,31 @@
+package rgsubmission
+
+import "ragwortgap/core/rgmodel"
+
+// outcomeBytes is the memory of an Outcome without its result.
+const outcomeBytes = 96
+
+// Find returns what the table knows of the id when it is submitted with the digest.
+func Find(sta *State, id rgmodel.SubmissionID, digest uint64) Standing {
+	sub := sta.Submissions[id]
+	switch {
+	case sub == nil:
+		return Unknown{}
+	case sub.Digest != digest:
+		return Conflict{}
+	case !sub.Final:
+		return Running{}
+	case len(sub.Answer.Outcomes) > 0:
+		return Answered{Answer: sub.Answer}
+	default:
+		return Dropped{Places: sub.Places}
+	}
+}
+
+func size(ans rgmodel.Answer) int {
+	sum := 0
+	for _, out := range ans.Outcomes {
+		sum += outcomeBytes + len(out.Result) + len(out.Detail)
+	}
+	return sum
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,12 @@
+// Command ragwortgap dispatches jobs of short tasks to upstreams.
+package main
+
+import (
+	"os"
+
+	"ragwortgap/io/rgcli"
+)
+
+func main() {
+	os.Exit(rgcli.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
