--- /dev/null
+++ b/io/rgapi/job.go
@@ -0,0 +1,238 @@
+// Package rgapi holds the JSON formats of the HTTP routes and their translation from and to the model.
+package rgapi
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/juju/errors"
+
+	"ragwortgap/core/rgmodel"
+)
+
+const (
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes = 8 << 20
+	// MaxPayloadBytes bounds the payload of a task.
+	MaxPayloadBytes = 64 << 10
+	// MaxNameBytes bounds the names of teams and kinds.
+	MaxNameBytes = 64
+	// MaxDeadline is the longest time that a job may take. It is no longer than the default drain bound, so that a
+	// planned stop cuts off nothing.
+	MaxDeadline = 30 * time.Second
+
+	statusComplete = "complete"
+	statusFailed   = "failed"
+	statusRunning  = "running"
+)
+
+type (
+	// JobRequest is the body of a submission.
+	JobRequest struct {
+		SubmissionID string            `json:"submissionId"`
+		Team         string            `json:"team"`
+		Kind         string            `json:"kind"`
+		Urgency      string            `json:"urgency"`
+		Deadline     rgmodel.Duration  `json:"deadline"`
+		RunTime      rgmodel.Duration  `json:"runTime"`
+		Requires     rgmodel.Resources `json:"requires"`
+		Tasks        []jsontext.Value  `json:"tasks"`
+	}
+
+	// JobAnswer is the body of an answer. Results is set if the status is complete, and Tasks if it is failed.
+	JobAnswer struct {
+		SubmissionID rgmodel.SubmissionID `json:"submissionId"`
+		Status       string               `json:"status"`
+		Results      []rgmodel.Payload    `json:"results,omitempty"`
+		Tasks        []TaskFailure        `json:"tasks,omitempty"`
+	}
+
+	// TaskFailure says how far a task of a failed job came.
+	TaskFailure struct {
+		Index   int             `json:"index"`
+		Verdict rgmodel.Verdict `json:"verdict"`
+		Reason  rgmodel.Reason  `json:"reason,omitempty"`
+		Detail  string          `json:"detail,omitempty"`
+	}
+
+	// Problem is the body of a request's refusal; nothing was started.
+	Problem struct {
+		Field   string          `json:"field,omitempty"`
+		Value   string          `json:"value,omitempty"`
+		Reason  string          `json:"reason"`
+		Verdict rgmodel.Verdict `json:"verdict"`
+	}
+)
+
+var urgencies = map[string]rgmodel.Urgency{
+	"":       rgmodel.UrgencyNormal,
+	"low":    rgmodel.UrgencyLow,
+	"normal": rgmodel.UrgencyNormal,
+	"high":   rgmodel.UrgencyHigh,
+}
+
+// ReadJob reads and checks a submission. The problem is nil if the job may be submitted.
+// The digest covers everything but the submission id, so that a resubmission is recognised.
+func ReadJob(src io.Reader, now time.Time) (rgmodel.Job, *Problem) {
+	raw, err := io.ReadAll(io.LimitReader(src, MaxBodyBytes+1))
+	if err != nil {
+		return rgmodel.Job{}, &Problem{Reason: "body not readable: " + err.Error(), Verdict: rgmodel.NotRun}
+	}
+	if len(raw) > MaxBodyBytes {
+		return rgmodel.Job{}, wrong("body", strconv.Itoa(len(raw))+" bytes or more", "limit is "+strconv.Itoa(MaxBodyBytes)+" bytes")
+	}
+	var req JobRequest
+	if err := json.Unmarshal(raw, &req, json.RejectUnknownMembers(true)); err != nil {
+		return rgmodel.Job{}, decodeProblem(err)
+	}
+	if prb := check(req, now); prb != nil {
+		return rgmodel.Job{}, prb
+	}
+	return toJob(req), nil
+}
+
+func toJob(req JobRequest) rgmodel.Job {
+	jb := rgmodel.Job{
+		ID:       rgmodel.SubmissionID(req.SubmissionID),
+		Flow:     rgmodel.Flow{Team: req.Team, Kind: req.Kind},
+		Urgency:  urgencies[req.Urgency],
+		Deadline: req.Deadline,
+		RunTime:  req.RunTime,
+		Requires: req.Requires,
+		Tasks:    make([]rgmodel.Task, len(req.Tasks)),
+	}
+	dig := xxhash.New()
+	for _, txt := range []string{req.Team, req.Kind, req.Urgency} {
+		_, _ = dig.WriteString(txt + "\x00")
+	}
+	for i, val := range req.Tasks {
+		jb.Tasks[i] = rgmodel.Task{Index: i, Payload: rgmodel.Payload(val)}
+		_, _ = dig.Write(val)
+		_, _ = dig.WriteString("\x00")
+	}
+	jb.Digest = dig.Sum64()
+	return jb
+}
+
+func check(req JobRequest, now time.Time) *Problem {
+	switch {
+	case req.Team == "" || len(req.Team) > MaxNameBytes:
+		return wrong("team", req.Team, "need 1 to 64 bytes")
+	case req.Kind == "" || len(req.Kind) > MaxNameBytes:
+		return wrong("kind", req.Kind, "need 1 to 64 bytes")
+	case req.Deadline.Duration <= 0 || req.Deadline.Duration > MaxDeadline:
+		return wrong("deadline", req.Deadline.String(), "need more than 0s and at most "+MaxDeadline.String())
+	case len(req.Tasks) < 1 || len(req.Tasks) > rgmodel.MaxTasks:
+		return wrong("tasks", strconv.Itoa(len(req.Tasks))+" tasks", "need 1 to "+strconv.Itoa(rgmodel.MaxTasks))
+	case req.Requires.Cores < 0 || req.Requires.MemoryBytes < 0 || req.Requires.Accelerators < 0:
+		return wrong("requires", "negative", "need zero or more")
+	}
+	if _, ok := urgencies[req.Urgency]; !ok {
+		return wrong("urgency", req.Urgency, "need low, normal or high")
+	}
+	for i, val := range req.Tasks {
+		if len(val) > MaxPayloadBytes {
+			return wrong("tasks/"+strconv.Itoa(i), strconv.Itoa(len(val))+" bytes", "limit is "+strconv.Itoa(MaxPayloadBytes)+" bytes")
+		}
+	}
+	if req.SubmissionID == "" {
+		return nil
+	}
+	return checkID(rgmodel.SubmissionID(req.SubmissionID), now)
+}
+
+func checkID(id rgmodel.SubmissionID, now time.Time) *Problem {
+	crt, err := id.Created()
+	switch {
+	case err != nil:
+		return wrong("submissionId", string(id), "need a UUIDv7 in lower case")
+	case crt.After(now.Add(rgmodel.ClockSkewLimit)):
+		return wrong("submissionId", string(id), "its time is more than "+rgmodel.ClockSkewLimit.String()+" ahead")
+	case crt.Before(now.Add(-rgmodel.DefaultResubmissionWindow)):
+		// The task of an id that is too old may have run, but not by this request.
+		win := rgmodel.DefaultResubmissionWindow.String()
+		return wrong("submissionId", string(id), "its time is older than the resubmission window of "+win)
+	default:
+		return nil
+	}
+}
+
+func decodeProblem(err error) *Problem {
+	var sem *json.SemanticError
+	var syn *jsontext.SyntacticError
+	switch {
+	case errors.As(err, &sem):
+		prb := &Problem{Field: string(sem.JSONPointer), Value: string(sem.JSONValue), Reason: "wrong value", Verdict: rgmodel.NotRun}
+		if sem.Err != nil {
+			prb.Reason = sem.Err.Error()
+		}
+		return prb
+	case errors.As(err, &syn):
+		return &Problem{Field: string(syn.JSONPointer), Reason: syn.Err.Error(), Verdict: rgmodel.NotRun}
+	default:
+		return &Problem{Reason: err.Error(), Verdict: rgmodel.NotRun}
+	}
+}
+
+func wrong(fld, val, rsn string) *Problem {
+	return &Problem{Field: fld, Value: val, Reason: rsn, Verdict: rgmodel.NotRun}
+}
+
+// Running is the body for a job without a final answer.
+func Running(id rgmodel.SubmissionID) JobAnswer {
+	return JobAnswer{SubmissionID: id, Status: statusRunning}
+}
+
+// FromAnswer translates a final answer and chooses its HTTP status.
+func FromAnswer(ans rgmodel.Answer) (int, JobAnswer) {
+	bod := JobAnswer{SubmissionID: ans.ID}
+	if ans.Complete() {
+		bod.Status = statusComplete
+		for _, out := range ans.Outcomes {
+			bod.Results = append(bod.Results, out.Result)
+		}
+		return http.StatusOK, bod
+	}
+	bod.Status = statusFailed
+	for _, out := range ans.Outcomes {
+		bod.Tasks = append(bod.Tasks, TaskFailure{Index: out.Index, Verdict: out.Verdict, Reason: out.Reason, Detail: out.Detail})
+	}
+	return status(ans), bod
+}
+
+// status is that of the first task that did not succeed.
+func status(ans rgmodel.Answer) int {
+	for _, out := range ans.Outcomes {
+		if out.Verdict == rgmodel.RanOK {
+			continue
+		}
+		switch out.Reason {
+		case rgmodel.ReasonDigestMismatch:
+			return http.StatusConflict
+		case rgmodel.ReasonNeverRunnable:
+			return http.StatusUnprocessableEntity
+		case rgmodel.ReasonQuota:
+			return http.StatusTooManyRequests
+		case rgmodel.ReasonExpired, rgmodel.ReasonDeadlineExceeded, rgmodel.ReasonUpstreamTimeout:
+			return http.StatusGatewayTimeout
+		case rgmodel.ReasonExpectedWait, rgmodel.ReasonNoUpstream, rgmodel.ReasonQueueFull, rgmodel.ReasonDraining,
+			rgmodel.ReasonNotReady, rgmodel.ReasonRetryBudget:
+			return http.StatusServiceUnavailable
+		default:
+			return http.StatusBadGateway
+		}
+	}
+	return http.StatusBadGateway
+}
+
+// Write sends a body with a status. A caller that has gone gets nothing, and nobody else is concerned.
+func Write(rsp http.ResponseWriter, status int, body any) {
+	rsp.Header().Set("Content-Type", "application/json")
+	rsp.WriteHeader(status)
+	_ = json.MarshalWrite(rsp, body)
+}
--- /dev/null
+++ b/io/rgcli/cli.go
@@ -0,0 +1,81 @@
+// Package rgcli is the command line.
+package rgcli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/juju/errors"
+
+	"ragwortgap/io/rgsettings"
+)
+
+const (
+	exitOK      = 0
+	exitFailure = 1
+	// exitUsage is for wrong arguments and wrong settings.
+	exitUsage = 2
+)
+
+type (
+	arguments struct {
+		Entry   *entryCommand   `arg:"subcommand:entry" help:"run an entry"`
+		Sidecar *sidecarCommand `arg:"subcommand:sidecar" help:"run the sidecar of an upstream"`
+		Demo    *demoCommand    `arg:"subcommand:demo" help:"run the whole system with stand-ins in one process"`
+		Version *versionQuery   `arg:"subcommand:version" help:"print the version"`
+	}
+)
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, out, log io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var cmd arguments
+	prs, err := arg.NewParser(arg.Config{Program: "ragwortgap", Out: out}, &cmd)
+	if err != nil {
+		_, _ = fmt.Fprintln(log, err)
+		return exitUsage
+	}
+	switch err := prs.Parse(args); {
+	case errors.Is(err, arg.ErrHelp):
+		_ = prs.WriteHelpForSubcommand(out, prs.SubcommandNames()...)
+		return exitOK
+	case err != nil:
+		_, _ = fmt.Fprintln(log, "ragwortgap:", err)
+		return exitUsage
+	}
+	return exitCode(dispatch(ctx, prs, out), log)
+}
+
+func dispatch(ctx context.Context, prs *arg.Parser, out io.Writer) error {
+	switch cmd := prs.Subcommand().(type) {
+	case *entryCommand:
+		return cmd.run(ctx)
+	case *sidecarCommand:
+		return cmd.run(ctx)
+	case *demoCommand:
+		return cmd.run(ctx, out)
+	case *versionQuery:
+		return cmd.run(out)
+	default:
+		prs.WriteHelp(out)
+		return errors.BadRequestf("no subcommand")
+	}
+}
+
+func exitCode(err error, log io.Writer) int {
+	if err == nil {
+		return exitOK
+	}
+	_, _ = fmt.Fprintln(log, "ragwortgap:", err)
+	var fld rgsettings.FieldError
+	if errors.As(err, &fld) || errors.Is(err, errors.BadRequest) || errors.Is(err, errors.NotValid) {
+		return exitUsage
+	}
+	return exitFailure
+}
--- /dev/null
+++ b/io/rgdemo/demo.go
@@ -0,0 +1,218 @@
+// Package rgdemo runs the whole system with stand-ins in one process over loopback TCP.
+package rgdemo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/julienschmidt/httprouter"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgcommandapi"
+	"ragwortgap/io/rgentry"
+	"ragwortgap/io/rgqueryapi"
+	"ragwortgap/io/rgsettings"
+	"ragwortgap/io/rgsidecar"
+	"ragwortgap/io/rgstandin"
+)
+
+const (
+	entryCount   = 3
+	sidecarCount = 10
+	slots        = 8
+	connections  = 60
+	readyBound   = 15 * time.Second
+	readyPoll    = 20 * time.Millisecond
+	anyPort      = "127.0.0.1:0"
+	exampleJob   = `{"team":"kitapDostu","kind":"signUps","deadline":"2s","tasks":[{"reader":1},{"reader":2}]}`
+)
+
+type (
+	// Options are the choices of the demo's user.
+	Options struct {
+		Keep bool
+	}
+
+	// system is everything that the demo runs.
+	system struct {
+		store     *rgstandin.Store
+		upstreams []*rgstandin.Upstream
+		starts    *rgstandin.StartLog
+		entries   []*rgentry.Process
+		sidecars  []*rgsidecar.Process
+		callers   []string
+		metrics   tally.TestScope
+		servers   []*http.Server
+	}
+)
+
+// runTimes are the mean run times of the kinds of both users on an upstream of ordinary speed.
+var runTimes = map[string]time.Duration{
+	"readingLists":      120 * time.Millisecond,
+	"chapterReminders":  60 * time.Millisecond,
+	"signUps":           80 * time.Millisecond,
+	"menuConfirmations": 70 * time.Millisecond,
+	"allocations":       150 * time.Millisecond,
+	"stockChecks":       50 * time.Millisecond,
+}
+
+// Run starts the system, submits jobs, prints a report and fails if an answer was neither complete nor a refusal.
+func Run(ctx context.Context, opt Options, out io.Writer) error {
+	work, stop := context.WithCancel(ctx)
+	sys := &system{starts: &rgstandin.StartLog{}, metrics: tally.NewTestScope("", nil)}
+	defer sys.close()
+	defer stop()
+	if err := sys.start(work, zap.NewNop()); err != nil {
+		return err
+	}
+	say(out, "started %d entries, %d sidecars, %d upstreams and a store stand-in on loopback", entryCount, sidecarCount, sidecarCount)
+	if err := sys.awaitReady(ctx); err != nil {
+		return err
+	}
+	rep, err := sys.load(ctx, out)
+	if err != nil {
+		return err
+	}
+	rep.print(out)
+	if opt.Keep {
+		say(out, "serving on http://%s until interrupted; try:", sys.callers[0])
+		say(out, `curl -s http://%s/v1/jobs -d '%s'`, sys.callers[0], exampleJob)
+		<-ctx.Done()
+	}
+	return rep.verdict()
+}
+
+func (sys *system) start(ctx context.Context, log *zap.Logger) error {
+	sys.store = &rgstandin.Store{}
+	storeAddress, err := sys.serve(sys.store)
+	if err != nil {
+		return err
+	}
+	var peers []string
+	for i := range entryCount {
+		set := rgsettings.Entry{
+			Name:             fmt.Sprintf("entry%d", i),
+			AvailabilityZone: zone(i),
+			CallerAddress:    anyPort,
+			PeerAddress:      anyPort,
+			Store:            "http://" + storeAddress,
+			Peers:            peers,
+		}
+		if err := rgsettings.CheckEntry(&set); err != nil {
+			return err
+		}
+		pro, err := rgentry.Start(ctx, set, log, sys.metrics)
+		if err != nil {
+			return err
+		}
+		rtr := httprouter.New()
+		rgcommandapi.Routes{Entry: pro}.Register(rtr)
+		rgqueryapi.Routes{Entry: pro}.Register(rtr)
+		adr, err := sys.serve(rtr)
+		if err != nil {
+			return err
+		}
+		sys.entries = append(sys.entries, pro)
+		sys.callers = append(sys.callers, adr)
+		peers = append(peers, pro.Self().Address)
+	}
+	for i := range sidecarCount {
+		if err := sys.startSidecar(ctx, log, i, peers); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (sys *system) startSidecar(ctx context.Context, log *zap.Logger, num int, peers []string) error {
+	ups := &rgstandin.Upstream{
+		Name:    fmt.Sprintf("upstream%d", num),
+		RunTime: runTimes,
+		// Back ends that were bought over years: the slowest takes 2.8 times as long as the fastest.
+		Slowness: 0.6 + 0.12*float64(num),
+		Log:      sys.starts,
+	}
+	adr, err := sys.serve(ups)
+	if err != nil {
+		return err
+	}
+	set := rgsettings.Sidecar{
+		Name:             fmt.Sprintf("sidecar%d", num),
+		AvailabilityZone: zone(num),
+		Rack:             fmt.Sprintf("rack%d", num/3),
+		Entries:          peers,
+		Upstream:         "http://" + adr,
+		Slots:            slots,
+		Connections:      connections,
+		Resources:        rgmodel.Resources{Cores: 30, MemoryBytes: 130 << 30},
+	}
+	if err := rgsettings.CheckSidecar(&set); err != nil {
+		return err
+	}
+	sys.upstreams = append(sys.upstreams, ups)
+	sys.sidecars = append(sys.sidecars, rgsidecar.Start(ctx, set, log, sys.metrics))
+	return nil
+}
+
+func zone(num int) string {
+	return fmt.Sprintf("zone%d", num%3)
+}
+
+func (sys *system) serve(hdl http.Handler) (string, error) {
+	lis, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return "", errors.Annotate(err, "listen")
+	}
+	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: readyBound}
+	sys.servers = append(sys.servers, srv)
+	go func() { _ = srv.Serve(lis) }()
+	return lis.Addr().String(), nil
+}
+
+// awaitReady waits until every entry is in the ring and knows every sidecar.
+func (sys *system) awaitReady(ctx context.Context) error {
+	ctx, stop := context.WithTimeout(ctx, readyBound)
+	defer stop()
+	tic := time.NewTicker(readyPoll)
+	defer tic.Stop()
+	for !sys.ready() {
+		select {
+		case <-tic.C:
+		case <-ctx.Done():
+			return errors.Timeoutf("start of the system")
+		}
+	}
+	return nil
+}
+
+func (sys *system) ready() bool {
+	for _, ent := range sys.entries {
+		if vie := ent.View(); len(vie.Ring.Entries) < entryCount || vie.Ready < sidecarCount {
+			return false
+		}
+	}
+	return true
+}
+
+func (sys *system) close() {
+	for _, ent := range sys.entries {
+		<-ent.Done
+	}
+	for _, sid := range sys.sidecars {
+		<-sid.Done
+	}
+	for _, srv := range sys.servers {
+		_ = srv.Close()
+	}
+}
+
+func say(out io.Writer, format string, args ...any) {
+	_, _ = fmt.Fprintf(out, format+"\n", args...)
+}
--- /dev/null
+++ b/io/rgentry/caller.go
@@ -0,0 +1,127 @@
+package rgentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgring"
+	"ragwortgap/io/rgwire"
+)
+
+const (
+	// maxHops bounds how often a job is passed on while entries have different rings.
+	maxHops = 3
+	// forwardPause is the time before a job is passed on again after a failure.
+	forwardPause = 100 * time.Millisecond
+)
+
+// Reply is what a caller gets for a job. RetryAfter is when the caller may try again, or zero.
+type Reply struct {
+	Answer     rgmodel.Answer
+	RetryAfter time.Duration
+}
+
+// NewID returns a submission id of which this entry is the home.
+func (pro *Process) NewID() (rgmodel.SubmissionID, error) {
+	rng := pro.View().Ring
+	for {
+		uid, err := uuid.NewV7()
+		if err != nil {
+			return "", errors.Annotate(err, "generate submission id")
+		}
+		id := rgmodel.SubmissionID(uid.String())
+		if ent, ok := rgring.Home(rng, id); !ok || ent == pro.self || !contains(rng, pro.self) {
+			return id, nil
+		}
+	}
+}
+
+// Submit runs a job and returns its answer when it is final. Own says that the id has just come from NewID.
+// The job goes on when ctx ends, and then the answer says that the tasks may have run.
+func (pro *Process) Submit(ctx context.Context, jb rgmodel.Job, own bool) Reply {
+	return pro.submitJob(ctx, jb, own, 0)
+}
+
+// JobState returns what the home of the submission knows of it.
+func (pro *Process) JobState(ctx context.Context, id rgmodel.SubmissionID) (rgwire.JobStateReply, error) {
+	if ent, ok := pro.elsewhere(id); ok {
+		var rep rgwire.JobStateReply
+		err := pro.entries.ask(ctx, pro, ent, rgwire.JobState{ID: id}, &rep)
+		return rep, err
+	}
+	return pro.localState(ctx, id)
+}
+
+// CancelJob cancels a running job at its home and returns whether there was one.
+func (pro *Process) CancelJob(ctx context.Context, id rgmodel.SubmissionID) (bool, error) {
+	if ent, ok := pro.elsewhere(id); ok {
+		var rep rgwire.CancelJobReply
+		err := pro.entries.ask(ctx, pro, ent, rgwire.CancelJob{ID: id}, &rep)
+		return rep.Found, err
+	}
+	rep, err := pro.localCancel(ctx, id)
+	return rep.Found, err
+}
+
+func (pro *Process) submitJob(ctx context.Context, jb rgmodel.Job, own bool, hops int) Reply {
+	pro.callers.Add(1)
+	defer pro.callers.Add(-1)
+	ctx, stop := context.WithTimeout(ctx, jb.Deadline.Duration+2*answerGrace)
+	defer stop()
+	for ctx.Err() == nil {
+		rep := make(chan decision, 1)
+		dec, err := ask(ctx, pro, submitted{job: jb, own: own, reply: rep}, rep)
+		if err != nil {
+			break
+		}
+		switch dec := dec.(type) {
+		case settled:
+			return Reply{Answer: dec.answer, RetryAfter: dec.retryAfter}
+		case wait:
+			select {
+			case ans, ok := <-dec.answer:
+				if ok {
+					return Reply{Answer: ans}
+				}
+			case <-ctx.Done():
+			}
+		case forward:
+			if ans, ok := pro.forwardJob(ctx, jb, dec.home, hops); ok {
+				return Reply{Answer: ans}
+			}
+			pause(ctx, forwardPause)
+		}
+		// After a first decision, another entry may have seen the id.
+		own = false
+	}
+	return Reply{Answer: rgmodel.RefuseAll(jb, rgmodel.MayHaveRun, rgmodel.ReasonDeadlineExceeded, "no answer before the deadline")}
+}
+
+// forwardJob passes a job to its home. Passing it on again is safe, because the home knows the id.
+func (pro *Process) forwardJob(ctx context.Context, jb rgmodel.Job, home rgmodel.Entry, hops int) (rgmodel.Answer, bool) {
+	if hops >= maxHops {
+		return rgmodel.Answer{}, false
+	}
+	pro.scope.Counter("forwards").Inc(1)
+	var rep rgwire.ForwardReply
+	err := pro.entries.ask(ctx, pro, home, rgwire.Forward{Job: jb, Hops: hops + 1}, &rep)
+	return rep.Answer, err == nil && len(rep.Answer.Outcomes) == len(jb.Tasks)
+}
+
+func (pro *Process) elsewhere(id rgmodel.SubmissionID) (rgmodel.Entry, bool) {
+	ent, ok := rgring.Home(pro.View().Ring, id)
+	return ent, ok && ent != pro.self
+}
+
+func contains(rng rgmodel.Ring, ent rgmodel.Entry) bool {
+	for _, oth := range rng.Entries {
+		if oth == ent {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/io/rgentry/entries.go
@@ -0,0 +1,68 @@
+package rgentry
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgwire"
+)
+
+const dialTimeout = 2 * time.Second
+
+// entryPeers keeps one connection to each other entry. It holds no decision state.
+type entryPeers struct {
+	mutex sync.Mutex
+	peers map[string]*rgwire.Peer
+}
+
+// ask calls another entry over a kept connection.
+func (ep *entryPeers) ask(ctx context.Context, pro *Process, ent rgmodel.Entry, msg rgwire.Message, reply any) error {
+	per, err := ep.open(ctx, pro, ent.Address)
+	if err != nil {
+		return err
+	}
+	return per.Ask(ctx, msg, reply)
+}
+
+func (ep *entryPeers) open(ctx context.Context, pro *Process, adr string) (*rgwire.Peer, error) {
+	ep.mutex.Lock()
+	stale := ep.peers[adr]
+	ep.mutex.Unlock()
+	if stale != nil {
+		select {
+		case <-stale.Done:
+		default:
+			return stale, nil
+		}
+	}
+	dlr := net.Dialer{Timeout: dialTimeout}
+	con, err := dlr.DialContext(ctx, "tcp", adr)
+	if err != nil {
+		return nil, errors.Annotatef(err, "dial entry %s", adr)
+	}
+	per := rgwire.Serve(context.WithoutCancel(ctx), con, pro.serve)
+	ep.mutex.Lock()
+	defer ep.mutex.Unlock()
+	if ep.peers == nil {
+		ep.peers = map[string]*rgwire.Peer{}
+	}
+	if old := ep.peers[adr]; old != nil && old != stale {
+		per.Close()
+		return old, nil
+	}
+	ep.peers[adr] = per
+	return per, nil
+}
+
+func (ep *entryPeers) close() {
+	ep.mutex.Lock()
+	defer ep.mutex.Unlock()
+	for _, per := range ep.peers {
+		per.Close()
+	}
+}
--- /dev/null
+++ b/io/rgentry/process.go
@@ -0,0 +1,158 @@
+// Package rgentry is the process that callers talk to: one control goroutine that owns the view of the fleet and the
+// table of submissions, and traffic goroutines for callers, sidecars, other entries and the store.
+package rgentry
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgsettings"
+	"ragwortgap/io/rgstore"
+	"ragwortgap/io/rgwire"
+)
+
+// eventBuffer lets traffic goroutines go on while the control goroutine handles a burst.
+const eventBuffer = 1024
+
+type (
+	// Process is a running entry.
+	Process struct {
+		// Done is closed when the process has stopped.
+		Done chan struct{}
+
+		settings rgsettings.Entry
+		self     rgmodel.Entry
+		log      *zap.Logger
+		scope    tally.Scope
+		store    rgstore.Client
+		listener net.Listener
+		events   chan event
+		view     atomic.Pointer[View]
+		// stopped is closed when the control goroutine has ended.
+		stopped chan struct{}
+		// callers counts the calls that wait for an answer.
+		callers atomic.Int64
+		// traffic counts the goroutines of jobs, connections and the store.
+		traffic conc.WaitGroup
+		entries entryPeers
+	}
+
+	// View is what traffic goroutines may read; it is never changed after it was published.
+	View struct {
+		Ring     rgmodel.Ring
+		Teams    map[string]rgmodel.TeamConfig
+		Sidecars []rgmodel.Sidecar
+		// Ready is the number of sidecars that may get work.
+		Ready    int
+		Draining bool
+	}
+)
+
+// Start runs an entry until ctx ends; then it drains within the bound of its settings and closes Done.
+// It fails when the peer address cannot be listened on.
+func Start(ctx context.Context, set rgsettings.Entry, log *zap.Logger, sco tally.Scope) (*Process, error) {
+	lis, err := net.Listen("tcp", set.PeerAddress)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen on %s", set.PeerAddress)
+	}
+	pro := &Process{
+		Done:     make(chan struct{}),
+		settings: set,
+		self: rgmodel.Entry{
+			Name:             set.Name,
+			Incarnation:      uuid.NewString(),
+			Address:          lis.Addr().String(),
+			AvailabilityZone: set.AvailabilityZone,
+		},
+		log:      log.With(zap.String("entry", set.Name)),
+		scope:    sco,
+		store:    rgstore.Client{Base: set.Store},
+		listener: lis,
+		events:   make(chan event, eventBuffer),
+		stopped:  make(chan struct{}),
+	}
+	pro.view.Store(&View{})
+	go pro.run(ctx)
+	return pro, nil
+}
+
+// View returns the newest published view.
+func (pro *Process) View() *View {
+	return pro.view.Load()
+}
+
+// Self returns the identity of this incarnation.
+func (pro *Process) Self() rgmodel.Entry {
+	return pro.self
+}
+
+func (pro *Process) run(ctx context.Context) {
+	defer close(pro.Done)
+	// The connections outlive ctx, because jobs in flight need them.
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	pro.traffic.Go(func() { pro.acceptPeers(work) })
+	pro.traffic.Go(func() { pro.followStore(ctx, work) })
+	pro.control(ctx, work)
+	close(pro.stopped)
+	stop()
+	// Closing a listener fails only when it is closed already.
+	_ = pro.listener.Close()
+	pro.entries.close()
+	pro.traffic.Wait()
+}
+
+func (pro *Process) acceptPeers(work context.Context) {
+	for {
+		con, err := pro.listener.Accept()
+		if err != nil {
+			if work.Err() == nil {
+				pro.log.Error("accept", zap.Error(err))
+			}
+			return
+		}
+		per := rgwire.Serve(work, con, pro.serve)
+		pro.traffic.Go(func() {
+			select {
+			case <-per.Done:
+			case <-work.Done():
+				per.Close()
+			}
+		})
+	}
+}
+
+// tell passes an event to the control goroutine unless ctx or the process ends first.
+func (pro *Process) tell(ctx context.Context, evt event) bool {
+	select {
+	case pro.events <- evt:
+		return true
+	case <-pro.stopped:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// ask passes an event to the control goroutine and waits for the reply.
+func ask[Rep any](ctx context.Context, pro *Process, evt event, rep <-chan Rep) (Rep, error) {
+	var zero Rep
+	if !pro.tell(ctx, evt) {
+		return zero, errors.New("entry is stopping")
+	}
+	select {
+	case val := <-rep:
+		return val, nil
+	case <-pro.stopped:
+		return zero, errors.New("entry is stopping")
+	case <-ctx.Done():
+		return zero, errors.Trace(ctx.Err())
+	}
+}
--- /dev/null
+++ b/io/rgentry/serve.go
@@ -0,0 +1,54 @@
+package rgentry
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgwire"
+)
+
+// serve handles the messages of sidecars and other entries, in goroutines of the connection.
+func (pro *Process) serve(ctx context.Context, per *rgwire.Peer, msg rgwire.Message) (any, error) {
+	switch msg := msg.(type) {
+	case rgwire.Announce:
+		rep := make(chan rgwire.AnnounceReply, 1)
+		return ask(ctx, pro, announced{sidecar: msg.Sidecar, peer: per, reply: rep}, rep)
+	case rgwire.Report:
+		pro.tell(ctx, reported{report: msg.Report})
+		return struct{}{}, nil
+	case rgwire.Leave:
+		rep := make(chan struct{}, 1)
+		return ask(ctx, pro, leaveAsked{key: msg.Sidecar, reply: rep}, rep)
+	case rgwire.Members:
+		rep := make(chan rgwire.MembersReply, 1)
+		return ask(ctx, pro, membersAsked{reply: rep}, rep)
+	case rgwire.Forward:
+		return rgwire.ForwardReply{Answer: pro.submitJob(ctx, msg.Job, false, msg.Hops).Answer}, nil
+	case rgwire.JobState:
+		return pro.localState(ctx, msg.ID)
+	case rgwire.CancelJob:
+		return pro.localCancel(ctx, msg.ID)
+	default:
+		return nil, errors.NotSupportedf("message %T at an entry", msg)
+	}
+}
+
+func (pro *Process) localState(ctx context.Context, id rgmodel.SubmissionID) (rgwire.JobStateReply, error) {
+	rep := make(chan rgwire.JobStateReply, 1)
+	return ask(ctx, pro, stateAsked{id: id, reply: rep}, rep)
+}
+
+func (pro *Process) localCancel(ctx context.Context, id rgmodel.SubmissionID) (rgwire.CancelJobReply, error) {
+	rep := make(chan rgwire.CancelJobReply, 1)
+	return ask(ctx, pro, cancelAsked{id: id, reply: rep}, rep)
+}
+
+func jobState(sta *state, id rgmodel.SubmissionID) rgwire.JobStateReply {
+	sub := sta.submissions.Submissions[id]
+	if sub == nil {
+		return rgwire.JobStateReply{}
+	}
+	return rgwire.JobStateReply{Found: true, Final: sub.Final, Answer: sub.Answer}
+}
--- /dev/null
+++ b/io/rgsidecar/link.go
@@ -0,0 +1,212 @@
+package rgsidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgqueue"
+	"ragwortgap/io/rgwire"
+)
+
+const (
+	dialTimeout   = 2 * time.Second
+	callTimeout   = 5 * time.Second
+	redialShort   = 50 * time.Millisecond
+	redialLong    = time.Second
+	bootstrapWait = 500 * time.Millisecond
+)
+
+// startBootstrap looks for the ring while no entry is connected.
+func (pro *Process) startBootstrap(work context.Context, sta *state) {
+	if sta.bootstrapping {
+		return
+	}
+	for _, lnk := range sta.links {
+		if lnk.peer != nil {
+			return
+		}
+	}
+	sta.bootstrapping = true
+	pro.links.Go(func() { pro.bootstrap(work) })
+}
+
+// bootstrap asks the configured addresses for the ring until one answers.
+func (pro *Process) bootstrap(work context.Context) {
+	for _, adr := range pro.settings.Entries {
+		rep, err := pro.askMembers(work, adr)
+		if err == nil && len(rep.Ring.Entries) > 0 {
+			pro.tell(work, configured{ring: rep.Ring, teams: rep.Teams})
+			break
+		}
+	}
+	pause(work, bootstrapWait)
+	pro.tell(work, bootstrapped{})
+}
+
+func (pro *Process) askMembers(work context.Context, adr string) (rgwire.MembersReply, error) {
+	ctx, stop := context.WithTimeout(work, callTimeout)
+	defer stop()
+	per, err := pro.dial(ctx, adr)
+	if err != nil {
+		return rgwire.MembersReply{}, err
+	}
+	defer per.Close()
+	var rep rgwire.MembersReply
+	err = per.Ask(ctx, rgwire.Members{}, &rep)
+	return rep, err
+}
+
+func (pro *Process) dial(work context.Context, adr string) (*rgwire.Peer, error) {
+	dlr := net.Dialer{Timeout: dialTimeout}
+	con, err := dlr.DialContext(work, "tcp", adr)
+	if err != nil {
+		return nil, errors.Annotatef(err, "dial entry %s", adr)
+	}
+	return rgwire.Serve(work, con, pro.serve), nil
+}
+
+// relink keeps one link to each entry of the ring and ends the links to entries that have left it.
+func (pro *Process) relink(work context.Context, sta *state) {
+	for _, ent := range sta.queue.Ring.Entries {
+		if _, ok := sta.links[ent.Incarnation]; ok {
+			continue
+		}
+		ctx, stop := context.WithCancel(work)
+		reps := make(chan rgmodel.Report, 1)
+		sta.links[ent.Incarnation] = link{stop: stop, reports: reps}
+		pro.links.Go(func() { pro.keepLink(ctx, work, ent, reps) })
+	}
+}
+
+// unlink notes a lost connection, and gives up on an entry that has left the ring.
+func (pro *Process) unlink(sta *state, ent rgmodel.Entry) {
+	lnk, ok := sta.links[ent.Incarnation]
+	if !ok {
+		return
+	}
+	lnk.peer = nil
+	sta.links[ent.Incarnation] = lnk
+	if !slices.Contains(sta.queue.Ring.Entries, ent) {
+		lnk.stop()
+		delete(sta.links, ent.Incarnation)
+	}
+}
+
+// keepLink dials an entry again whenever the connection is lost, until ctx ends.
+func (pro *Process) keepLink(ctx, work context.Context, ent rgmodel.Entry, reps <-chan rgmodel.Report) {
+	wait := redialShort
+	for ctx.Err() == nil {
+		per, err := pro.announce(work, ent)
+		if err != nil {
+			pro.tell(work, unlinked{entry: ent})
+			pause(ctx, wait/2+rand.N(wait/2+1))
+			wait = min(2*wait, redialLong)
+			continue
+		}
+		wait = redialShort
+		pro.sendReports(work, per, reps)
+		pro.log.Info("entry disconnected", zap.String("entry", ent.Name))
+		pro.tell(work, unlinked{entry: ent})
+	}
+}
+
+// sendReports passes reports on until the connection is lost or the process ends.
+func (pro *Process) sendReports(work context.Context, per *rgwire.Peer, reps <-chan rgmodel.Report) {
+	defer per.Close()
+	for {
+		select {
+		case rep := <-reps:
+			if per.Notify(work, rgwire.Report{Report: rep}) != nil {
+				return
+			}
+		case <-per.Done:
+			return
+		case <-work.Done():
+			return
+		}
+	}
+}
+
+func (pro *Process) announce(work context.Context, ent rgmodel.Entry) (*rgwire.Peer, error) {
+	per, err := pro.dial(work, ent.Address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithTimeout(work, callTimeout)
+	defer stop()
+	var rep rgwire.AnnounceReply
+	if err := per.Ask(ctx, rgwire.Announce{Sidecar: pro.self}, &rep); err != nil {
+		per.Close()
+		return nil, err
+	}
+	if rep.Entry.Incarnation != ent.Incarnation {
+		per.Close()
+		return nil, errors.NotValidf("entry %s at %s: incarnation %s", ent.Name, ent.Address, rep.Entry.Incarnation)
+	}
+	pro.tell(work, linked{entry: ent, peer: per})
+	pro.tell(work, configured{ring: rep.Ring, teams: rep.Teams})
+	return per, nil
+}
+
+func (pro *Process) link(sta *state, evt linked) {
+	lnk, ok := sta.links[evt.entry.Incarnation]
+	if !ok {
+		return
+	}
+	lnk.peer = evt.peer
+	sta.links[evt.entry.Incarnation] = lnk
+	rgqueue.Announce(&sta.queue, evt.entry)
+	pro.log.Info("entry connected", zap.String("entry", evt.entry.Name))
+	pro.report(sta, time.Now())
+}
+
+// serve handles the messages of entries, in goroutines of the connection.
+func (pro *Process) serve(ctx context.Context, _ *rgwire.Peer, msg rgwire.Message) (any, error) {
+	switch msg := msg.(type) {
+	case rgwire.StartBatch:
+		rep := make(chan rgwire.BatchReply, 1)
+		return await(ctx, pro, batchArrived{batch: msg.Batch, reply: rep}, rep)
+	case rgwire.Collect:
+		rep := make(chan rgwire.BatchReply, 1)
+		return await(ctx, pro, collectArrived{id: msg.ID, indexes: msg.Indexes, reply: rep}, rep)
+	case rgwire.Seal:
+		rep := make(chan rgwire.SealReply, 1)
+		return await(ctx, pro, sealArrived{seal: msg, reply: rep}, rep)
+	case rgwire.Cancel:
+		pro.tell(ctx, cancelArrived{ids: msg.IDs})
+		return struct{}{}, nil
+	case rgwire.Configure:
+		pro.tell(ctx, configured{ring: msg.Ring, teams: msg.Teams})
+		return struct{}{}, nil
+	default:
+		return nil, errors.NotSupportedf("message %T at a sidecar", msg)
+	}
+}
+
+func await[Rep any](ctx context.Context, pro *Process, evt event, rep <-chan Rep) (any, error) {
+	if !pro.tell(ctx, evt) {
+		return nil, errors.Trace(ctx.Err())
+	}
+	select {
+	case val := <-rep:
+		return val, nil
+	case <-ctx.Done():
+		return nil, errors.Trace(ctx.Err())
+	}
+}
+
+func pause(ctx context.Context, dur time.Duration) {
+	tmr := time.NewTimer(dur)
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/io/rgsidecar/runner.go
@@ -0,0 +1,105 @@
+package rgsidecar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgqueue"
+)
+
+const (
+	// headerSubmission and headerIndex name the task to the upstream, and may be echoed in its answer.
+	headerSubmission = "Submission-Id"
+	headerIndex      = "Task-Index"
+	headerTeam       = "Team"
+	headerRemaining  = "Remaining-Time"
+)
+
+// runTask forwards one task to the upstream and tells the control goroutine how it ended.
+func (pro *Process) runTask(ctx, work context.Context, stt rgqueue.Start) {
+	began := time.Now()
+	out := pro.forward(ctx, stt)
+	out.Index = stt.Task.Index
+	pro.tell(work, finished{start: stt, outcome: out, took: time.Since(began)})
+}
+
+// forward sends the request once; it is never repeated here, whatever happens to the connection.
+func (pro *Process) forward(ctx context.Context, stt rgqueue.Start) rgmodel.Outcome {
+	var connected atomic.Bool
+	trc := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	loc := pro.settings.Upstream + "/tasks/" + url.PathEscape(stt.Flow.Kind)
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trc), http.MethodPost, loc, bytes.NewReader(stt.Task.Payload))
+	if err != nil {
+		return rgmodel.Outcome{Verdict: rgmodel.NotRun, Reason: rgmodel.ReasonUpstreamUnreach, Detail: err.Error()}
+	}
+	// Without GetBody, net/http cannot repeat the request on another connection.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(headerSubmission, string(stt.ID))
+	req.Header.Set(headerIndex, strconv.Itoa(stt.Task.Index))
+	req.Header.Set(headerTeam, stt.Flow.Team)
+	req.Header.Set(headerRemaining, time.Until(stt.Deadline).String())
+	rsp, err := pro.upstream.Do(req)
+	if err != nil {
+		return unanswered(ctx, connected.Load(), err)
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	return pro.readAnswer(ctx, stt, rsp)
+}
+
+// unanswered is the outcome without an answer: only a request that never got a connection has surely not run.
+func unanswered(ctx context.Context, connected bool, err error) rgmodel.Outcome {
+	out := rgmodel.Outcome{Reason: rgmodel.ReasonConnectionLost, Detail: err.Error()}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		out.Reason = rgmodel.ReasonUpstreamTimeout
+	case ctx.Err() != nil:
+		out.Reason = rgmodel.ReasonCancelled
+	case !connected:
+		out.Reason = rgmodel.ReasonUpstreamUnreach
+	}
+	if !connected {
+		out.Verdict = rgmodel.NotRun
+	}
+	return out
+}
+
+func (pro *Process) readAnswer(ctx context.Context, stt rgqueue.Start, rsp *http.Response) rgmodel.Outcome {
+	raw, err := io.ReadAll(io.LimitReader(rsp.Body, pro.settings.MaxAnswerBytes+1))
+	switch {
+	case err != nil:
+		out := unanswered(ctx, true, err)
+		if out.Reason == rgmodel.ReasonConnectionLost {
+			out.Reason = rgmodel.ReasonAnswerTruncated
+		}
+		return out
+	case int64(len(raw)) > pro.settings.MaxAnswerBytes:
+		return rgmodel.Outcome{Reason: rgmodel.ReasonAnswerTooLarge, Detail: fmt.Sprintf("over %d bytes", pro.settings.MaxAnswerBytes)}
+	case mismatched(rsp.Header, stt):
+		return rgmodel.Outcome{Reason: rgmodel.ReasonAnswerMismatch, Detail: "answer names another task"}
+	case rsp.StatusCode < http.StatusOK || rsp.StatusCode >= http.StatusMultipleChoices:
+		return rgmodel.Outcome{Verdict: rgmodel.RanFailed, Reason: rgmodel.ReasonUpstreamStatus, Detail: rsp.Status}
+	case len(raw) > 0 && !json.Valid(raw):
+		return rgmodel.Outcome{Verdict: rgmodel.RanFailed, Reason: rgmodel.ReasonUpstreamStatus, Detail: "answer is not JSON"}
+	default:
+		return rgmodel.Outcome{Verdict: rgmodel.RanOK, Result: raw}
+	}
+}
+
+// mismatched reports whether the answer names another task than the request.
+func mismatched(hdr http.Header, stt rgqueue.Start) bool {
+	id, idx := hdr.Get(headerSubmission), hdr.Get(headerIndex)
+	return (id != "" && id != string(stt.ID)) || (idx != "" && idx != strconv.Itoa(stt.Task.Index))
+}
--- /dev/null
+++ b/io/rgstandin/store.go
@@ -0,0 +1,285 @@
+package rgstandin
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"ragwortgap/io/rgstore"
+)
+
+type (
+	// Store is a stand-in for the platform's key-value service; the zero value is empty and works.
+	Store struct {
+		mutex   sync.Mutex
+		items   map[string]storeItem
+		deleted map[string]uint64
+		leases  map[string]*storeLease
+		version uint64
+		granted int
+		changed chan struct{}
+		calls   map[string]int
+		faults  StoreFaults
+	}
+
+	// StoreFaults are the faults that a Store shows.
+	StoreFaults struct {
+		// Down refuses all calls.
+		Down bool
+		// LoseAnswers carries out writes and then drops the connection.
+		LoseAnswers bool
+		// Delay is added to each call.
+		Delay time.Duration
+	}
+
+	storeItem struct {
+		rgstore.Item
+		lease string
+	}
+
+	storeLease struct {
+		ttl     time.Duration
+		expires time.Time
+	}
+)
+
+// sweepInterval is how often a waiting watch looks for lapsed leases.
+const sweepInterval = 50 * time.Millisecond
+
+// SetFaults changes the faults.
+func (sto *Store) SetFaults(flt StoreFaults) {
+	sto.mutex.Lock()
+	defer sto.mutex.Unlock()
+	sto.faults = flt
+}
+
+// Calls returns the number of calls by method and route.
+func (sto *Store) Calls() map[string]int {
+	sto.mutex.Lock()
+	defer sto.mutex.Unlock()
+	cpy := make(map[string]int, len(sto.calls))
+	for name, cnt := range sto.calls {
+		cpy[name] = cnt
+	}
+	return cpy
+}
+
+// ServeHTTP answers one call.
+func (sto *Store) ServeHTTP(rsp http.ResponseWriter, req *http.Request) {
+	flt := sto.enter(req)
+	if flt.Delay > 0 && !wait(req, flt.Delay) {
+		return
+	}
+	if flt.Down {
+		rsp.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	status, body := sto.route(req)
+	if flt.LoseAnswers && req.Method != http.MethodGet {
+		panic(http.ErrAbortHandler)
+	}
+	rsp.Header().Set("Content-Type", "application/json")
+	rsp.WriteHeader(status)
+	if body != nil {
+		_ = json.NewEncoder(rsp).Encode(body)
+	}
+}
+
+func (sto *Store) enter(req *http.Request) StoreFaults {
+	sto.mutex.Lock()
+	defer sto.mutex.Unlock()
+	if sto.calls == nil {
+		sto.calls = map[string]int{}
+		sto.items = map[string]storeItem{}
+		sto.deleted = map[string]uint64{}
+		sto.leases = map[string]*storeLease{}
+		sto.changed = make(chan struct{})
+	}
+	name, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/v1/"), "/")
+	sto.calls[req.Method+" "+name]++
+	return sto.faults
+}
+
+func (sto *Store) route(req *http.Request) (int, any) {
+	// The path is taken as it was sent, because keys contain slashes.
+	path := strings.TrimPrefix(req.URL.EscapedPath(), "/v1/")
+	name, rest, _ := strings.Cut(path, "/")
+	arg, err := url.PathUnescape(rest)
+	if err != nil {
+		return http.StatusBadRequest, nil
+	}
+	switch {
+	case name == "watch":
+		return sto.watch(req)
+	case name == "keys" && rest == "":
+		return http.StatusOK, sto.list(req.URL.Query().Get("prefix"), 0)
+	case name == "keys" && req.Method == http.MethodGet:
+		return sto.get(arg)
+	case name == "keys" && req.Method == http.MethodPut:
+		return sto.put(req, arg)
+	case name == "leases":
+		return sto.lease(req, arg)
+	default:
+		return http.StatusNotFound, nil
+	}
+}
+
+func (sto *Store) get(key string) (int, any) {
+	sto.mutex.Lock()
+	defer sto.mutex.Unlock()
+	sto.sweep(time.Now())
+	itm, ok := sto.items[key]
+	if !ok {
+		return http.StatusNotFound, nil
+	}
+	return http.StatusOK, itm.Item
+}
+
+func (sto *Store) put(req *http.Request, key string) (int, any) {
+	var wri rgstore.Write
+	if err := json.NewDecoder(req.Body).Decode(&wri); err != nil {
+		return http.StatusBadRequest, nil
+	}
+	sto.mutex.Lock()
+	defer sto.mutex.Unlock()
+	sto.sweep(time.Now())
+	if cur := sto.items[key]; cur.Version != wri.Expected {
+		cur.Key = key
+		return http.StatusConflict, cur.Item
+	}
+	if wri.Lease != "" && sto.leases[wri.Lease] == nil {
+		return http.StatusNotFound, nil
+	}
+	sto.version++
+	itm := storeItem{Item: rgstore.Item{Key: key, Value: wri.Value, Version: sto.version}, lease: wri.Lease}
+	sto.items[key] = itm
+	delete(sto.deleted, key)
+	sto.wake()
+	return http.StatusOK, itm.Item
+}
+
+func (sto *Store) list(prefix string, after uint64) rgstore.Listing {
+	sto.mutex.Lock()
+	defer sto.mutex.Unlock()
+	sto.sweep(time.Now())
+	lis := rgstore.Listing{Version: sto.version}
+	for key, itm := range sto.items {
+		if strings.HasPrefix(key, prefix) && itm.Version > after {
+			lis.Items = append(lis.Items, itm.Item)
+		}
+	}
+	for key, ver := range sto.deleted {
+		if after > 0 && strings.HasPrefix(key, prefix) && ver > after {
+			lis.Items = append(lis.Items, rgstore.Item{Key: key, Version: ver, Deleted: true})
+		}
+	}
+	return lis
+}
+
+func (sto *Store) watch(req *http.Request) (int, any) {
+	qry := req.URL.Query()
+	after, err := strconv.ParseUint(qry.Get("after"), 10, 64)
+	if err != nil {
+		return http.StatusBadRequest, nil
+	}
+	bound, err := time.ParseDuration(qry.Get("wait"))
+	if err != nil {
+		return http.StatusBadRequest, nil
+	}
+	end := time.Now().Add(bound)
+	for {
+		sto.mutex.Lock()
+		changed := sto.changed
+		down := sto.faults.Down
+		sto.mutex.Unlock()
+		lis := sto.list(qry.Get("prefix"), after)
+		switch {
+		case down:
+			return http.StatusServiceUnavailable, nil
+		case len(lis.Items) > 0 || !time.Now().Before(end) || lis.Version < after:
+			return http.StatusOK, lis
+		}
+		if !waitChange(req, changed) {
+			return http.StatusServiceUnavailable, nil
+		}
+	}
+}
+
+func (sto *Store) lease(req *http.Request, id string) (int, any) {
+	sto.mutex.Lock()
+	defer sto.mutex.Unlock()
+	now := time.Now()
+	sto.sweep(now)
+	if req.Method == http.MethodPost {
+		var lea rgstore.Lease
+		if err := json.NewDecoder(req.Body).Decode(&lea); err != nil {
+			return http.StatusBadRequest, nil
+		}
+		sto.granted++
+		lea.ID = strconv.Itoa(sto.granted)
+		sto.leases[lea.ID] = &storeLease{ttl: lea.TTL.Duration, expires: now.Add(lea.TTL.Duration)}
+		return http.StatusOK, lea
+	}
+	lea := sto.leases[id]
+	switch {
+	case lea == nil:
+		return http.StatusNotFound, nil
+	case req.Method == http.MethodDelete:
+		lea.expires = now
+		sto.sweep(now)
+	default:
+		lea.expires = now.Add(lea.ttl)
+	}
+	return http.StatusOK, nil
+}
+
+// sweep removes lapsed leases and their keys. The caller holds the mutex.
+func (sto *Store) sweep(now time.Time) {
+	for id, lea := range sto.leases {
+		if now.Before(lea.expires) {
+			continue
+		}
+		delete(sto.leases, id)
+		for key, itm := range sto.items {
+			if itm.lease == id {
+				delete(sto.items, key)
+				sto.version++
+				sto.deleted[key] = sto.version
+				sto.wake()
+			}
+		}
+	}
+}
+
+// wake tells the waiting watches that something has changed. The caller holds the mutex.
+func (sto *Store) wake() {
+	close(sto.changed)
+	sto.changed = make(chan struct{})
+}
+
+func waitChange(req *http.Request, changed <-chan struct{}) bool {
+	tmr := time.NewTimer(sweepInterval)
+	defer tmr.Stop()
+	select {
+	case <-changed:
+	case <-tmr.C:
+	case <-req.Context().Done():
+		return false
+	}
+	return true
+}
+
+func wait(req *http.Request, dur time.Duration) bool {
+	tmr := time.NewTimer(dur)
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+		return true
+	case <-req.Context().Done():
+		return false
+	}
+}
--- /dev/null
+++ b/io/rgstandin/upstream.go
@@ -0,0 +1,121 @@
+// Package rgstandin holds small stand-ins for the platform's store and for upstreams, for the demo and for tests.
+package rgstandin
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+type (
+	// Start is one line of an upstream's log of starts.
+	Start struct {
+		ID       rgmodel.SubmissionID
+		Index    string
+		Upstream string
+		At       time.Time
+	}
+
+	// StartLog gathers the starts of all upstreams; the zero value is empty.
+	StartLog struct {
+		mutex  sync.Mutex
+		starts []Start
+	}
+
+	// Upstream runs tasks by waiting. A nil Log keeps no record.
+	Upstream struct {
+		Name string
+		// RunTime is the mean run time of each kind.
+		RunTime map[string]time.Duration
+		// Slowness multiplies all run times; zero counts as 1.
+		Slowness float64
+		// FailEvery makes each n-th task fail; zero means never.
+		FailEvery int
+		Log       *StartLog
+
+		mutex   sync.Mutex
+		started int
+	}
+)
+
+const (
+	defaultRunTime = 100 * time.Millisecond
+	// spread is the largest deviation of a run time from its mean, as a fraction.
+	spread = 0.5
+)
+
+// Add appends a start.
+func (lg *StartLog) Add(stt Start) {
+	if lg == nil {
+		return
+	}
+	lg.mutex.Lock()
+	defer lg.mutex.Unlock()
+	lg.starts = append(lg.starts, stt)
+}
+
+// All returns a copy of the starts.
+func (lg *StartLog) All() []Start {
+	lg.mutex.Lock()
+	defer lg.mutex.Unlock()
+	return append([]Start(nil), lg.starts...)
+}
+
+// ServeHTTP runs one task: POST /tasks/{kind}.
+func (ups *Upstream) ServeHTTP(rsp http.ResponseWriter, req *http.Request) {
+	kind := req.URL.Path[len("/tasks/"):]
+	id, idx := req.Header.Get("Submission-Id"), req.Header.Get("Task-Index")
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	ups.Log.Add(Start{ID: rgmodel.SubmissionID(id), Index: idx, Upstream: ups.Name, At: time.Now()})
+	fail := ups.count()
+	tmr := time.NewTimer(ups.duration(kind))
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+	case <-req.Context().Done():
+		return
+	}
+	rsp.Header().Set("Submission-Id", id)
+	rsp.Header().Set("Task-Index", idx)
+	rsp.Header().Set("Content-Type", "application/json")
+	if fail {
+		rsp.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if len(body) == 0 {
+		body = []byte("null")
+	}
+	_, _ = fmt.Fprintf(rsp, `{"upstream":%q,"task":%s,"echo":%s}`, ups.Name, idx, body)
+}
+
+// Mean returns the mean run time of a kind.
+func (ups *Upstream) Mean(kind string) time.Duration {
+	base, ok := ups.RunTime[kind]
+	if !ok {
+		base = defaultRunTime
+	}
+	if ups.Slowness > 0 {
+		return time.Duration(float64(base) * ups.Slowness)
+	}
+	return base
+}
+
+func (ups *Upstream) duration(kind string) time.Duration {
+	return time.Duration(float64(ups.Mean(kind)) * (1 - spread + 2*spread*rand.Float64()))
+}
+
+// count returns whether this task must fail.
+func (ups *Upstream) count() bool {
+	ups.mutex.Lock()
+	defer ups.mutex.Unlock()
+	ups.started++
+	return ups.FailEvery > 0 && ups.started%ups.FailEvery == 0
+}
--- /dev/null
+++ b/io/rgstore/query_read.go
@@ -0,0 +1,83 @@
+package rgstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Get reads one key. It fails with errors.NotFound when the key does not exist.
+func (cli Client) Get(ctx context.Context, key string) (Item, error) {
+	var itm Item
+	err := cli.call(ctx, http.MethodGet, "/v1/keys/"+url.PathEscape(key), nil, &itm)
+	return itm, errors.Annotatef(err, "get %s", key)
+}
+
+// List reads all keys with the prefix.
+func (cli Client) List(ctx context.Context, prefix string) (Listing, error) {
+	var lis Listing
+	err := cli.call(ctx, http.MethodGet, "/v1/keys?prefix="+url.QueryEscape(prefix), nil, &lis)
+	return lis, errors.Annotatef(err, "list %s", prefix)
+}
+
+// Watch waits until keys with the prefix have changed after the version, at most for the time given, and returns
+// the changed items. A listing without items means that nothing has changed.
+func (cli Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Listing, error) {
+	var lis Listing
+	path := fmt.Sprintf("/v1/watch?prefix=%s&after=%d&wait=%s", url.QueryEscape(prefix), after, wait)
+	err := cli.callWithin(ctx, wait+callTimeout, http.MethodGet, path, nil, &lis)
+	return lis, errors.Annotatef(err, "watch %s", prefix)
+}
+
+func (cli Client) call(ctx context.Context, method, path string, body, reply any) error {
+	return cli.callWithin(ctx, callTimeout, method, path, body, reply)
+}
+
+func (cli Client) callWithin(ctx context.Context, bound time.Duration, method, path string, body, reply any) error {
+	ctx, stop := context.WithTimeout(ctx, bound)
+	defer stop()
+	status, raw, err := cli.do(ctx, method, path, body)
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusNotFound:
+		return errors.NotFoundf("%s", path)
+	case status >= http.StatusMultipleChoices:
+		return errors.Errorf("status %d", status)
+	case reply == nil:
+		return nil
+	default:
+		return errors.Annotate(json.Unmarshal(raw, reply), "reply")
+	}
+}
+
+func (cli Client) do(ctx context.Context, method, path string, body any) (int, []byte, error) {
+	var buf bytes.Buffer
+	if body != nil {
+		if err := json.NewEncoder(&buf).Encode(body); err != nil {
+			return 0, nil, errors.Trace(err)
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, cli.Base+path, &buf)
+	if err != nil {
+		return 0, nil, errors.Trace(err)
+	}
+	hcl := cli.HTTP
+	if hcl == nil {
+		hcl = http.DefaultClient
+	}
+	rsp, err := hcl.Do(req)
+	if err != nil {
+		return 0, nil, errors.Trace(err)
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(rsp.Body, maxReplyBytes))
+	return rsp.StatusCode, raw, errors.Trace(err)
+}
--- /dev/null
+++ b/io/rgstore/store.go
@@ -0,0 +1,68 @@
+// Package rgstore is the HTTP client of the platform's key-value service.
+package rgstore
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+const (
+	// maxReplyBytes bounds a reply: the values of all teams, and a megabyte for the largest.
+	maxReplyBytes = 16 << 20
+	// callTimeout bounds a call, beyond the time that a watch may wait.
+	callTimeout = 2 * time.Second
+)
+
+type (
+	// Item is a key with its value. Version is zero for a key that does not exist.
+	Item struct {
+		Key     string          `json:"key"`
+		Value   json.RawMessage `json:"value,omitempty"`
+		Version uint64          `json:"version"`
+		Deleted bool            `json:"deleted,omitempty"`
+	}
+
+	// Listing is a set of items and the version of the store at which it was read.
+	Listing struct {
+		Items   []Item `json:"items"`
+		Version uint64 `json:"version"`
+	}
+
+	// Write is a compare-and-swap: it takes effect if the key's version is Expected.
+	Write struct {
+		Value    json.RawMessage `json:"value"`
+		Expected uint64          `json:"expected"`
+		Lease    string          `json:"lease,omitempty"`
+	}
+
+	// Lease is a grant that lapses unless it is renewed.
+	Lease struct {
+		ID  string           `json:"lease"`
+		TTL rgmodel.Duration `json:"ttl"`
+	}
+
+	// WriteResult says whether a write took effect.
+	WriteResult interface{ isWriteResult() }
+
+	// Written means that it did; Version is the key's new version.
+	Written struct{ Version uint64 }
+
+	// Conflicted means that it did not, because the key had another version.
+	Conflicted struct{ Current Item }
+
+	// Unknown means that it may have.
+	Unknown struct{ Err error }
+
+	// Client calls the store. HTTP may be nil.
+	Client struct {
+		Base string
+		HTTP *http.Client
+	}
+)
+
+func (Written) isWriteResult()    {}
+func (Conflicted) isWriteResult() {}
+func (Unknown) isWriteResult()    {}
--- /dev/null
+++ b/io/rgwire/message.go
@@ -0,0 +1,204 @@
+// Package rgwire carries typed messages between ragwortgap's own processes, as JSON-RPC 2.0 over TCP.
+package rgwire
+
+import (
+	"encoding/json"
+
+	"github.com/juju/errors"
+
+	"ragwortgap/core/rgmodel"
+)
+
+type (
+	// Message is a request or a notification.
+	Message interface{ isMessage() }
+
+	// Announce introduces a sidecar to an entry, at the start of each connection.
+	Announce struct {
+		Sidecar rgmodel.Sidecar `json:"sidecar"`
+	}
+
+	// AnnounceReply gives the sidecar what it needs to work.
+	AnnounceReply struct {
+		Entry rgmodel.Entry        `json:"entry"`
+		Ring  rgmodel.Ring         `json:"ring"`
+		Teams []rgmodel.TeamConfig `json:"teams"`
+	}
+
+	// Report is a notification of a sidecar's load.
+	Report struct {
+		rgmodel.Report
+	}
+
+	// StartBatch asks a sidecar to run tasks; it is answered once all of them are final.
+	StartBatch struct {
+		rgmodel.Batch
+	}
+
+	// BatchReply answers StartBatch and Collect. With a reason set, the whole batch was refused without a record.
+	BatchReply struct {
+		Refused  rgmodel.Reason    `json:"refused,omitempty"`
+		Outcomes []rgmodel.Outcome `json:"outcomes"`
+	}
+
+	// Collect asks a sidecar for the outcomes of recorded tasks; it is answered once all of them are final.
+	Collect struct {
+		ID      rgmodel.SubmissionID `json:"submissionId"`
+		Indexes []int                `json:"indexes"`
+	}
+
+	// Seal fences a sidecar against older generations of the ring and asks for its records.
+	Seal struct {
+		Ring rgmodel.Ring  `json:"ring"`
+		Home rgmodel.Entry `json:"home"`
+	}
+
+	// SealReply holds the records of the submissions of which the sealing entry is the home.
+	SealReply struct {
+		Records []rgmodel.Record `json:"records"`
+	}
+
+	// Cancel asks a sidecar to remove queued tasks and to stop running ones.
+	Cancel struct {
+		IDs []rgmodel.SubmissionID `json:"submissionIds"`
+	}
+
+	// Configure is a notification of a changed ring or changed team configurations.
+	Configure struct {
+		Ring  rgmodel.Ring         `json:"ring"`
+		Teams []rgmodel.TeamConfig `json:"teams,omitempty"`
+	}
+
+	// Leave says that a draining sidecar has finished; it is answered once the entry has all its answers.
+	Leave struct {
+		Sidecar rgmodel.SidecarKey `json:"sidecar"`
+	}
+
+	// Forward passes a job to the entry that is its home.
+	// Hops counts how often it has been passed on.
+	Forward struct {
+		Job  rgmodel.Job `json:"job"`
+		Hops int         `json:"hops"`
+	}
+
+	// ForwardReply is the answer to Forward.
+	ForwardReply struct {
+		Answer rgmodel.Answer `json:"answer"`
+	}
+
+	// JobState asks the home of a submission how far it is.
+	JobState struct {
+		ID rgmodel.SubmissionID `json:"submissionId"`
+	}
+
+	// JobStateReply is the answer to JobState.
+	JobStateReply struct {
+		Found  bool           `json:"found"`
+		Final  bool           `json:"final"`
+		Answer rgmodel.Answer `json:"answer"`
+	}
+
+	// CancelJob asks the home of a submission to cancel it.
+	CancelJob struct {
+		ID rgmodel.SubmissionID `json:"submissionId"`
+	}
+
+	// CancelJobReply is the answer to CancelJob.
+	CancelJobReply struct {
+		Found bool `json:"found"`
+	}
+
+	// Members asks an entry for what it knows of the system.
+	Members struct{}
+
+	// MembersReply is the answer to Members.
+	MembersReply struct {
+		Ring     rgmodel.Ring         `json:"ring"`
+		Teams    []rgmodel.TeamConfig `json:"teams"`
+		Sidecars []rgmodel.Sidecar    `json:"sidecars"`
+		Departed []rgmodel.Departure  `json:"departed"`
+	}
+)
+
+func (Announce) isMessage()   {}
+func (Report) isMessage()     {}
+func (StartBatch) isMessage() {}
+func (Collect) isMessage()    {}
+func (Seal) isMessage()       {}
+func (Cancel) isMessage()     {}
+func (Configure) isMessage()  {}
+func (Leave) isMessage()      {}
+func (Forward) isMessage()    {}
+func (JobState) isMessage()   {}
+func (CancelJob) isMessage()  {}
+func (Members) isMessage()    {}
+
+func method(msg Message) string {
+	switch msg.(type) {
+	case Announce:
+		return "announce"
+	case Report:
+		return "report"
+	case StartBatch:
+		return "startBatch"
+	case Collect:
+		return "collect"
+	case Seal:
+		return "seal"
+	case Cancel:
+		return "cancel"
+	case Configure:
+		return "configure"
+	case Leave:
+		return "leave"
+	case Forward:
+		return "forward"
+	case JobState:
+		return "jobState"
+	case CancelJob:
+		return "cancelJob"
+	case Members:
+		return "members"
+	default:
+		return ""
+	}
+}
+
+func decode(name string, raw []byte) (Message, error) {
+	switch name {
+	case "announce":
+		return decodeAs[Announce](raw)
+	case "report":
+		return decodeAs[Report](raw)
+	case "startBatch":
+		return decodeAs[StartBatch](raw)
+	case "collect":
+		return decodeAs[Collect](raw)
+	case "seal":
+		return decodeAs[Seal](raw)
+	case "cancel":
+		return decodeAs[Cancel](raw)
+	case "configure":
+		return decodeAs[Configure](raw)
+	case "leave":
+		return decodeAs[Leave](raw)
+	case "forward":
+		return decodeAs[Forward](raw)
+	case "jobState":
+		return decodeAs[JobState](raw)
+	case "cancelJob":
+		return decodeAs[CancelJob](raw)
+	case "members":
+		return Members{}, nil
+	default:
+		return nil, errors.NotSupportedf("method %q", name)
+	}
+}
+
+func decodeAs[Msg Message](raw []byte) (Message, error) {
+	var msg Msg
+	if err := json.Unmarshal(raw, &msg); err != nil {
+		return nil, errors.Annotatef(err, "decode %T", msg)
+	}
+	return msg, nil
+}
