Fence sidecars that lose contact with the ring

Cause: a sidecar cut off from a new home, but not from the old one, kept taking batches of the old generation, while the new home gave the sidecar up after 5 s and started fresh ids elsewhere. An id submitted on both sides of a partition could start twice. Fencing by the sender's lease was ruled out: entries must go on serving while the store is down.

Change: reports are calls, and their answers count as contact. A sidecar takes batches only while every entry of its ring has answered within 10 s or refuses connections; entries give a sidecar up after 15 s. Entries pass new rings on to each other, and ask a peer every 2 s while the store does not answer. Records are kept for 10 min plus twice the clock skew, whatever the team's window, since a window that becomes longer would admit ids whose records are gone.

--- a/core/rgfleet/fleet.go
+++ b/core/rgfleet/fleet.go
@@ -12,8 +12,9 @@
 	ReportInterval = time.Second
 	// MissLimit is the number of missed reports after which a sidecar gets no new work.
 	MissLimit = 3
-	// LostAfter is how long a disconnected sidecar may take to come back before it counts as lost.
-	LostAfter = 5 * time.Second
+	// LostAfter is how long a disconnected sidecar may take to come back before it counts as lost. It is longer than
+	// IsolationLimit, so that a lost sidecar has stopped taking batches from whomever it is still connected to.
+	LostAfter = rgmodel.IsolationLimit + 5*time.Second
 )
 
 type (
--- a/core/rgmodel/fleet.go
+++ b/core/rgmodel/fleet.go
@@ -91,6 +91,10 @@
 	}
 )
 
+// IsolationLimit is how long a sidecar takes batches without contact to an entry of its ring. After that, another
+// entry may have given it up and become the home of ids that an entry still connected here believes to own.
+const IsolationLimit = 10 * time.Second
+
 const (
 	// TaskQueued is the zero value: accepted and not yet started.
 	TaskQueued TaskState = iota
--- a/core/rgmodel/job.go
+++ b/core/rgmodel/job.go
@@ -12,8 +12,11 @@
 	MaxTasks = 360
 	// ClockSkewLimit bounds how far apart the clocks of callers and entries are assumed to be.
 	ClockSkewLimit = 2 * time.Second
-	// DefaultResubmissionWindow is how long a submission is remembered where the team's answers give no other value.
-	DefaultResubmissionWindow = 10 * time.Minute
+	// MaxResubmissionWindow is the longest time after its creation that an id may be submitted, whatever a team's answers.
+	MaxResubmissionWindow = 10 * time.Minute
+	// RecordWindow is how long submissions and records are kept. It does not depend on a team's answers, because a
+	// window that a change of answers makes longer would admit ids whose records are gone.
+	RecordWindow = MaxResubmissionWindow + 2*ClockSkewLimit
 )
 
 const (
--- a/core/rgqueue/command_accept.go
+++ b/core/rgqueue/command_accept.go
@@ -27,7 +27,7 @@
 	if len(fresh) == 0 {
 		return ""
 	}
-	if rsn := refusal(sta, bat, len(fresh)); rsn != "" {
+	if rsn := refusal(sta, bat, len(fresh), now); rsn != "" {
 		for _, tsk := range fresh {
 			rec.Tasks[tsk.Index] = &Task{
 				State:   rgmodel.TaskFinal,
@@ -46,7 +46,7 @@
 	}
 	win := bat.Window.Duration
 	if win == 0 {
-		win = rgmodel.DefaultResubmissionWindow
+		win = rgmodel.RecordWindow
 	}
 	rec := &Record{Digest: bat.Digest, Flow: bat.Flow, Tasks: map[int]*Task{}, Window: win}
 	sta.Records[bat.ID] = rec
--- a/core/rgqueue/query_report.go
+++ b/core/rgqueue/query_report.go
@@ -12,7 +12,7 @@
 	rep := rgmodel.Report{
 		Sidecar:     sta.Self.Name,
 		Incarnation: sta.Self.Incarnation,
-		Generation:  sta.Fence,
+		Generation:  sta.Ring.Generation,
 		Queued:      sta.Queued,
 		Running:     sta.Running,
 		Succeeded:   sta.Succeeded,
--- a/core/rgqueue/query_wait.go
+++ b/core/rgqueue/query_wait.go
@@ -53,13 +53,13 @@
 }
 
 // refusal returns why the batch must be refused, or an empty reason.
-func refusal(sta *State, bat rgmodel.Batch, tasks int) rgmodel.Reason {
+func refusal(sta *State, bat rgmodel.Batch, tasks int, now time.Time) rgmodel.Reason {
 	limit := sta.MaxQueued
 	if limit == 0 {
 		limit = DefaultMaxQueued
 	}
 	switch {
-	case !announcedToAll(sta):
+	case !inContact(sta, now):
 		return rgmodel.ReasonNotReady
 	case sta.Draining:
 		return rgmodel.ReasonDraining
@@ -74,11 +74,11 @@
 	}
 }
 
-// announcedToAll reports whether every entry of the ring knows this sidecar. Only then can any one of them name it
-// to a new entry that must seal all sidecars.
-func announcedToAll(sta *State) bool {
+// inContact reports whether every entry of the ring has answered this sidecar within IsolationLimit or has ended.
+// Then any of them can name it to a new entry, and none has given it up.
+func inContact(sta *State, now time.Time) bool {
 	for _, ent := range sta.Ring.Entries {
-		if !sta.Announced[ent.Incarnation] {
+		if !sta.Gone[ent.Incarnation] && now.Sub(sta.Contacts[ent.Incarnation]) > rgmodel.IsolationLimit {
 			return false
 		}
 	}
--- a/core/rgqueue/state.go
+++ b/core/rgqueue/state.go
@@ -60,10 +60,12 @@
 		Self     rgmodel.Sidecar
 		Fence    uint64
 		Draining bool
-		// Ring is the newest ring the sidecar knows of, and Announced the incarnations of the entries that have
-		// acknowledged its announcement.
-		Ring      rgmodel.Ring
-		Announced map[string]bool
+		// Ring is the newest ring the sidecar knows of.
+		Ring rgmodel.Ring
+		// Contacts holds, by incarnation, when the last message that an entry of the ring has answered was sent.
+		Contacts map[string]time.Time
+		// Gone holds the incarnations of the ring whose process has ended.
+		Gone      map[string]bool
 		MaxQueued int
 		Records   map[rgmodel.SubmissionID]*Record
 		Flows     map[rgmodel.Flow]*Flow
--- a/io/rgapi/job.go
+++ b/io/rgapi/job.go
@@ -153,10 +153,12 @@
 		return wrong("submissionId", string(id), "need a UUIDv7 in lower case")
 	case crt.After(now.Add(rgmodel.ClockSkewLimit)):
 		return wrong("submissionId", string(id), "its time is more than "+rgmodel.ClockSkewLimit.String()+" ahead")
-	case crt.Before(now.Add(-rgmodel.DefaultResubmissionWindow)):
-		// The task of an id that is too old may have run, but not by this request.
-		win := rgmodel.DefaultResubmissionWindow.String()
-		return wrong("submissionId", string(id), "its time is older than the resubmission window of "+win)
+	case crt.Before(now.Add(-rgmodel.MaxResubmissionWindow)):
+		win := rgmodel.MaxResubmissionWindow.String()
+		prb := wrong("submissionId", string(id), "its time is older than the resubmission window of "+win)
+		// Records of earlier submissions of the id may have expired.
+		prb.Verdict = rgmodel.MayHaveRun
+		return prb
 	default:
 		return nil
 	}
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -101,6 +101,7 @@
 		pro.disconnect(sta, evt, now)
 	case reported:
 		rgfleet.Report(&sta.fleet, evt.report, now)
+		evt.reply <- newerRing(sta, evt.report.Generation)
 	case sealAnswered:
 		pro.sealed(work, sta, evt)
 	case leaveAsked:
@@ -137,7 +138,7 @@
 }
 
 func (pro *Process) tick(work context.Context, sta *state, now time.Time) {
-	lost := rgfleet.Sweep(&sta.fleet, rgmodel.DefaultResubmissionWindow, now)
+	lost := rgfleet.Sweep(&sta.fleet, rgmodel.RecordWindow, now)
 	for _, key := range lost {
 		pro.loseSidecar(work, sta, key, now)
 	}
@@ -145,7 +146,7 @@
 	if now.Sub(sta.expired) >= expireInterval {
 		sta.expired = now
 		rgsubmission.Expire(&sta.submissions, now)
-		rgring.Forget(&sta.ring, now.Add(-rgmodel.DefaultResubmissionWindow-rgmodel.ClockSkewLimit))
+		rgring.Forget(&sta.ring, now.Add(-rgmodel.RecordWindow))
 	}
 	pro.scope.Gauge("sidecars").Update(float64(len(sta.fleet.Members)))
 	pro.scope.Gauge("jobsRunning").Update(float64(len(sta.runs)))
@@ -181,6 +182,14 @@
 	})
 }
 
+// newerRing makes sure that a sidecar in contact with this entry learns of a ring that this entry has adopted.
+func newerRing(sta *state, known uint64) rgwire.ReportReply {
+	if known >= sta.ring.Ring.Generation {
+		return rgwire.ReportReply{}
+	}
+	return rgwire.ReportReply{Ring: sta.ring.Ring}
+}
+
 func members(sta *state) rgwire.MembersReply {
 	return rgwire.MembersReply{
 		Ring:     sta.ring.Ring,
--- a/io/rgentry/driver.go
+++ b/io/rgentry/driver.go
@@ -29,7 +29,6 @@
 		job        rgmodel.Job
 		run        uint64
 		generation uint64
-		window     time.Duration
 		deadline   time.Time
 	}
 
@@ -175,7 +174,6 @@
 		Urgency:    drv.job.Urgency,
 		Remaining:  rgmodel.Duration{Duration: max(0, time.Until(drv.deadline))},
 		RunTime:    drv.job.RunTime,
-		Window:     rgmodel.Duration{Duration: drv.window},
 		Tasks:      prt.tasks,
 	}}
 }
--- a/io/rgentry/event.go
+++ b/io/rgentry/event.go
@@ -24,7 +24,10 @@
 		peer *rgwire.Peer
 	}
 
-	reported struct{ report rgmodel.Report }
+	reported struct {
+		report rgmodel.Report
+		reply  chan<- rgwire.ReportReply
+	}
 
 	sealAnswered struct {
 		key        rgmodel.SidecarKey
--- a/io/rgentry/ring.go
+++ b/io/rgentry/ring.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,14 +11,17 @@
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgring"
 	"ragwortgap/core/rgsubmission"
+	"ragwortgap/io/rgwire"
 )
 
 // adoptRing takes in a newer ring, seals all sidecars and gives up the submissions that have moved.
 func (pro *Process) adoptRing(work context.Context, sta *state, rng rgmodel.Ring) {
+	old := sta.ring.Ring
 	gap := rng.Generation != sta.ring.Ring.Generation+1
 	if !rgring.Adopt(&sta.ring, rng, rgfleet.Keys(&sta.fleet), sta.fleet.Departed) {
 		return
 	}
+	pro.tellEntries(work, old, rng)
 	pro.log.Info("ring changed", zap.Uint64("generation", rng.Generation), zap.Int("entries", len(rng.Entries)))
 	for id := range sta.submissions.Submissions {
 		if ent, ok := rgring.Home(rng, id); gap || !ok || ent != pro.self {
@@ -32,6 +36,24 @@
 	pro.unpark(work, sta)
 }
 
+// tellEntries passes a ring on to the entries of the old and the new one, because some may not reach the store and
+// would go on as homes under the old ring.
+func (pro *Process) tellEntries(work context.Context, old, rng rgmodel.Ring) {
+	told := map[string]bool{pro.self.Address: true}
+	for _, ent := range slices.Concat(old.Entries, rng.Entries) {
+		if told[ent.Address] {
+			continue
+		}
+		told[ent.Address] = true
+		pro.traffic.Go(func() {
+			ctx, stop := context.WithTimeout(work, callTimeout)
+			defer stop()
+			// An entry that cannot be reached learns of the ring from the store or from its sidecars.
+			_ = pro.entries.ask(ctx, pro, ent, rgwire.Configure{Ring: rng}, nil)
+		})
+	}
+}
+
 // moveAway forgets a submission, stops its traffic and sends its callers to the new home.
 // The traffic must stop before a view is published in which this entry may be the home again.
 func (pro *Process) moveAway(sta *state, id rgmodel.SubmissionID) {
--- a/io/rgentry/serve.go
+++ b/io/rgentry/serve.go
@@ -16,7 +16,11 @@
 		rep := make(chan rgwire.AnnounceReply, 1)
 		return ask(ctx, pro, announced{sidecar: msg.Sidecar, peer: per, reply: rep}, rep)
 	case rgwire.Report:
-		pro.tell(ctx, reported{report: msg.Report})
+		rep := make(chan rgwire.ReportReply, 1)
+		return ask(ctx, pro, reported{report: msg.Report, reply: rep}, rep)
+	case rgwire.Configure:
+		pro.tell(ctx, teamsRead{teams: msg.Teams})
+		pro.tell(ctx, ringRead{ring: msg.Ring})
 		return struct{}{}, nil
 	case rgwire.Leave:
 		rep := make(chan struct{}, 1)
--- a/io/rgentry/store.go
+++ b/io/rgentry/store.go
@@ -27,6 +27,8 @@
 
 	// watchWait bounds a waiting watch; it is also the longest time until a lost watch is noticed.
 	watchWait = 10 * time.Second
+	// peerInterval is how often another entry is asked for news while the store does not answer.
+	peerInterval = 2 * time.Second
 	// storeRetry is the pause after a failed call to the store.
 	storeRetry = 250 * time.Millisecond
 )
@@ -58,7 +60,7 @@
 
 // read takes the whole state from the store, or from another entry while the store is down.
 func (fol *follower) read(ctx context.Context) {
-	asked := false
+	var asked time.Time
 	for ctx.Err() == nil {
 		lis, err := fol.process.store.List(ctx, KeyPrefix)
 		if err == nil {
@@ -68,8 +70,9 @@
 			return
 		}
 		fol.process.scope.Counter("storeErrors").Inc(1)
-		if !asked && fol.process.View().Ring.Generation == 0 {
-			asked = fol.learnFrom(ctx, fol.process.settings.Peers)
+		if time.Since(asked) >= peerInterval {
+			asked = time.Now()
+			fol.learnFrom(ctx, fol.peers())
 		}
 		pause(ctx, storeRetry)
 	}
@@ -115,6 +118,21 @@
 	}
 }
 
+// peers returns the addresses of other entries: those of the ring, or those of the settings before a ring is known.
+func (fol *follower) peers() []string {
+	rng := fol.process.View().Ring
+	if rng.Generation == 0 {
+		return fol.process.settings.Peers
+	}
+	var adrs []string
+	for _, ent := range rng.Entries {
+		if ent.Address != fol.process.self.Address {
+			adrs = append(adrs, ent.Address)
+		}
+	}
+	return adrs
+}
+
 // learnFrom returns whether one of the addresses has answered.
 func (fol *follower) learnFrom(ctx context.Context, adrs []string) bool {
 	for _, adr := range adrs {
--- a/io/rgentry/submit.go
+++ b/io/rgentry/submit.go
@@ -51,6 +51,10 @@
 		evt.reply <- refuse(jb, rgmodel.NotRun, rgmodel.ReasonNotReady, err.Error())
 		return
 	}
+	if tooOld(sta, jb, created, now) {
+		evt.reply <- refuse(jb, rgmodel.MayHaveRun, rgmodel.ReasonRecordLost, "the team's resubmission window for the id has passed")
+		return
+	}
 	switch std := rgring.Find(&sta.ring, jb.ID, created, evt.own).(type) {
 	case rgring.Elsewhere:
 		evt.reply <- forward{home: std.Home}
@@ -170,7 +174,7 @@
 // startJob registers the job and hands it to a traffic goroutine.
 func (pro *Process) startJob(work context.Context, sta *state, evt submitted, pln plan, now time.Time) {
 	jb := evt.job
-	rgsubmission.Register(&sta.submissions, jb, window(sta, jb.Flow.Team), now)
+	rgsubmission.Register(&sta.submissions, jb, rgmodel.RecordWindow, now)
 	sta.runCount++
 	ctx, stop := context.WithTimeout(work, jb.Deadline.Duration+answerGrace)
 	rn := &run{id: jb.ID, flow: jb.Flow, began: now, sidecars: map[rgmodel.SidecarKey]bool{}, stop: stop}
@@ -182,7 +186,7 @@
 	evt.reply <- sta.attach(jb.ID)
 	drv := driver{
 		process: pro, job: jb, run: sta.runCount, generation: sta.ring.Ring.Generation,
-		window: window(sta, jb.Flow.Team), deadline: now.Add(jb.Deadline.Duration),
+		deadline: now.Add(jb.Deadline.Duration),
 	}
 	pro.traffic.Go(func() {
 		defer stop()
@@ -297,11 +301,13 @@
 	clear(sta.cancels)
 }
 
-func window(sta *state, team string) time.Duration {
-	if win := sta.teams[team].ResubmissionWindow.Duration; win > 0 {
-		return win
+// tooOld reports whether the team's resubmission window for the id has passed.
+func tooOld(sta *state, jb rgmodel.Job, created, now time.Time) bool {
+	win := sta.teams[jb.Flow.Team].ResubmissionWindow.Duration
+	if win <= 0 || win > rgmodel.MaxResubmissionWindow {
+		win = rgmodel.MaxResubmissionWindow
 	}
-	return rgmodel.DefaultResubmissionWindow
+	return now.Sub(created) > win
 }
 
 func recordedParts(jb rgmodel.Job, places []rgsubmission.Place) []part {
--- a/io/rgsidecar/control.go
+++ b/io/rgsidecar/control.go
@@ -99,7 +99,7 @@
 	case collectArrived:
 		pro.await(sta, evt.id, waiter{indexes: evt.indexes, reply: evt.reply})
 	case sealArrived:
-		rgqueue.AdoptRing(&sta.queue, evt.seal.Ring)
+		rgqueue.AdoptRing(&sta.queue, evt.seal.Ring, now)
 		evt.reply <- rgwire.SealReply{Records: rgqueue.Seal(&sta.queue, evt.seal.Ring, evt.seal.Home)}
 		pro.relink(work, sta)
 	case cancelArrived:
@@ -110,6 +110,10 @@
 		pro.link(sta, evt)
 	case unlinked:
 		pro.unlink(sta, evt.entry)
+	case contacted:
+		rgqueue.Contact(&sta.queue, evt.entry, evt.sent)
+	case refused:
+		rgqueue.Lose(&sta.queue, evt.entry)
 	case bootstrapped:
 		sta.bootstrapping = false
 	case finished:
@@ -199,7 +203,7 @@
 		}
 	}
 	rgqueue.Configure(&sta.queue, weights(sta.teams))
-	rgqueue.AdoptRing(&sta.queue, evt.ring)
+	rgqueue.AdoptRing(&sta.queue, evt.ring, time.Now())
 	pro.relink(work, sta)
 }
 
--- a/io/rgsidecar/event.go
+++ b/io/rgsidecar/event.go
@@ -38,12 +38,22 @@
 	linked struct {
 		entry rgmodel.Entry
 		peer  *rgwire.Peer
+		sent  time.Time
 	}
 
 	unlinked struct{ entry rgmodel.Entry }
 
 	bootstrapped struct{}
 
+	// contacted says that an entry has answered a message that was sent at the time given.
+	contacted struct {
+		entry rgmodel.Entry
+		sent  time.Time
+	}
+
+	// refused says that the entry's address refuses connections.
+	refused struct{ entry rgmodel.Entry }
+
 	finished struct {
 		start   rgqueue.Start
 		outcome rgmodel.Outcome
@@ -61,5 +71,7 @@
 func (linked) isEvent()         {}
 func (unlinked) isEvent()       {}
 func (bootstrapped) isEvent()   {}
+func (contacted) isEvent()      {}
+func (refused) isEvent()        {}
 func (finished) isEvent()       {}
 func (drainAsked) isEvent()     {}
--- a/io/rgsidecar/link.go
+++ b/io/rgsidecar/link.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -111,19 +112,19 @@
 			continue
 		}
 		wait = redialShort
-		pro.sendReports(work, per, reps)
+		pro.sendReports(work, per, ent, reps)
 		pro.log.Info("entry disconnected", zap.String("entry", ent.Name))
 		pro.tell(work, unlinked{entry: ent})
 	}
 }
 
-// sendReports passes reports on until the connection is lost or the process ends.
-func (pro *Process) sendReports(work context.Context, per *rgwire.Peer, reps <-chan rgmodel.Report) {
+// sendReports passes reports on until the connection is lost, an answer is missing or the process ends.
+func (pro *Process) sendReports(work context.Context, per *rgwire.Peer, ent rgmodel.Entry, reps <-chan rgmodel.Report) {
 	defer per.Close()
 	for {
 		select {
 		case rep := <-reps:
-			if per.Notify(work, rgwire.Report{Report: rep}) != nil {
+			if pro.sendReport(work, per, ent, rep) != nil {
 				return
 			}
 		case <-per.Done:
@@ -134,8 +135,27 @@
 	}
 }
 
+func (pro *Process) sendReport(work context.Context, per *rgwire.Peer, ent rgmodel.Entry, rep rgmodel.Report) error {
+	ctx, stop := context.WithTimeout(work, callTimeout)
+	defer stop()
+	sent := time.Now()
+	var ans rgwire.ReportReply
+	if err := per.Ask(ctx, rgwire.Report{Report: rep}, &ans); err != nil {
+		return err
+	}
+	pro.tell(work, contacted{entry: ent, sent: sent})
+	if ans.Ring.Generation > 0 {
+		pro.tell(work, configured{ring: ans.Ring})
+	}
+	return nil
+}
+
 func (pro *Process) announce(work context.Context, ent rgmodel.Entry) (*rgwire.Peer, error) {
+	sent := time.Now()
 	per, err := pro.dial(work, ent.Address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		pro.tell(work, refused{entry: ent})
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -150,7 +170,7 @@
 		per.Close()
 		return nil, errors.NotValidf("entry %s at %s: incarnation %s", ent.Name, ent.Address, rep.Entry.Incarnation)
 	}
-	pro.tell(work, linked{entry: ent, peer: per})
+	pro.tell(work, linked{entry: ent, peer: per, sent: sent})
 	pro.tell(work, configured{ring: rep.Ring, teams: rep.Teams})
 	return per, nil
 }
@@ -162,7 +182,7 @@
 	}
 	lnk.peer = evt.peer
 	sta.links[evt.entry.Incarnation] = lnk
-	rgqueue.Announce(&sta.queue, evt.entry)
+	rgqueue.Contact(&sta.queue, evt.entry, evt.sent)
 	pro.log.Info("entry connected", zap.String("entry", evt.entry.Name))
 	pro.report(sta, time.Now())
 }
--- a/io/rgwire/message.go
+++ b/io/rgwire/message.go
@@ -25,11 +25,16 @@
 		Teams []rgmodel.TeamConfig `json:"teams"`
 	}
 
-	// Report is a notification of a sidecar's load.
+	// Report tells an entry a sidecar's load.
 	Report struct {
 		rgmodel.Report
 	}
 
+	// ReportReply carries the ring if the sidecar's is older.
+	ReportReply struct {
+		Ring rgmodel.Ring `json:"ring"`
+	}
+
 	// StartBatch asks a sidecar to run tasks; it is answered once all of them are final.
 	StartBatch struct {
 		rgmodel.Batch
@@ -63,7 +68,7 @@
 		IDs []rgmodel.SubmissionID `json:"submissionIds"`
 	}
 
-	// Configure is a notification of a changed ring or changed team configurations.
+	// Configure is a notification of a changed ring or changed team configurations, to sidecars and other entries.
 	Configure struct {
 		Ring  rgmodel.Ring         `json:"ring"`
 		Teams []rgmodel.TeamConfig `json:"teams,omitempty"`
