Move the home's decisions from the entry process into core/rghome and core/rgjob

Cause: what to do with a submission, how to resume it and what a ring change means stood among channels and goroutines, so no test could drive it step by step. The control goroutine now only carries out decisions. Learn also no longer makes known sidecars pending again when an entry asks its peers while the store is down.

--- a/core/rgfleet/command_member.go
+++ b/core/rgfleet/command_member.go
@@ -70,21 +70,29 @@
 	return lost
 }
 
-// Learn adds what another entry knows: sidecars that have not announced themselves here yet, and departures.
-func Learn(sta *State, scs []rgmodel.Sidecar, deps []rgmodel.Departure, now time.Time) {
+// Learn adds what another entry knows: departures, and sidecars that have not announced themselves here yet, which it
+// returns.
+func Learn(sta *State, scs []rgmodel.Sidecar, deps []rgmodel.Departure, now time.Time) []rgmodel.SidecarKey {
 	if sta.Members == nil {
 		sta.Members = map[string]*Member{}
 	}
+	var added []rgmodel.SidecarKey
 	for _, sc := range scs {
-		if sta.Members[sc.Name] == nil {
+		if sta.Members[sc.Name] == nil && !departed(sta, sc.Key()) {
 			sta.Members[sc.Name] = &Member{Sidecar: sc, Cut: now}
+			added = append(added, sc.Key())
 		}
 	}
 	for _, dep := range deps {
-		if !slices.Contains(sta.Departed, dep) {
+		if !departed(sta, dep.Sidecar) {
 			sta.Departed = append(sta.Departed, dep)
 		}
 	}
+	return added
+}
+
+func departed(sta *State, key rgmodel.SidecarKey) bool {
+	return slices.ContainsFunc(sta.Departed, func(dep rgmodel.Departure) bool { return dep.Sidecar == key })
 }
 
 func depart(sta *State, mem *Member, now time.Time) {
--- /dev/null
+++ b/core/rghome/command_submit.go
@@ -0,0 +1,142 @@
+package rghome
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"ragwortgap/core/rgadmission"
+	"ragwortgap/core/rgfleet"
+	"ragwortgap/core/rgjob"
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgplacement"
+	"ragwortgap/core/rgring"
+	"ragwortgap/core/rgsubmission"
+)
+
+// Submit decides what happens to a submission. Own says that this entry has just generated the id.
+func Submit(sta *State, jb rgmodel.Job, own bool, now time.Time, rnd *rand.Rand) Decision {
+	switch std := rgsubmission.Find(&sta.Submissions, jb.ID, jb.Digest).(type) {
+	case rgsubmission.Conflict:
+		return refuse(jb, rgmodel.NotRun, rgmodel.ReasonDigestMismatch, "the id was used with another body")
+	case rgsubmission.Answered:
+		return Settled{Answer: std.Answer}
+	case rgsubmission.Running:
+		return Attach{}
+	case rgsubmission.Dropped:
+		return begin(sta, jb, rgjob.Plan{Parts: recordedParts(jb, std.Places)}, now)
+	default:
+		return submitUnknown(sta, jb, own, now, rnd)
+	}
+}
+
+func submitUnknown(sta *State, jb rgmodel.Job, own bool, now time.Time, rnd *rand.Rand) Decision {
+	created, err := jb.ID.Created()
+	if err != nil {
+		return refuse(jb, rgmodel.NotRun, rgmodel.ReasonNotReady, err.Error())
+	}
+	if tooOld(sta, jb, created, now) {
+		return refuse(jb, rgmodel.MayHaveRun, rgmodel.ReasonRecordLost, "the team's resubmission window for the id has passed")
+	}
+	switch std := rgring.Find(&sta.Ring, jb.ID, created, own).(type) {
+	case rgring.Elsewhere:
+		return Forward{Home: std.Home}
+	case rgring.NotReady:
+		return Park{}
+	case rgring.Uncertain:
+		return refuse(jb, rgmodel.MayHaveRun, rgmodel.ReasonRecordLost, "records that may concern the id are lost")
+	case rgring.Recorded:
+		return resume(sta, jb, std.Sightings, created.Before(sta.Ring.Horizon), now, rnd)
+	default:
+		return submitFresh(sta, jb, now, rnd)
+	}
+}
+
+func submitFresh(sta *State, jb rgmodel.Job, now time.Time, rnd *rand.Rand) Decision {
+	if rfs := admit(sta, jb, now); rfs.Reason != "" {
+		dec := refuse(jb, rgmodel.NotRun, rfs.Reason, rfs.Detail)
+		dec.RetryAfter = rfs.RetryAfter
+		return dec
+	}
+	return begin(sta, jb, rgjob.Plan{Parts: place(sta, jb, jb.Tasks, nil, now, rnd)}, now)
+}
+
+// admit refuses a job or spends what it needs of the team's quota.
+func admit(sta *State, jb rgmodel.Job, now time.Time) rgadmission.Refusal {
+	switch {
+	case sta.Draining:
+		return rgadmission.Refusal{Reason: rgmodel.ReasonDraining, Detail: "the entry is stopping"}
+	case !rgfleet.Runnable(&sta.Fleet, jb.Requires):
+		return rgadmission.Refusal{Reason: rgmodel.ReasonNeverRunnable, Detail: "no upstream has the resources that the job requires"}
+	case len(candidates(sta, jb, nil, now)) == 0:
+		return rgadmission.Refusal{
+			Reason: rgmodel.ReasonNoUpstream, Detail: "no upstream can take work now", RetryAfter: rgfleet.ReportInterval,
+		}
+	default:
+		return rgadmission.TakeQuota(&sta.Admission, sta.Teams[jb.Flow.Team], len(jb.Tasks), len(sta.Ring.Ring.Entries), now)
+	}
+}
+
+// resume continues a job that another home has begun: recorded tasks are collected, the others are placed, unless a
+// lost record may concern them.
+func resume(sta *State, jb rgmodel.Job, sigs []rgring.Sighting, uncertain bool, now time.Time, rnd *rand.Rand) Decision {
+	for _, sig := range sigs {
+		if sig.Record.Digest != jb.Digest {
+			return refuse(jb, rgmodel.NotRun, rgmodel.ReasonDigestMismatch, "the id was used with another body")
+		}
+	}
+	places, tried := rgring.Claims(sigs)
+	pln := rgjob.Plan{Parts: recordedParts(jb, places)}
+	var rest []rgmodel.Task
+	for _, tsk := range unclaimed(jb, places) {
+		if uncertain {
+			pln.Known = append(pln.Known, rgmodel.Outcome{Index: tsk.Index, Reason: rgmodel.ReasonRecordLost})
+			continue
+		}
+		rest = append(rest, tsk)
+	}
+	pln.Parts = append(pln.Parts, place(sta, jb, rest, tried, now, rnd)...)
+	return begin(sta, jb, pln, now)
+}
+
+func begin(sta *State, jb rgmodel.Job, pln rgjob.Plan, now time.Time) Decision {
+	rgsubmission.Register(&sta.Submissions, jb, rgmodel.RecordWindow, now)
+	for range pln.Parts {
+		rgadmission.CountBatch(&sta.Admission)
+	}
+	return Begin{Plan: pln}
+}
+
+// Replan finds other sidecars for tasks that are known not to have run, within the retry budget.
+// It returns nothing when there is none or the budget is spent.
+func Replan(
+	sta *State, jb rgmodel.Job, tasks []rgmodel.Task, tried map[rgmodel.SidecarKey]bool, now time.Time, rnd *rand.Rand,
+) []rgjob.Part {
+	pts := place(sta, jb, tasks, tried, now, rnd)
+	for range pts {
+		if !rgadmission.TakeRetry(&sta.Admission) {
+			return nil
+		}
+	}
+	return pts
+}
+
+// place chooses sidecars for the tasks and counts them as sent. It returns nothing when there is no candidate.
+func place(
+	sta *State, jb rgmodel.Job, tasks []rgmodel.Task, tried map[rgmodel.SidecarKey]bool, now time.Time, rnd *rand.Rand,
+) []rgjob.Part {
+	if len(tasks) == 0 {
+		return nil
+	}
+	pol := sta.Policy
+	if pol == nil {
+		pol = rgplacement.LeastFinish{}
+	}
+	var pts []rgjob.Part
+	next := 0
+	for _, sha := range rgplacement.Plan(pol, candidates(sta, jb, tried, now), len(tasks), rnd) {
+		pts = append(pts, rgjob.Part{Sidecar: sha.Sidecar, Tasks: tasks[next : next+sha.Tasks]})
+		next += sha.Tasks
+		rgfleet.Sent(&sta.Fleet, sha.Sidecar, sha.Tasks)
+	}
+	return pts
+}
--- /dev/null
+++ b/core/rghome/home.go
@@ -0,0 +1,59 @@
+// Package rghome holds the decisions of an entry as the home of submission ids: what to do with a submission, where
+// its tasks go, and what a change of the ring means for it.
+package rghome
+
+import (
+	"time"
+
+	"ragwortgap/core/rgadmission"
+	"ragwortgap/core/rgfleet"
+	"ragwortgap/core/rgjob"
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgplacement"
+	"ragwortgap/core/rgring"
+	"ragwortgap/core/rgsubmission"
+)
+
+// zoneDistance is the assumed round trip to another availability zone.
+const zoneDistance = 3 * time.Millisecond
+
+type (
+	// State is all that an entry decides on. The zero value works once Ring.Self is set.
+	State struct {
+		Ring        rgring.State
+		Fleet       rgfleet.State
+		Submissions rgsubmission.State
+		Admission   rgadmission.State
+		Teams       map[string]rgmodel.TeamConfig
+		// Policy chooses sidecars; nil means least expected finish time.
+		Policy   rgplacement.Policy
+		Draining bool
+	}
+
+	// Decision is what to do with a submission.
+	Decision interface{ isDecision() }
+
+	// Forward means that another entry is the home.
+	Forward struct{ Home rgmodel.Entry }
+
+	// Park means that the submission has to wait until sidecars have answered a seal.
+	Park struct{}
+
+	// Attach means that the job is running, and that its answer is also the answer to this submission.
+	Attach struct{}
+
+	// Settled carries the final answer.
+	Settled struct {
+		Answer     rgmodel.Answer
+		RetryAfter time.Duration
+	}
+
+	// Begin means that the job has been registered and the plan must be carried out.
+	Begin struct{ Plan rgjob.Plan }
+)
+
+func (Forward) isDecision() {}
+func (Park) isDecision()    {}
+func (Attach) isDecision()  {}
+func (Settled) isDecision() {}
+func (Begin) isDecision()   {}
--- a/core/rgring/query_home.go
+++ b/core/rgring/query_home.go
@@ -26,12 +26,17 @@
 
 // Keeps reports whether this entry is the home of the id and has been since its last complete takeover.
 func Keeps(sta *State, id rgmodel.SubmissionID) bool {
+	return sta.Settled && Owns(sta, id)
+}
+
+// Owns reports whether this entry is the home of the id in all rings since its last complete takeover.
+func Owns(sta *State, id rgmodel.SubmissionID) bool {
 	for _, rng := range sta.Kept {
 		if ent, ok := Home(rng, id); !ok || ent != sta.Self {
 			return false
 		}
 	}
-	return sta.Settled
+	return len(sta.Kept) > 0
 }
 
 // Find returns what is known of an id that is not in the entry's own table.
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -7,12 +7,10 @@
 
 	"go.uber.org/zap"
 
-	"ragwortgap/core/rgadmission"
 	"ragwortgap/core/rgfleet"
+	"ragwortgap/core/rghome"
 	"ragwortgap/core/rgmodel"
-	"ragwortgap/core/rgplacement"
 	"ragwortgap/core/rgring"
-	"ragwortgap/core/rgsubmission"
 	"ragwortgap/io/rgwire"
 )
 
@@ -25,14 +23,9 @@
 type (
 	// state is owned by the control goroutine.
 	state struct {
-		ring        rgring.State
-		fleet       rgfleet.State
-		submissions rgsubmission.State
-		admission   rgadmission.State
-		teams       map[string]rgmodel.TeamConfig
-		policy      rgplacement.Policy
-		random      *rand.Rand
-		peers       map[rgmodel.SidecarKey]*rgwire.Peer
+		home   rghome.State
+		random *rand.Rand
+		peers  map[rgmodel.SidecarKey]*rgwire.Peer
 		// outstanding counts the parts for which a sidecar owes an answer.
 		outstanding map[rgmodel.SidecarKey]int
 		leaving     map[rgmodel.SidecarKey]chan<- struct{}
@@ -42,21 +35,18 @@
 		runs        map[uint64]*run
 		runCount    uint64
 		// cancels holds the cancellations that wait to be sent together.
-		cancels  map[rgmodel.SidecarKey][]rgmodel.SubmissionID
-		flush    <-chan time.Time
-		draining bool
-		quiet    bool
-		drained  chan struct{}
-		expired  time.Time
+		cancels map[rgmodel.SidecarKey][]rgmodel.SubmissionID
+		flush   <-chan time.Time
+		quiet   bool
+		drained chan struct{}
+		expired time.Time
 	}
 )
 
 // control is the control goroutine. It ends when the jobs in flight have ended after ctx, or at the drain bound.
 func (pro *Process) control(ctx, work context.Context) {
 	sta := &state{
-		ring:        rgring.State{Self: pro.self},
-		teams:       map[string]rgmodel.TeamConfig{},
-		policy:      rgplacement.LeastFinish{},
+		home:        rghome.State{Ring: rgring.State{Self: pro.self}, Teams: map[string]rgmodel.TeamConfig{}},
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		peers:       map[rgmodel.SidecarKey]*rgwire.Peer{},
 		outstanding: map[rgmodel.SidecarKey]int{},
@@ -100,7 +90,7 @@
 	case disconnected:
 		pro.disconnect(sta, evt, now)
 	case reported:
-		rgfleet.Report(&sta.fleet, evt.report, now)
+		rgfleet.Report(&sta.home.Fleet, evt.report, now)
 		evt.reply <- newerRing(sta, evt.report.Generation)
 	case sealAnswered:
 		pro.sealed(work, sta, evt)
@@ -111,7 +101,7 @@
 	case replanned:
 		evt.reply <- pro.replan(sta, evt, now)
 	case partEnded:
-		pro.endPart(sta, evt.part.sidecar)
+		pro.endPart(sta, evt.part.Sidecar)
 	case jobEnded:
 		pro.endJob(sta, evt)
 	case peerAwaited:
@@ -131,26 +121,24 @@
 	case jobFailed:
 		cancelRun(sta, sta.runs[evt.run])
 	case drainAsked:
-		sta.draining = true
+		sta.home.Draining = true
 		pro.publish(sta)
 		pro.log.Info("draining", zap.Int("jobs", len(sta.runs)))
 	}
 }
 
 func (pro *Process) tick(work context.Context, sta *state, now time.Time) {
-	lost := rgfleet.Sweep(&sta.fleet, rgmodel.RecordWindow, now)
-	for _, key := range lost {
-		pro.loseSidecar(work, sta, key, now)
+	for _, key := range rghome.Sweep(&sta.home, now) {
+		pro.loseSidecar(work, sta, key)
 	}
 	pro.expireParked(sta, now)
 	if now.Sub(sta.expired) >= expireInterval {
 		sta.expired = now
-		rgsubmission.Expire(&sta.submissions, now)
-		rgring.Forget(&sta.ring, now.Add(-rgmodel.RecordWindow))
+		rghome.Expire(&sta.home, now)
 	}
-	pro.scope.Gauge("sidecars").Update(float64(len(sta.fleet.Members)))
+	pro.scope.Gauge("sidecars").Update(float64(len(sta.home.Fleet.Members)))
 	pro.scope.Gauge("jobsRunning").Update(float64(len(sta.runs)))
-	if sta.draining {
+	if sta.home.Draining {
 		pro.checkDrained(sta)
 	}
 }
@@ -169,33 +157,33 @@
 
 // publish makes a new view for the traffic goroutines.
 func (pro *Process) publish(sta *state) {
-	teams := make(map[string]rgmodel.TeamConfig, len(sta.teams))
-	for name, tc := range sta.teams {
+	teams := make(map[string]rgmodel.TeamConfig, len(sta.home.Teams))
+	for name, tc := range sta.home.Teams {
 		teams[name] = tc
 	}
 	pro.view.Store(&View{
-		Ring:     sta.ring.Ring,
+		Ring:     sta.home.Ring.Ring,
 		Teams:    teams,
-		Sidecars: rgfleet.Sidecars(&sta.fleet),
-		Ready:    len(rgfleet.Usable(&sta.fleet, time.Now())),
-		Draining: sta.draining,
+		Sidecars: rgfleet.Sidecars(&sta.home.Fleet),
+		Ready:    len(rgfleet.Usable(&sta.home.Fleet, time.Now())),
+		Draining: sta.home.Draining,
 	})
 }
 
 // newerRing makes sure that a sidecar in contact with this entry learns of a ring that this entry has adopted.
 func newerRing(sta *state, known uint64) rgwire.ReportReply {
-	if known >= sta.ring.Ring.Generation {
+	if known >= sta.home.Ring.Ring.Generation {
 		return rgwire.ReportReply{}
 	}
-	return rgwire.ReportReply{Ring: sta.ring.Ring}
+	return rgwire.ReportReply{Ring: sta.home.Ring.Ring}
 }
 
 func members(sta *state) rgwire.MembersReply {
 	return rgwire.MembersReply{
-		Ring:     sta.ring.Ring,
-		Teams:    teamList(sta.teams),
-		Sidecars: rgfleet.Sidecars(&sta.fleet),
-		Departed: sta.fleet.Departed,
+		Ring:     sta.home.Ring.Ring,
+		Teams:    teamList(sta.home.Teams),
+		Sidecars: rgfleet.Sidecars(&sta.home.Fleet),
+		Departed: sta.home.Fleet.Departed,
 	}
 }
 
--- a/io/rgentry/event.go
+++ b/io/rgentry/event.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"ragwortgap/core/rgjob"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgsubmission"
 	"ragwortgap/io/rgwire"
@@ -56,11 +57,11 @@
 		job   rgmodel.Job
 		tasks []rgmodel.Task
 		tried map[rgmodel.SidecarKey]bool
-		reply chan<- []part
+		reply chan<- []rgjob.Part
 	}
 
 	// partEnded says that no call for the part is outstanding any more.
-	partEnded struct{ part part }
+	partEnded struct{ part rgjob.Part }
 
 	jobEnded struct {
 		run    uint64
@@ -148,13 +149,6 @@
 		retryAfter time.Duration
 	}
 
-	// part is a set of tasks at one sidecar: to be started there, or recorded there and to be collected.
-	part struct {
-		sidecar  rgmodel.SidecarKey
-		tasks    []rgmodel.Task
-		recorded bool
-	}
-
 	// peerState is what became of a sidecar whose connection was awaited.
 	peerState struct {
 		peer *rgwire.Peer
--- a/io/rgentry/ring.go
+++ b/io/rgentry/ring.go
@@ -7,26 +7,23 @@
 
 	"go.uber.org/zap"
 
-	"ragwortgap/core/rgfleet"
+	"ragwortgap/core/rghome"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgring"
-	"ragwortgap/core/rgsubmission"
 	"ragwortgap/io/rgwire"
 )
 
 // adoptRing takes in a newer ring, seals all sidecars and gives up the submissions that have moved.
 func (pro *Process) adoptRing(work context.Context, sta *state, rng rgmodel.Ring) {
-	old := sta.ring.Ring
-	gap := rng.Generation != sta.ring.Ring.Generation+1
-	if !rgring.Adopt(&sta.ring, rng, rgfleet.Keys(&sta.fleet), sta.fleet.Departed) {
+	old := sta.home.Ring.Ring
+	moved, ok := rghome.AdoptRing(&sta.home, rng)
+	if !ok {
 		return
 	}
 	pro.tellEntries(work, old, rng)
 	pro.log.Info("ring changed", zap.Uint64("generation", rng.Generation), zap.Int("entries", len(rng.Entries)))
-	for id := range sta.submissions.Submissions {
-		if ent, ok := rgring.Home(rng, id); gap || !ok || ent != pro.self {
-			pro.moveAway(sta, id)
-		}
+	for _, id := range moved {
+		pro.moveAway(sta, id)
 	}
 	for key := range sta.peers {
 		pro.seal(work, sta, key)
@@ -54,7 +51,7 @@
 	}
 }
 
-// moveAway forgets a submission, stops its traffic and sends its callers to the new home.
+// moveAway stops the traffic of a submission and sends its callers to the new home.
 // The traffic must stop before a view is published in which this entry may be the home again.
 func (pro *Process) moveAway(sta *state, id rgmodel.SubmissionID) {
 	for _, rn := range sta.runs {
@@ -63,7 +60,6 @@
 			rn.stop()
 		}
 	}
-	rgsubmission.Forget(&sta.submissions, id)
 	for _, cal := range sta.callers[id] {
 		close(cal)
 	}
@@ -72,12 +68,9 @@
 
 // learn takes in what another entry knows, before this entry joins the ring.
 func (pro *Process) learn(work context.Context, sta *state, evt membersLearned, now time.Time) {
-	rgfleet.Learn(&sta.fleet, evt.members.Sidecars, evt.members.Departed, now)
-	for _, sc := range evt.members.Sidecars {
-		rgring.Await(&sta.ring, sc.Key())
-	}
+	rghome.Learn(&sta.home, evt.members.Sidecars, evt.members.Departed, now)
 	if evt.alone {
-		rgring.StartWithoutPeers(&sta.ring, now)
+		rgring.StartWithoutPeers(&sta.home.Ring, now)
 		pro.log.Warn("no other entry answers; older submission ids are uncertain")
 	}
 	pro.adoptTeams(work, sta, evt.members.Teams)
@@ -88,8 +81,8 @@
 func (pro *Process) adoptTeams(work context.Context, sta *state, teams []rgmodel.TeamConfig) {
 	var newer []rgmodel.TeamConfig
 	for _, tc := range teams {
-		if tc.Revision > sta.teams[tc.Team].Revision {
-			sta.teams[tc.Team] = tc
+		if tc.Revision > sta.home.Teams[tc.Team].Revision {
+			sta.home.Teams[tc.Team] = tc
 			newer = append(newer, tc)
 		}
 	}
--- a/io/rgentry/serve.go
+++ b/io/rgentry/serve.go
@@ -50,7 +50,7 @@
 }
 
 func jobState(sta *state, id rgmodel.SubmissionID) rgwire.JobStateReply {
-	sub := sta.submissions.Submissions[id]
+	sub := sta.home.Submissions.Submissions[id]
 	if sub == nil {
 		return rgwire.JobStateReply{}
 	}
--- a/io/rgentry/sidecars.go
+++ b/io/rgentry/sidecars.go
@@ -7,8 +7,8 @@
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgfleet"
+	"ragwortgap/core/rghome"
 	"ragwortgap/core/rgmodel"
-	"ragwortgap/core/rgring"
 	"ragwortgap/io/rgwire"
 )
 
@@ -18,12 +18,11 @@
 // announce takes in a sidecar's connection and seals it before it gets work.
 func (pro *Process) announce(work context.Context, sta *state, evt announced, now time.Time) {
 	key := evt.sidecar.Key()
-	if old, ok := rgfleet.Announce(&sta.fleet, evt.sidecar, now); ok {
-		pro.loseSidecar(work, sta, old, now)
+	if old, ok := rghome.Announce(&sta.home, evt.sidecar, now); ok {
+		pro.loseSidecar(work, sta, old)
 	}
 	sta.peers[key] = evt.peer
-	rgring.Await(&sta.ring, key)
-	evt.reply <- rgwire.AnnounceReply{Entry: pro.self, Ring: sta.ring.Ring, Teams: teamList(sta.teams)}
+	evt.reply <- rgwire.AnnounceReply{Entry: pro.self, Ring: sta.home.Ring.Ring, Teams: teamList(sta.home.Teams)}
 	pro.publish(sta)
 	pro.log.Info("sidecar connected", zap.String("sidecar", key.Name))
 	pro.seal(work, sta, key)
@@ -36,10 +35,10 @@
 // seal asks one sidecar for its records under the current ring; the answer comes as an event.
 func (pro *Process) seal(work context.Context, sta *state, key rgmodel.SidecarKey) {
 	per := sta.peers[key]
-	if per == nil || sta.ring.Ring.Generation == 0 {
+	if per == nil || sta.home.Ring.Ring.Generation == 0 {
 		return
 	}
-	msg := rgwire.Seal{Ring: sta.ring.Ring, Home: pro.self}
+	msg := rgwire.Seal{Ring: sta.home.Ring.Ring, Home: pro.self}
 	pro.traffic.Go(func() {
 		ctx, stop := context.WithTimeout(work, callTimeout)
 		defer stop()
@@ -54,11 +53,9 @@
 }
 
 func (pro *Process) sealed(work context.Context, sta *state, evt sealAnswered) {
-	if sta.peers[evt.key] != evt.peer || evt.generation != sta.ring.Ring.Generation {
+	if sta.peers[evt.key] != evt.peer || !rghome.Sealed(&sta.home, evt.key, evt.generation, evt.records) {
 		return
 	}
-	rgring.Sealed(&sta.ring, evt.key, evt.generation, evt.records)
-	rgfleet.Seal(&sta.fleet, evt.key)
 	pro.publish(sta)
 	for _, rep := range sta.awaiting[evt.key] {
 		rep <- peerState{peer: evt.peer}
@@ -72,17 +69,16 @@
 		return
 	}
 	delete(sta.peers, evt.key)
-	rgfleet.Disconnect(&sta.fleet, evt.key, now)
+	rgfleet.Disconnect(&sta.home.Fleet, evt.key, now)
 	pro.log.Info("sidecar disconnected", zap.String("sidecar", evt.key.Name))
 }
 
 // loseSidecar gives up on an incarnation for good.
-func (pro *Process) loseSidecar(work context.Context, sta *state, key rgmodel.SidecarKey, now time.Time) {
+func (pro *Process) loseSidecar(work context.Context, sta *state, key rgmodel.SidecarKey) {
 	if per := sta.peers[key]; per != nil {
 		per.Close()
 		delete(sta.peers, key)
 	}
-	rgring.Lost(&sta.ring, key, now)
 	for _, rep := range sta.awaiting[key] {
 		rep <- peerState{lost: true}
 	}
@@ -96,7 +92,7 @@
 
 // awaitPeer answers when the sidecar is connected and sealed, or lost.
 func (pro *Process) awaitPeer(sta *state, evt peerAwaited) {
-	mem := sta.fleet.Members[evt.key.Name]
+	mem := sta.home.Fleet.Members[evt.key.Name]
 	switch {
 	case mem == nil || mem.Sidecar.Incarnation != evt.key.Incarnation:
 		evt.reply <- peerState{lost: true}
@@ -131,7 +127,7 @@
 
 // push sends the ring and changed configurations to all sidecars.
 func (pro *Process) push(work context.Context, sta *state, teams []rgmodel.TeamConfig) {
-	msg := rgwire.Configure{Ring: sta.ring.Ring, Teams: teams}
+	msg := rgwire.Configure{Ring: sta.home.Ring.Ring, Teams: teams}
 	for _, per := range sta.peers {
 		pro.traffic.Go(func() {
 			if per.Notify(work, msg) != nil {
--- a/io/rgentry/submit.go
+++ b/io/rgentry/submit.go
@@ -6,186 +6,52 @@
 
 	"go.uber.org/zap"
 
-	"ragwortgap/core/rgadmission"
-	"ragwortgap/core/rgfleet"
+	"ragwortgap/core/rghome"
+	"ragwortgap/core/rgjob"
 	"ragwortgap/core/rgmodel"
-	"ragwortgap/core/rgplacement"
-	"ragwortgap/core/rgring"
 	"ragwortgap/core/rgsubmission"
+	"ragwortgap/io/rgwire"
 )
 
-const (
-	// cancelDelay gathers cancellations, so that a wave of them is one message for each sidecar.
-	cancelDelay = 10 * time.Millisecond
-	// zoneDistance is the assumed round trip to another availability zone.
-	zoneDistance = 3 * time.Millisecond
-)
-
-// plan is where the tasks of a job go, and the outcomes that are known already.
-type plan struct {
-	parts []part
-	known []rgmodel.Outcome
-}
+// cancelDelay gathers cancellations, so that a wave of them is one message for each sidecar.
+const cancelDelay = 10 * time.Millisecond
 
-// submit decides what happens to a submission.
+// submit carries out the decision on a submission.
 func (pro *Process) submit(work context.Context, sta *state, evt submitted, now time.Time) {
-	jb := evt.job
-	switch std := rgsubmission.Find(&sta.submissions, jb.ID, jb.Digest).(type) {
-	case rgsubmission.Conflict:
-		evt.reply <- refuse(jb, rgmodel.NotRun, rgmodel.ReasonDigestMismatch, "the id was used with another body")
-	case rgsubmission.Answered:
-		evt.reply <- settled{answer: std.Answer}
-	case rgsubmission.Running:
-		evt.reply <- sta.attach(jb.ID)
-	case rgsubmission.Dropped:
-		pro.startJob(work, sta, evt, plan{parts: recordedParts(jb, std.Places)}, now)
-	case rgsubmission.Unknown:
-		pro.submitUnknown(work, sta, evt, now)
-	}
-}
-
-func (pro *Process) submitUnknown(work context.Context, sta *state, evt submitted, now time.Time) {
-	jb := evt.job
-	created, err := jb.ID.Created()
-	if err != nil {
-		evt.reply <- refuse(jb, rgmodel.NotRun, rgmodel.ReasonNotReady, err.Error())
-		return
-	}
-	if tooOld(sta, jb, created, now) {
-		evt.reply <- refuse(jb, rgmodel.MayHaveRun, rgmodel.ReasonRecordLost, "the team's resubmission window for the id has passed")
-		return
-	}
-	switch std := rgring.Find(&sta.ring, jb.ID, created, evt.own).(type) {
-	case rgring.Elsewhere:
-		evt.reply <- forward{home: std.Home}
-	case rgring.NotReady:
+	switch dec := rghome.Submit(&sta.home, evt.job, evt.own, now, sta.random).(type) {
+	case rghome.Forward:
+		evt.reply <- forward{home: dec.Home}
+	case rghome.Park:
 		evt.arrived = now
 		sta.parked = append(sta.parked, evt)
-	case rgring.Uncertain:
-		evt.reply <- refuse(jb, rgmodel.MayHaveRun, rgmodel.ReasonRecordLost, "records that may concern the id are lost")
-	case rgring.Recorded:
-		pro.resume(work, sta, evt, std.Sightings, created.Before(sta.ring.Horizon), now)
-	case rgring.Fresh:
-		pro.submitFresh(work, sta, evt, now)
+	case rghome.Attach:
+		evt.reply <- sta.attach(evt.job.ID)
+	case rghome.Settled:
+		pro.countRefusal(dec.Answer)
+		evt.reply <- settled{answer: dec.Answer, retryAfter: dec.RetryAfter}
+	case rghome.Begin:
+		pro.startJob(work, sta, evt, dec.Plan, now)
 	}
 }
 
-func (pro *Process) submitFresh(work context.Context, sta *state, evt submitted, now time.Time) {
-	jb := evt.job
-	if rfs := pro.admit(sta, jb, now); rfs.Reason != "" {
-		pro.scope.Tagged(map[string]string{"reason": string(rfs.Reason)}).Counter("refusals").Inc(1)
-		dec := refuse(jb, rgmodel.NotRun, rfs.Reason, rfs.Detail)
-		dec.retryAfter = rfs.RetryAfter
-		evt.reply <- dec
-		return
+func (pro *Process) countRefusal(ans rgmodel.Answer) {
+	if len(ans.Outcomes) > 0 && !ans.Complete() {
+		rsn := string(ans.Outcomes[0].Reason)
+		pro.scope.Tagged(map[string]string{"reason": rsn}).Counter("refusals").Inc(1)
 	}
-	pro.startJob(work, sta, evt, plan{parts: pro.place(sta, jb, jb.Tasks, nil, now)}, now)
 }
 
-func (pro *Process) admit(sta *state, jb rgmodel.Job, now time.Time) rgadmission.Refusal {
-	switch {
-	case sta.draining:
-		return rgadmission.Refusal{Reason: rgmodel.ReasonDraining, Detail: "the entry is stopping"}
-	case !rgfleet.Runnable(&sta.fleet, jb.Requires):
-		return rgadmission.Refusal{Reason: rgmodel.ReasonNeverRunnable, Detail: "no upstream has the resources that the job requires"}
-	case len(candidates(sta, pro.self, jb, nil, now)) == 0:
-		return rgadmission.Refusal{
-			Reason: rgmodel.ReasonNoUpstream, Detail: "no upstream can take work now", RetryAfter: rgfleet.ReportInterval,
-		}
-	default:
-		return rgadmission.TakeQuota(&sta.admission, sta.teams[jb.Flow.Team], len(jb.Tasks), len(sta.ring.Ring.Entries), now)
-	}
-}
-
-// resume continues a job that another home has begun: recorded tasks are collected, the others are placed, unless a
-// lost record may concern them.
-func (pro *Process) resume(
-	work context.Context, sta *state, evt submitted, sigs []rgring.Sighting, uncertain bool, now time.Time,
-) {
+// startJob hands a registered job to a traffic goroutine.
+func (pro *Process) startJob(work context.Context, sta *state, evt submitted, pln rgjob.Plan, now time.Time) {
 	jb := evt.job
-	for _, sig := range sigs {
-		if sig.Record.Digest != jb.Digest {
-			evt.reply <- refuse(jb, rgmodel.NotRun, rgmodel.ReasonDigestMismatch, "the id was used with another body")
-			return
-		}
-	}
-	places, tried := rgring.Claims(sigs)
-	pln := plan{parts: recordedParts(jb, places)}
-	claimed := map[int]bool{}
-	for _, plc := range places {
-		for _, idx := range plc.Indexes {
-			claimed[idx] = true
-		}
-	}
-	var rest []rgmodel.Task
-	for _, tsk := range jb.Tasks {
-		switch {
-		case claimed[tsk.Index]:
-		case uncertain:
-			pln.known = append(pln.known, rgmodel.Outcome{Index: tsk.Index, Reason: rgmodel.ReasonRecordLost})
-		default:
-			rest = append(rest, tsk)
-		}
-	}
-	pln.parts = append(pln.parts, pro.place(sta, jb, rest, tried, now)...)
-	pro.startJob(work, sta, evt, pln, now)
-}
-
-// place chooses sidecars for the tasks. It returns nothing when there is none.
-func (pro *Process) place(
-	sta *state, jb rgmodel.Job, tasks []rgmodel.Task, tried map[rgmodel.SidecarKey]bool, now time.Time,
-) []part {
-	if len(tasks) == 0 {
-		return nil
-	}
-	cans := candidates(sta, pro.self, jb, tried, now)
-	var pts []part
-	next := 0
-	for _, sha := range rgplacement.Plan(sta.policy, cans, len(tasks), sta.random) {
-		pts = append(pts, part{sidecar: sha.Sidecar, tasks: tasks[next : next+sha.Tasks]})
-		next += sha.Tasks
-	}
-	return pts
-}
-
-func candidates(
-	sta *state, self rgmodel.Entry, jb rgmodel.Job, tried map[rgmodel.SidecarKey]bool, now time.Time,
-) []rgplacement.Candidate {
-	var cans []rgplacement.Candidate
-	for _, mem := range rgfleet.Usable(&sta.fleet, now) {
-		key := mem.Sidecar.Key()
-		if tried[key] || !jb.Requires.Fits(mem.Sidecar.Capacity.Resources) {
-			continue
-		}
-		can := rgplacement.Candidate{
-			Sidecar:     key,
-			Slots:       mem.Sidecar.Capacity.Slots,
-			Load:        mem.Report.Queued + mem.Report.Running + mem.SentSince,
-			ServiceTime: rgfleet.ServiceTime(mem, jb.Flow.Kind, jb.RunTime.Duration),
-		}
-		if mem.Sidecar.AvailabilityZone != self.AvailabilityZone {
-			can.Distance = zoneDistance
-		}
-		cans = append(cans, can)
-	}
-	return cans
-}
-
-// startJob registers the job and hands it to a traffic goroutine.
-func (pro *Process) startJob(work context.Context, sta *state, evt submitted, pln plan, now time.Time) {
-	jb := evt.job
-	rgsubmission.Register(&sta.submissions, jb, rgmodel.RecordWindow, now)
 	sta.runCount++
 	ctx, stop := context.WithTimeout(work, jb.Deadline.Duration+answerGrace)
 	rn := &run{id: jb.ID, flow: jb.Flow, began: now, sidecars: map[rgmodel.SidecarKey]bool{}, stop: stop}
 	sta.runs[sta.runCount] = rn
-	countParts(sta, rn, pln.parts)
-	for range pln.parts {
-		rgadmission.CountBatch(&sta.admission)
-	}
+	countParts(sta, rn, pln.Parts)
 	evt.reply <- sta.attach(jb.ID)
 	drv := driver{
-		process: pro, job: jb, run: sta.runCount, generation: sta.ring.Ring.Generation,
+		process: pro, job: jb, run: sta.runCount, generation: sta.home.Ring.Ring.Generation,
 		deadline: now.Add(jb.Deadline.Duration),
 	}
 	pro.traffic.Go(func() {
@@ -194,28 +60,21 @@
 	})
 }
 
-func countParts(sta *state, rn *run, pts []part) {
+func countParts(sta *state, rn *run, pts []rgjob.Part) {
 	for _, prt := range pts {
-		rn.sidecars[prt.sidecar] = true
-		sta.outstanding[prt.sidecar]++
-		if !prt.recorded {
-			rgfleet.Sent(&sta.fleet, prt.sidecar, len(prt.tasks))
-		}
+		rn.sidecars[prt.Sidecar] = true
+		sta.outstanding[prt.Sidecar]++
 	}
 }
 
-// replan finds other sidecars for tasks that are known not to have run, within the retry budget.
-func (pro *Process) replan(sta *state, evt replanned, now time.Time) []part {
+func (pro *Process) replan(sta *state, evt replanned, now time.Time) []rgjob.Part {
 	rn := sta.runs[evt.run]
 	if rn == nil || rn.moved || rn.cancelled {
 		return nil
 	}
-	pts := pro.place(sta, evt.job, evt.tasks, evt.tried, now)
-	for range pts {
-		if !rgadmission.TakeRetry(&sta.admission) {
-			pro.scope.Counter("retriesRefused").Inc(1)
-			return nil
-		}
+	pts := rghome.Replan(&sta.home, evt.job, evt.tasks, evt.tried, now, sta.random)
+	if len(pts) == 0 {
+		pro.scope.Counter("retriesRefused").Inc(1)
 	}
 	pro.scope.Counter("retries").Inc(int64(len(pts)))
 	countParts(sta, rn, pts)
@@ -228,7 +87,7 @@
 	if rn.moved {
 		return
 	}
-	rgsubmission.Finish(&sta.submissions, evt.answer, evt.places)
+	rgsubmission.Finish(&sta.home.Submissions, evt.answer, evt.places)
 	for _, cal := range sta.callers[rn.id] {
 		cal <- evt.answer
 	}
@@ -260,7 +119,8 @@
 			kept = append(kept, evt)
 			continue
 		}
-		evt.reply <- refuse(evt.job, rgmodel.MayHaveRun, rgmodel.ReasonNotReady, "sidecars have not answered for earlier work")
+		detail := "sidecars have not answered for earlier work"
+		evt.reply <- settled{answer: rgmodel.RefuseAll(evt.job, rgmodel.MayHaveRun, rgmodel.ReasonNotReady, detail)}
 	}
 	sta.parked = kept
 }
@@ -292,40 +152,17 @@
 func (pro *Process) flushCancels(work context.Context, sta *state) {
 	sta.flush = nil
 	for key, ids := range sta.cancels {
-		per := sta.peers[key]
-		if per == nil {
-			continue
+		if per := sta.peers[key]; per != nil {
+			pro.traffic.Go(func() { pro.sendCancel(work, per, key, ids) })
 		}
-		pro.sendCancel(work, per, key, ids)
 	}
 	clear(sta.cancels)
 }
 
-// tooOld reports whether the team's resubmission window for the id has passed.
-func tooOld(sta *state, jb rgmodel.Job, created, now time.Time) bool {
-	win := sta.teams[jb.Flow.Team].ResubmissionWindow.Duration
-	if win <= 0 || win > rgmodel.MaxResubmissionWindow {
-		win = rgmodel.MaxResubmissionWindow
+func (pro *Process) sendCancel(work context.Context, per *rgwire.Peer, key rgmodel.SidecarKey, ids []rgmodel.SubmissionID) {
+	ctx, stop := context.WithTimeout(work, callTimeout)
+	defer stop()
+	if err := per.Ask(ctx, rgwire.Cancel{IDs: ids}, nil); err != nil {
+		pro.log.Warn("cancel not sent", zap.String("sidecar", key.Name), zap.Int("jobs", len(ids)), zap.Error(err))
 	}
-	return now.Sub(created) > win
-}
-
-func recordedParts(jb rgmodel.Job, places []rgsubmission.Place) []part {
-	var pts []part
-	for _, plc := range places {
-		prt := part{sidecar: plc.Sidecar, recorded: true}
-		for _, idx := range plc.Indexes {
-			prt.tasks = append(prt.tasks, jb.Tasks[idx])
-		}
-		pts = append(pts, prt)
-	}
-	return pts
-}
-
-func refuse(jb rgmodel.Job, vd rgmodel.Verdict, rsn rgmodel.Reason, detail string) settled {
-	return settled{answer: rgmodel.RefuseAll(jb, vd, rsn, detail)}
-}
-
-func logSidecar(key rgmodel.SidecarKey) zap.Field {
-	return zap.String("sidecar", key.Name)
 }
