--- a/core/rgfleet/command_member.go
+++ b/core/rgfleet/command_member.go
@@ -70,15 +70,15 @@
 	return lost
 }
 
-// Learn adds what another entry knows: departures, and sidecars that have not announced themselves here yet, which it
-// returns.
+// Learn adds what another entry knows: departures, and sidecars that are not known here, which it returns.
+// A sidecar that has departed here and not there is known again.
 func Learn(sta *State, scs []rgmodel.Sidecar, deps []rgmodel.Departure, now time.Time) []rgmodel.SidecarKey {
 	if sta.Members == nil {
 		sta.Members = map[string]*Member{}
 	}
 	var added []rgmodel.SidecarKey
 	for _, sc := range scs {
-		if sta.Members[sc.Name] == nil && !departed(sta, sc.Key()) {
+		if sta.Members[sc.Name] == nil {
 			sta.Members[sc.Name] = &Member{Sidecar: sc, Cut: now}
 			added = append(added, sc.Key())
 		}
@@ -91,10 +91,6 @@
 	return added
 }
 
-func departed(sta *State, key rgmodel.SidecarKey) bool {
-	return slices.ContainsFunc(sta.Departed, func(dep rgmodel.Departure) bool { return dep.Sidecar == key })
-}
-
 func depart(sta *State, mem *Member, now time.Time) {
 	sta.Departed = append(sta.Departed, rgmodel.Departure{Sidecar: mem.Sidecar.Key(), At: now})
 }
--- a/core/rgfleet/query_member.go
+++ b/core/rgfleet/query_member.go
@@ -62,3 +62,7 @@
 	}
 	return mem
 }
+
+func departed(sta *State, key rgmodel.SidecarKey) bool {
+	return slices.ContainsFunc(sta.Departed, func(dep rgmodel.Departure) bool { return dep.Sidecar == key })
+}
--- a/core/rghome/command_ring.go
+++ b/core/rghome/command_ring.go
@@ -12,9 +12,9 @@
 // AdoptRing takes in a newer ring and forgets the submissions that have moved to other homes, which it returns.
 // After a gap in the generations all may have moved in between.
 // All sidecars must then be sealed. It returns false for a ring that is not newer.
-func AdoptRing(sta *State, rng rgmodel.Ring) ([]rgmodel.SubmissionID, bool) {
+func AdoptRing(sta *State, rng rgmodel.Ring, now time.Time) ([]rgmodel.SubmissionID, bool) {
 	gap := rng.Generation != sta.Ring.Ring.Generation+1
-	if !rgring.Adopt(&sta.Ring, rng, rgfleet.Keys(&sta.Fleet), sta.Fleet.Departed) {
+	if !rgring.Adopt(&sta.Ring, rng, rgfleet.Keys(&sta.Fleet), sta.Fleet.Departed, now) {
 		return nil, false
 	}
 	var moved []rgmodel.SubmissionID
@@ -27,11 +27,17 @@
 	return moved, true
 }
 
-// Learn takes in what another entry knows, before this entry joins the ring.
-func Learn(sta *State, scs []rgmodel.Sidecar, deps []rgmodel.Departure, now time.Time) {
-	for _, key := range rgfleet.Learn(&sta.Fleet, scs, deps, now) {
+// Learn takes in what another entry knows, unless this entry knows all sidecars itself.
+func Learn(sta *State, kno Knowledge, now time.Time) {
+	if rgring.Complete(&sta.Ring) {
+		return
+	}
+	for _, key := range rgfleet.Learn(&sta.Fleet, kno.Sidecars, kno.Departed, now) {
 		rgring.Await(&sta.Ring, key)
 	}
+	rgring.Inherit(&sta.Ring, sta.Fleet.Departed, kno.Horizon)
+	rgring.Suspect(&sta.Ring, kno.Suspects, now)
+	rgring.Learned(&sta.Ring, kno.Ring.Generation, kno.Since)
 }
 
 // Announce takes in a sidecar's connection. It returns the incarnation that the sidecar replaces, if any.
@@ -56,6 +62,7 @@
 
 // Sweep gives up the sidecars that have been disconnected for too long and returns them.
 func Sweep(sta *State, now time.Time) []rgmodel.SidecarKey {
+	rgring.Elapse(&sta.Ring, now)
 	lost := rgfleet.Sweep(&sta.Fleet, rgmodel.RecordWindow, now)
 	for _, key := range lost {
 		rgring.Lost(&sta.Ring, key, now)
--- a/core/rghome/command_submit.go
+++ b/core/rghome/command_submit.go
@@ -15,6 +15,24 @@
 
 // Submit decides what happens to a submission. Own says that this entry has just generated the id.
 func Submit(sta *State, jb rgmodel.Job, own bool, now time.Time, rnd *rand.Rand) Decision {
+	dec := decide(sta, jb, own, now, rnd)
+	if stl, ok := dec.(Settled); ok && !own {
+		stl.Answer = doubt(sta, stl.Answer, now)
+		return stl
+	}
+	return dec
+}
+
+// Finish stores the final answer of a job and returns it as the callers may have it.
+func Finish(sta *State, ans rgmodel.Answer, places []rgsubmission.Place, now time.Time) rgmodel.Answer {
+	if sub := sta.Submissions.Submissions[ans.ID]; sub != nil && !sub.Own {
+		ans = doubt(sta, ans, now)
+	}
+	rgsubmission.Finish(&sta.Submissions, ans, places)
+	return ans
+}
+
+func decide(sta *State, jb rgmodel.Job, own bool, now time.Time, rnd *rand.Rand) Decision {
 	switch std := rgsubmission.Find(&sta.Submissions, jb.ID, jb.Digest).(type) {
 	case rgsubmission.Conflict:
 		return refuse(jb, rgmodel.NotRun, rgmodel.ReasonDigestMismatch, "the id was used with another body")
@@ -23,7 +41,7 @@
 	case rgsubmission.Running:
 		return Attach{}
 	case rgsubmission.Dropped:
-		return begin(sta, jb, rgjob.Plan{Parts: recordedParts(jb, std.Places)}, now)
+		return begin(sta, jb, own, rgjob.Plan{Parts: recordedParts(jb, std.Places)}, now)
 	default:
 		return submitUnknown(sta, jb, own, now, rnd)
 	}
@@ -47,17 +65,17 @@
 	case rgring.Recorded:
 		return resume(sta, jb, std.Sightings, created.Before(sta.Ring.Horizon), now, rnd)
 	default:
-		return submitFresh(sta, jb, now, rnd)
+		return submitFresh(sta, jb, own, now, rnd)
 	}
 }
 
-func submitFresh(sta *State, jb rgmodel.Job, now time.Time, rnd *rand.Rand) Decision {
+func submitFresh(sta *State, jb rgmodel.Job, own bool, now time.Time, rnd *rand.Rand) Decision {
 	if rfs := admit(sta, jb, now); rfs.Reason != "" {
 		dec := refuse(jb, rgmodel.NotRun, rfs.Reason, rfs.Detail)
 		dec.RetryAfter = rfs.RetryAfter
 		return dec
 	}
-	return begin(sta, jb, rgjob.Plan{Parts: place(sta, jb, jb.Tasks, nil, now, rnd)}, now)
+	return begin(sta, jb, own, rgjob.Plan{Parts: place(sta, jb, jb.Tasks, nil, now, rnd)}, now)
 }
 
 // admit refuses a job or spends what it needs of the team's quota.
@@ -95,11 +113,11 @@
 		rest = append(rest, tsk)
 	}
 	pln.Parts = append(pln.Parts, place(sta, jb, rest, tried, now, rnd)...)
-	return begin(sta, jb, pln, now)
+	return begin(sta, jb, false, pln, now)
 }
 
-func begin(sta *State, jb rgmodel.Job, pln rgjob.Plan, now time.Time) Decision {
-	rgsubmission.Register(&sta.Submissions, jb, rgmodel.RecordWindow, now)
+func begin(sta *State, jb rgmodel.Job, own bool, pln rgjob.Plan, now time.Time) Decision {
+	rgsubmission.Register(&sta.Submissions, jb, own, rgmodel.RecordWindow, now)
 	for range pln.Parts {
 		rgadmission.CountBatch(&sta.Admission)
 	}
--- a/core/rghome/home.go
+++ b/core/rghome/home.go
@@ -30,6 +30,19 @@
 		Draining bool
 	}
 
+	// Knowledge is what an entry tells another one that has to learn the sidecars.
+	Knowledge struct {
+		Ring rgmodel.Ring `json:"ring"`
+		// Since is zero if this entry does not know all sidecars itself.
+		Since       uint64               `json:"since"`
+		Unaccounted []rgmodel.Entry      `json:"unaccounted"`
+		Sidecars    []rgmodel.Sidecar    `json:"sidecars"`
+		Departed    []rgmodel.Departure  `json:"departed"`
+		Horizon     time.Time            `json:"horizon"`
+		Suspects    []string             `json:"suspects"`
+		Teams       []rgmodel.TeamConfig `json:"teams"`
+	}
+
 	// Decision is what to do with a submission.
 	Decision interface{ isDecision() }
 
--- a/core/rgjob/ledger.go
+++ b/core/rgjob/ledger.go
@@ -2,6 +2,9 @@
 package rgjob
 
 import (
+	"slices"
+	"strings"
+
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgsubmission"
 )
@@ -45,5 +48,6 @@
 	for key, idxs := range led.Places {
 		plcs = append(plcs, rgsubmission.Place{Sidecar: key, Indexes: idxs})
 	}
+	slices.SortFunc(plcs, func(fst, snd rgsubmission.Place) int { return strings.Compare(fst.Sidecar.Name, snd.Sidecar.Name) })
 	return plcs
 }
--- a/core/rgmodel/fleet.go
+++ b/core/rgmodel/fleet.go
@@ -95,6 +95,10 @@
 // entry may have given it up and become the home of ids that an entry still connected here believes to own.
 const IsolationLimit = 10 * time.Second
 
+// CertainTime is how long after a read of the ring an entry may say for certain that a task was not run. A new home
+// waits as long for entries that do not confirm its ring, before it starts anything.
+const CertainTime = 3 * time.Second
+
 const (
 	// TaskQueued is the zero value: accepted and not yet started.
 	TaskQueued TaskState = iota
--- a/core/rgmodel/verdict.go
+++ b/core/rgmodel/verdict.go
@@ -36,6 +36,7 @@
 	ReasonNotReady         Reason = "notReady"
 	ReasonSidecarLost      Reason = "sidecarLost"
 	ReasonDeadlineExceeded Reason = "deadlineExceeded"
+	ReasonHomeUncertain    Reason = "homeUncertain"
 	ReasonRetryBudget      Reason = "retryBudget"
 )
 
--- a/core/rgqueue/command_configure.go
+++ b/core/rgqueue/command_configure.go
@@ -15,13 +15,12 @@
 }
 
 // AdoptRing takes in a newer ring and ignores an older one. It returns whether the ring has changed.
-// Batches of older generations are refused from then on. An entry that is new in the ring counts as in contact for
-// IsolationLimit, because the entries of the old ring can name this sidecar to it.
-func AdoptRing(sta *State, rng rgmodel.Ring, now time.Time) bool {
+// Batches of older generations are refused from then on, and all batches until every entry that is new in the ring
+// has been in contact.
+func AdoptRing(sta *State, rng rgmodel.Ring) bool {
 	if rng.Generation <= sta.Ring.Generation {
 		return false
 	}
-	first := sta.Ring.Generation == 0
 	sta.Ring = rng
 	sta.Fence = max(sta.Fence, rng.Generation)
 	old := sta.Contacts
@@ -29,8 +28,6 @@
 	for _, ent := range rng.Entries {
 		if at, ok := old[ent.Incarnation]; ok {
 			sta.Contacts[ent.Incarnation] = at
-		} else if !first {
-			sta.Contacts[ent.Incarnation] = now
 		}
 	}
 	return true
@@ -43,11 +40,3 @@
 	}
 	sta.Contacts[ent.Incarnation] = later(sta.Contacts[ent.Incarnation], sent)
 }
-
-// Lose notes that the address of an entry refuses connections, so that the process of the entry has ended.
-func Lose(sta *State, ent rgmodel.Entry) {
-	if sta.Gone == nil {
-		sta.Gone = map[string]bool{}
-	}
-	sta.Gone[ent.Incarnation] = true
-}
--- a/core/rgqueue/command_seal.go
+++ b/core/rgqueue/command_seal.go
@@ -1,6 +1,9 @@
 package rgqueue
 
 import (
+	"cmp"
+	"slices"
+
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgring"
 )
@@ -27,5 +30,6 @@
 		cpy.Outcome.Result = nil
 		out.Tasks = append(out.Tasks, cpy)
 	}
+	slices.SortFunc(out.Tasks, func(fst, snd rgmodel.TaskRecord) int { return cmp.Compare(fst.Outcome.Index, snd.Outcome.Index) })
 	return out
 }
--- a/core/rgqueue/query_wait.go
+++ b/core/rgqueue/query_wait.go
@@ -59,7 +59,7 @@
 		limit = DefaultMaxQueued
 	}
 	switch {
-	case !inContact(sta, now):
+	case !InContact(sta, now):
 		return rgmodel.ReasonNotReady
 	case sta.Draining:
 		return rgmodel.ReasonDraining
@@ -74,11 +74,12 @@
 	}
 }
 
-// inContact reports whether every entry of the ring has answered this sidecar within IsolationLimit or has ended.
-// Then any of them can name it to a new entry, and none has given it up.
-func inContact(sta *State, now time.Time) bool {
+// InContact reports whether every entry of the ring has answered this sidecar within IsolationLimit. Then any of them
+// can name it to a new entry, and none has given it up. An entry that has ended does not count as in contact, because
+// it may have named this sidecar before, to an entry that has given it up since.
+func InContact(sta *State, now time.Time) bool {
 	for _, ent := range sta.Ring.Entries {
-		if !sta.Gone[ent.Incarnation] && now.Sub(sta.Contacts[ent.Incarnation]) > rgmodel.IsolationLimit {
+		if now.Sub(sta.Contacts[ent.Incarnation]) > rgmodel.IsolationLimit {
 			return false
 		}
 	}
--- a/core/rgqueue/state.go
+++ b/core/rgqueue/state.go
@@ -63,9 +63,7 @@
 		// Ring is the newest ring the sidecar knows of.
 		Ring rgmodel.Ring
 		// Contacts holds, by incarnation, when the last message that an entry of the ring has answered was sent.
-		Contacts map[string]time.Time
-		// Gone holds the incarnations of the ring whose process has ended.
-		Gone      map[string]bool
+		Contacts  map[string]time.Time
 		MaxQueued int
 		Records   map[rgmodel.SubmissionID]*Record
 		Flows     map[rgmodel.Flow]*Flow
--- a/core/rgring/query_home.go
+++ b/core/rgring/query_home.go
@@ -1,6 +1,8 @@
 package rgring
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -50,7 +52,7 @@
 		return Elsewhere{Home: ent}
 	case own:
 		return Fresh{}
-	case len(sta.Pending) > 0 && !Keeps(sta, id):
+	case (len(sta.Pending) > 0 || len(sta.Unaware) > 0 || sta.Since == 0) && !Keeps(sta, id):
 		return NotReady{}
 	case len(sta.Records[id]) > 0:
 		return Recorded{Sightings: sta.Records[id]}
@@ -61,6 +63,17 @@
 	}
 }
 
+// Certain reports whether this entry is the home of its ids beyond doubt: it has read the current ring from the store
+// within CertainTime, and a new home waits that long for entries that have not confirmed its ring.
+func Certain(sta *State, now time.Time) bool {
+	return member(sta.Ring, sta.Self) && now.Before(sta.CertainUntil)
+}
+
+// Suspects returns the incarnations that this entry waits for, in a fixed order.
+func Suspects(sta *State) []string {
+	return slices.Sorted(maps.Keys(sta.Unaware))
+}
+
 // Generation returns the generation to send with a batch of the id: the current one while this entry is the
 // home, and else the one under which it accepted the id, so that sealed sidecars refuse the batch.
 func Generation(rng rgmodel.Ring, self rgmodel.Entry, id rgmodel.SubmissionID, accepted uint64) uint64 {
@@ -69,3 +82,12 @@
 	}
 	return accepted
 }
+
+func member(rng rgmodel.Ring, ent rgmodel.Entry) bool {
+	return slices.Contains(rng.Entries, ent)
+}
+
+// Complete reports whether this entry knows all sidecars that could take batches under the rings so far.
+func Complete(sta *State) bool {
+	return sta.Since > 0 && len(sta.Unaccounted) == 0
+}
--- a/core/rgring/ring.go
+++ b/core/rgring/ring.go
@@ -22,6 +22,17 @@
 		Kept []rgmodel.Ring
 		// Settled is set once a takeover has been complete.
 		Settled bool
+		// Since is the generation from which on this entry has been a member of every ring and has known all sidecars
+		// that could take batches. Zero means that it has to learn them from another entry.
+		Since uint64
+		// Unaccounted holds entries of earlier rings that have neither answered nor ended, while no entry that knows all
+		// sidecars could be asked. They may still be at work with sidecars that nobody can name.
+		Unaccounted []rgmodel.Entry
+		// Unaware holds, by incarnation, the entries that have not confirmed the ring and may still believe to be the
+		// home of ids that have moved here, with the time when they can no longer be certain of it.
+		Unaware map[string]time.Time
+		// CertainUntil is how long no other entry can have become the home of this entry's ids.
+		CertainUntil time.Time
 		// Pending holds the sidecars that have not answered the seal of the current generation.
 		Pending map[rgmodel.SidecarKey]bool
 		// Horizon bounds the ids that a lost record may concern: ids created before it are uncertain.
--- a/core/rgsubmission/command_register.go
+++ b/core/rgsubmission/command_register.go
@@ -7,12 +7,13 @@
 )
 
 // Register adds a job that is about to run. The id must not be in the table, except as one whose answer was dropped.
-func Register(sta *State, jb rgmodel.Job, win time.Duration, now time.Time) {
+func Register(sta *State, jb rgmodel.Job, own bool, win time.Duration, now time.Time) {
 	if sta.Submissions == nil {
 		sta.Submissions = map[rgmodel.SubmissionID]*Submission{}
 	}
 	sta.Submissions[jb.ID] = &Submission{
 		Digest:  jb.Digest,
+		Own:     own,
 		Flow:    jb.Flow,
 		Started: now,
 		Expires: now.Add(win + jb.Deadline.Duration),
--- a/core/rgsubmission/submission.go
+++ b/core/rgsubmission/submission.go
@@ -23,7 +23,9 @@
 		Flow    rgmodel.Flow
 		Started time.Time
 		Expires time.Time
-		Final   bool
+		// Own says that this entry has generated the id, so that nobody else can have seen it before the answer.
+		Own   bool
+		Final bool
 		// Complete is valid once Final is set.
 		Complete bool
 		// Answer is empty while the job runs, and after it has been dropped to save memory.
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -29,11 +29,14 @@
 		// outstanding counts the parts for which a sidecar owes an answer.
 		outstanding map[rgmodel.SidecarKey]int
 		leaving     map[rgmodel.SidecarKey]chan<- struct{}
-		callers     map[rgmodel.SubmissionID][]chan rgmodel.Answer
-		awaiting    map[rgmodel.SidecarKey][]chan<- peerState
-		parked      []submitted
-		runs        map[uint64]*run
-		runCount    uint64
+		// learning is set while a goroutine asks other entries for their sidecars, since learnBegan.
+		learning   bool
+		learnBegan time.Time
+		callers    map[rgmodel.SubmissionID][]chan rgmodel.Answer
+		awaiting   map[rgmodel.SidecarKey][]chan<- peerState
+		parked     []submitted
+		runs       map[uint64]*run
+		runCount   uint64
 		// cancels holds the cancellations that wait to be sent together.
 		cancels map[rgmodel.SidecarKey][]rgmodel.SubmissionID
 		flush   <-chan time.Time
@@ -107,13 +110,23 @@
 	case peerAwaited:
 		pro.awaitPeer(sta, evt)
 	case ringRead:
-		pro.adoptRing(work, sta, evt.ring)
+		pro.adoptRing(work, sta, evt.ring, now)
 	case teamsRead:
 		pro.adoptTeams(work, sta, evt.teams)
-	case membersLearned:
+	case ringOffered:
+		pro.adoptTeams(work, sta, evt.teams)
+		pro.adoptRing(work, sta, evt.ring, now)
+		evt.reply <- rgwire.ConfigureReply{Generation: sta.home.Ring.Ring.Generation}
+	case ringChecked:
+		pro.adoptRing(work, sta, evt.ring, now)
+		rgring.Checked(&sta.home.Ring, evt.ring.Generation, evt.sent)
+	case confirmed:
+		pro.confirm(work, sta, evt)
+	case learned:
 		pro.learn(work, sta, evt, now)
 	case membersAsked:
-		evt.reply <- members(sta)
+		pro.adoptRing(work, sta, evt.ring, now)
+		evt.reply <- rgwire.MembersReply{Knowledge: rghome.Tell(&sta.home)}
 	case stateAsked:
 		evt.reply <- jobState(sta, evt.id)
 	case cancelAsked:
@@ -131,6 +144,7 @@
 	for _, key := range rghome.Sweep(&sta.home, now) {
 		pro.loseSidecar(work, sta, key)
 	}
+	pro.unpark(work, sta)
 	pro.expireParked(sta, now)
 	if now.Sub(sta.expired) >= expireInterval {
 		sta.expired = now
@@ -178,15 +192,6 @@
 	return rgwire.ReportReply{Ring: sta.home.Ring.Ring}
 }
 
-func members(sta *state) rgwire.MembersReply {
-	return rgwire.MembersReply{
-		Ring:     sta.home.Ring.Ring,
-		Teams:    teamList(sta.home.Teams),
-		Sidecars: rgfleet.Sidecars(&sta.home.Fleet),
-		Departed: sta.home.Fleet.Departed,
-	}
-}
-
 func teamList(teams map[string]rgmodel.TeamConfig) []rgmodel.TeamConfig {
 	lis := make([]rgmodel.TeamConfig, 0, len(teams))
 	for _, tc := range teams {
--- a/io/rgentry/event.go
+++ b/io/rgentry/event.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"ragwortgap/core/rghome"
 	"ragwortgap/core/rgjob"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgsubmission"
@@ -78,13 +79,38 @@
 
 	teamsRead struct{ teams []rgmodel.TeamConfig }
 
-	membersLearned struct {
-		members rgwire.MembersReply
-		// alone says that a ring exists and no other member of it could be asked.
-		alone bool
+	// learned is what other entries know, and which of those asked have neither answered nor ended.
+	learned struct {
+		known       []rghome.Knowledge
+		unaccounted []rgmodel.Entry
+		// round says that this is the answer to a round of learning, not to a poll while the store is down.
+		round bool
 	}
 
-	membersAsked struct{ reply chan<- rgwire.MembersReply }
+	membersAsked struct {
+		ring  rgmodel.Ring
+		reply chan<- rgwire.MembersReply
+	}
+
+	// ringOffered is a ring that another entry passes on.
+	ringOffered struct {
+		ring  rgmodel.Ring
+		teams []rgmodel.TeamConfig
+		reply chan<- rgwire.ConfigureReply
+	}
+
+	// ringChecked is the ring that the store returned to a read sent at the time given.
+	ringChecked struct {
+		ring rgmodel.Ring
+		sent time.Time
+	}
+
+	// confirmed says that another entry has a ring of the generation given, or that its process has ended.
+	confirmed struct {
+		incarnation string
+		generation  uint64
+		ended       bool
+	}
 
 	stateAsked struct {
 		id    rgmodel.SubmissionID
@@ -102,24 +128,27 @@
 	drainAsked struct{}
 )
 
-func (announced) isEvent()      {}
-func (disconnected) isEvent()   {}
-func (reported) isEvent()       {}
-func (sealAnswered) isEvent()   {}
-func (leaveAsked) isEvent()     {}
-func (submitted) isEvent()      {}
-func (replanned) isEvent()      {}
-func (partEnded) isEvent()      {}
-func (jobEnded) isEvent()       {}
-func (peerAwaited) isEvent()    {}
-func (ringRead) isEvent()       {}
-func (teamsRead) isEvent()      {}
-func (membersLearned) isEvent() {}
-func (membersAsked) isEvent()   {}
-func (stateAsked) isEvent()     {}
-func (jobFailed) isEvent()      {}
-func (cancelAsked) isEvent()    {}
-func (drainAsked) isEvent()     {}
+func (announced) isEvent()    {}
+func (disconnected) isEvent() {}
+func (reported) isEvent()     {}
+func (sealAnswered) isEvent() {}
+func (leaveAsked) isEvent()   {}
+func (submitted) isEvent()    {}
+func (replanned) isEvent()    {}
+func (partEnded) isEvent()    {}
+func (jobEnded) isEvent()     {}
+func (peerAwaited) isEvent()  {}
+func (ringRead) isEvent()     {}
+func (teamsRead) isEvent()    {}
+func (learned) isEvent()      {}
+func (ringOffered) isEvent()  {}
+func (ringChecked) isEvent()  {}
+func (confirmed) isEvent()    {}
+func (membersAsked) isEvent() {}
+func (stateAsked) isEvent()   {}
+func (jobFailed) isEvent()    {}
+func (cancelAsked) isEvent()  {}
+func (drainAsked) isEvent()   {}
 
 type (
 	// run is a job in flight, as the control goroutine sees it.
--- a/io/rgentry/ring.go
+++ b/io/rgentry/ring.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"slices"
+	"syscall"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rghome"
@@ -13,15 +15,24 @@
 	"ragwortgap/io/rgwire"
 )
 
+const (
+	// learnInterval is the time between rounds of asking other entries, while some are unaccounted for.
+	learnInterval = time.Second
+	// learnTimeout bounds the call to one entry.
+	learnTimeout = time.Second
+	// tellPause is the time between attempts to pass a ring on.
+	tellPause = 100 * time.Millisecond
+)
+
 // adoptRing takes in a newer ring, seals all sidecars and gives up the submissions that have moved.
-func (pro *Process) adoptRing(work context.Context, sta *state, rng rgmodel.Ring) {
+func (pro *Process) adoptRing(work context.Context, sta *state, rng rgmodel.Ring, now time.Time) {
 	old := sta.home.Ring.Ring
-	moved, ok := rghome.AdoptRing(&sta.home, rng)
+	moved, ok := rghome.AdoptRing(&sta.home, rng, now)
 	if !ok {
 		return
 	}
-	pro.tellEntries(work, old, rng)
 	pro.log.Info("ring changed", zap.Uint64("generation", rng.Generation), zap.Int("entries", len(rng.Entries)))
+	pro.scope.Gauge("ringGeneration").Update(float64(rng.Generation))
 	for _, id := range moved {
 		pro.moveAway(sta, id)
 	}
@@ -30,27 +41,12 @@
 	}
 	pro.publish(sta)
 	pro.push(work, sta, nil)
+	pro.tellEntries(work, sta, old)
+	pro.traffic.Go(func() { pro.checkRing(work) })
+	pro.startLearning(work, sta, old)
 	pro.unpark(work, sta)
 }
 
-// tellEntries passes a ring on to the entries of the old and the new one, because some may not reach the store and
-// would go on as homes under the old ring.
-func (pro *Process) tellEntries(work context.Context, old, rng rgmodel.Ring) {
-	told := map[string]bool{pro.self.Address: true}
-	for _, ent := range slices.Concat(old.Entries, rng.Entries) {
-		if told[ent.Address] {
-			continue
-		}
-		told[ent.Address] = true
-		pro.traffic.Go(func() {
-			ctx, stop := context.WithTimeout(work, callTimeout)
-			defer stop()
-			// An entry that cannot be reached learns of the ring from the store or from its sidecars.
-			_ = pro.entries.ask(ctx, pro, ent, rgwire.Configure{Ring: rng}, nil)
-		})
-	}
-}
-
 // moveAway stops the traffic of a submission and sends its callers to the new home.
 // The traffic must stop before a view is published in which this entry may be the home again.
 func (pro *Process) moveAway(sta *state, id rgmodel.SubmissionID) {
@@ -66,15 +62,123 @@
 	delete(sta.callers, id)
 }
 
-// learn takes in what another entry knows, before this entry joins the ring.
-func (pro *Process) learn(work context.Context, sta *state, evt membersLearned, now time.Time) {
-	rghome.Learn(&sta.home, evt.members.Sidecars, evt.members.Departed, now)
-	if evt.alone {
-		rgring.StartWithoutPeers(&sta.home.Ring, now)
-		pro.log.Warn("no other entry answers; older submission ids are uncertain")
-	}
-	pro.adoptTeams(work, sta, evt.members.Teams)
-	pro.adoptRing(work, sta, evt.members.Ring)
+// tellEntries passes the ring on to the entries of the old and the new one until they confirm it, because some may
+// not reach the store and would go on as homes under the old ring.
+func (pro *Process) tellEntries(work context.Context, sta *state, old rgmodel.Ring) {
+	rng := sta.home.Ring.Ring
+	told := map[string]bool{pro.self.Incarnation: true}
+	for _, ent := range slices.Concat(old.Entries, rng.Entries) {
+		if !told[ent.Incarnation] {
+			told[ent.Incarnation] = true
+			pro.traffic.Go(func() { pro.tellEntry(work, ent, rng) })
+		}
+	}
+}
+
+// tellEntry passes a ring on until the entry confirms it, ends, or can no longer be certain of an older ring.
+func (pro *Process) tellEntry(work context.Context, ent rgmodel.Entry, rng rgmodel.Ring) {
+	ctx, stop := context.WithTimeout(work, rgmodel.CertainTime)
+	defer stop()
+	for ctx.Err() == nil {
+		var rep rgwire.ConfigureReply
+		err := pro.entries.ask(ctx, pro, ent, rgwire.Configure{Ring: rng}, &rep)
+		switch {
+		case err == nil:
+			pro.tell(work, confirmed{incarnation: ent.Incarnation, generation: rep.Generation})
+			return
+		case errors.Is(err, syscall.ECONNREFUSED):
+			pro.tell(work, confirmed{incarnation: ent.Incarnation, ended: true})
+			return
+		}
+		pause(ctx, tellPause)
+	}
+}
+
+func (pro *Process) confirm(work context.Context, sta *state, evt confirmed) {
+	if evt.ended {
+		rgring.Ended(&sta.home.Ring, evt.incarnation)
+	} else {
+		rgring.Confirmed(&sta.home.Ring, evt.incarnation, evt.generation)
+	}
+	pro.unpark(work, sta)
+}
+
+// startLearning asks other entries for their sidecars if this entry may not know them all.
+func (pro *Process) startLearning(work context.Context, sta *state, old rgmodel.Ring) {
+	rng := sta.home.Ring.Ring
+	if sta.learning || rgring.Complete(&sta.home.Ring) || !contains(rng, pro.self) {
+		return
+	}
+	if sta.learnBegan.IsZero() {
+		sta.learnBegan = time.Now()
+	}
+	sta.learning = true
+	asked := slices.Concat(old.Entries, rng.Entries, sta.home.Ring.Unaccounted)
+	pro.traffic.Go(func() { pro.askEntries(work, rng, asked) })
+}
+
+// askEntries asks each entry once and reports what they know, and which have neither answered nor ended.
+func (pro *Process) askEntries(work context.Context, rng rgmodel.Ring, asked []rgmodel.Entry) {
+	evt := learned{round: true}
+	seen := map[string]bool{pro.self.Incarnation: true}
+	for _, ent := range asked {
+		if seen[ent.Incarnation] {
+			continue
+		}
+		seen[ent.Incarnation] = true
+		ctx, stop := context.WithTimeout(work, learnTimeout)
+		var rep rgwire.MembersReply
+		err := pro.entries.ask(ctx, pro, ent, rgwire.Members{Ring: rng}, &rep)
+		stop()
+		switch {
+		case err == nil:
+			evt.known = append(evt.known, rep.Knowledge)
+		case !errors.Is(err, syscall.ECONNREFUSED):
+			evt.unaccounted = append(evt.unaccounted, ent)
+		}
+	}
+	pro.tell(work, evt)
+}
+
+// learn takes in what other entries know. Without one that knows all sidecars, ids are uncertain until every entry of
+// earlier rings is accounted for, and at most for the resubmission window.
+func (pro *Process) learn(work context.Context, sta *state, evt learned, now time.Time) {
+	for _, kno := range evt.known {
+		rghome.Learn(&sta.home, kno, now)
+		pro.adoptTeams(work, sta, kno.Teams)
+		pro.adoptRing(work, sta, kno.Ring, now)
+		evt.unaccounted = append(evt.unaccounted, kno.Unaccounted...)
+	}
+	if !evt.round {
+		return
+	}
+	sta.learning = false
+	if !rgring.Complete(&sta.home.Ring) && contains(sta.home.Ring.Ring, pro.self) {
+		pro.goAlone(work, sta, evt.unaccounted, now)
+	}
+	if rgring.Complete(&sta.home.Ring) {
+		sta.learnBegan = time.Time{}
+	}
+	pro.publish(sta)
+	pro.unpark(work, sta)
+}
+
+func (pro *Process) goAlone(work context.Context, sta *state, unaccounted []rgmodel.Entry, now time.Time) {
+	if now.Sub(sta.learnBegan) > rgmodel.MaxResubmissionWindow {
+		unaccounted = nil
+	}
+	if sta.home.Ring.Since == 0 {
+		pro.log.Warn("no other entry knows all sidecars; older submission ids are uncertain", zap.Int("unaccounted", len(unaccounted)))
+	}
+	rgring.Alone(&sta.home.Ring, now.Add(2*learnInterval), unaccounted)
+	if len(unaccounted) > 0 {
+		sta.learning = true
+		rng := sta.home.Ring.Ring
+		pro.traffic.Go(func() {
+			pause(work, learnInterval)
+			pro.askEntries(work, rng, slices.Concat(rng.Entries, unaccounted))
+		})
+	}
 }
 
 // adoptTeams takes in newer configurations and pushes them on.
--- a/io/rgentry/serve.go
+++ b/io/rgentry/serve.go
@@ -19,15 +19,14 @@
 		rep := make(chan rgwire.ReportReply, 1)
 		return ask(ctx, pro, reported{report: msg.Report, reply: rep}, rep)
 	case rgwire.Configure:
-		pro.tell(ctx, teamsRead{teams: msg.Teams})
-		pro.tell(ctx, ringRead{ring: msg.Ring})
-		return struct{}{}, nil
+		rep := make(chan rgwire.ConfigureReply, 1)
+		return ask(ctx, pro, ringOffered{ring: msg.Ring, teams: msg.Teams, reply: rep}, rep)
 	case rgwire.Leave:
 		rep := make(chan struct{}, 1)
 		return ask(ctx, pro, leaveAsked{key: msg.Sidecar, reply: rep}, rep)
 	case rgwire.Members:
 		rep := make(chan rgwire.MembersReply, 1)
-		return ask(ctx, pro, membersAsked{reply: rep}, rep)
+		return ask(ctx, pro, membersAsked{ring: msg.Ring, reply: rep}, rep)
 	case rgwire.Forward:
 		return rgwire.ForwardReply{Answer: pro.submitJob(ctx, msg.Job, false, msg.Hops).Answer}, nil
 	case rgwire.JobState:
--- a/io/rgentry/store.go
+++ b/io/rgentry/store.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"ragwortgap/core/rghome"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgstore"
 	"ragwortgap/io/rgwire"
@@ -45,7 +46,8 @@
 func (pro *Process) followStore(ctx, work context.Context) {
 	fol := follower{process: pro}
 	fol.read(work)
-	fol.learn(work)
+	// The ring that is in force before this entry joins tells whom to ask for sidecars.
+	fol.adopt(work)
 	pro.traffic.Go(func() { pro.keepLease(ctx, work) })
 	for work.Err() == nil {
 		fol.adopt(work)
@@ -72,7 +74,7 @@
 		fol.process.scope.Counter("storeErrors").Inc(1)
 		if time.Since(asked) >= peerInterval {
 			asked = time.Now()
-			fol.learnFrom(ctx, fol.peers())
+			fol.askPeer(ctx)
 		}
 		pause(ctx, storeRetry)
 	}
@@ -101,23 +103,6 @@
 	}
 }
 
-// learn asks the members of the ring for sidecars and departures, before this entry joins.
-func (fol *follower) learn(ctx context.Context) {
-	rng, ok := fol.ring()
-	if !ok {
-		return
-	}
-	var adrs []string
-	for _, ent := range rng.Entries {
-		if ent.Address != fol.process.self.Address {
-			adrs = append(adrs, ent.Address)
-		}
-	}
-	if !fol.learnFrom(ctx, adrs) {
-		fol.process.tell(ctx, membersLearned{alone: true})
-	}
-}
-
 // peers returns the addresses of other entries: those of the ring, or those of the settings before a ring is known.
 func (fol *follower) peers() []string {
 	rng := fol.process.View().Ring
@@ -133,18 +118,18 @@
 	return adrs
 }
 
-// learnFrom returns whether one of the addresses has answered.
-func (fol *follower) learnFrom(ctx context.Context, adrs []string) bool {
-	for _, adr := range adrs {
-		ask, stop := context.WithTimeout(ctx, callTimeout)
+// askPeer passes on what one other entry knows.
+func (fol *follower) askPeer(ctx context.Context) {
+	for _, adr := range fol.peers() {
+		call, stop := context.WithTimeout(ctx, callTimeout)
 		var rep rgwire.MembersReply
-		err := fol.process.entries.ask(ask, fol.process, rgmodel.Entry{Address: adr}, rgwire.Members{}, &rep)
+		err := fol.process.entries.ask(call, fol.process, rgmodel.Entry{Address: adr}, rgwire.Members{}, &rep)
 		stop()
 		if err == nil && rep.Ring.Generation > 0 {
-			return fol.process.tell(ctx, membersLearned{members: rep})
+			fol.process.tell(ctx, learned{known: []rghome.Knowledge{rep.Knowledge}})
+			return
 		}
 	}
-	return false
 }
 
 // adopt passes the ring and the configurations on to the control goroutine, which ignores what is not newer.
@@ -234,6 +219,7 @@
 			lease = ""
 			continue
 		}
+		pro.checkRing(ctx)
 		pause(ctx, ttl/3)
 	}
 	if lease != "" {
@@ -245,6 +231,21 @@
 	}
 }
 
+// checkRing reads the ring from the store, so that this entry can be certain for a while to be the home of its ids.
+func (pro *Process) checkRing(ctx context.Context) {
+	sent := time.Now()
+	itm, err := pro.store.Get(ctx, KeyRing)
+	if err != nil {
+		return
+	}
+	var rng rgmodel.Ring
+	if err := json.Unmarshal(itm.Value, &rng); err != nil {
+		pro.log.Error("ring not readable", zap.Error(err))
+		return
+	}
+	pro.tell(ctx, ringChecked{ring: rng, sent: sent})
+}
+
 // takeLease writes the entry's key under a new lease and returns the lease, or nothing if the store did not answer.
 func (pro *Process) takeLease(ctx context.Context) string {
 	raw, err := json.Marshal(pro.self)
--- a/io/rgentry/submit.go
+++ b/io/rgentry/submit.go
@@ -9,7 +9,6 @@
 	"ragwortgap/core/rghome"
 	"ragwortgap/core/rgjob"
 	"ragwortgap/core/rgmodel"
-	"ragwortgap/core/rgsubmission"
 	"ragwortgap/io/rgwire"
 )
 
@@ -22,7 +21,9 @@
 	case rghome.Forward:
 		evt.reply <- forward{home: dec.Home}
 	case rghome.Park:
-		evt.arrived = now
+		if evt.arrived.IsZero() {
+			evt.arrived = now
+		}
 		sta.parked = append(sta.parked, evt)
 	case rghome.Attach:
 		evt.reply <- sta.attach(evt.job.ID)
@@ -87,9 +88,9 @@
 	if rn.moved {
 		return
 	}
-	rgsubmission.Finish(&sta.home.Submissions, evt.answer, evt.places)
+	ans := rghome.Finish(&sta.home, evt.answer, evt.places, time.Now())
 	for _, cal := range sta.callers[rn.id] {
-		cal <- evt.answer
+		cal <- ans
 	}
 	delete(sta.callers, rn.id)
 	pro.scope.Counter("jobs").Inc(1)
@@ -107,6 +108,7 @@
 func (pro *Process) unpark(work context.Context, sta *state) {
 	evts := sta.parked
 	sta.parked = nil
+	// Submissions that still have to wait are parked again, with the time of their arrival.
 	for _, evt := range evts {
 		pro.submit(work, sta, evt, time.Now())
 	}
--- a/io/rgsidecar/control.go
+++ b/io/rgsidecar/control.go
@@ -17,6 +17,8 @@
 	tickInterval = 100 * time.Millisecond
 	// reportInterval is the shortest time between reports of a changing load.
 	reportInterval = 200 * time.Millisecond
+	// contactWait is how long a batch waits for contact with all entries before it is refused.
+	contactWait = 500 * time.Millisecond
 	// recordInterval is how often records are checked against their window.
 	recordInterval = 5 * time.Second
 )
@@ -27,6 +29,7 @@
 		queue    rgqueue.State
 		teams    map[string]rgmodel.TeamConfig
 		links    map[string]link
+		parked   []batchArrived
 		waiters  map[rgmodel.SubmissionID][]waiter
 		running  map[taskKey]context.CancelFunc
 		sequence uint64
@@ -99,7 +102,7 @@
 	case collectArrived:
 		pro.await(sta, evt.id, waiter{indexes: evt.indexes, reply: evt.reply})
 	case sealArrived:
-		rgqueue.AdoptRing(&sta.queue, evt.seal.Ring, now)
+		rgqueue.AdoptRing(&sta.queue, evt.seal.Ring)
 		evt.reply <- rgwire.SealReply{Records: rgqueue.Seal(&sta.queue, evt.seal.Ring, evt.seal.Home)}
 		pro.relink(work, sta)
 	case cancelArrived:
@@ -112,8 +115,7 @@
 		pro.unlink(sta, evt.entry)
 	case contacted:
 		rgqueue.Contact(&sta.queue, evt.entry, evt.sent)
-	case refused:
-		rgqueue.Lose(&sta.queue, evt.entry)
+		pro.unpark(sta, now)
 	case bootstrapped:
 		sta.bootstrapping = false
 	case finished:
@@ -126,9 +128,20 @@
 	}
 }
 
+// acceptBatch keeps a batch for a moment if an entry that is new in the ring has not been in contact yet, which takes
+// one dial after each change of the ring.
 func (pro *Process) acceptBatch(sta *state, evt batchArrived, now time.Time) {
-	pro.scope.Counter("batches").Inc(1)
-	if rsn := rgqueue.Accept(&sta.queue, evt.batch, now); rsn != "" {
+	if evt.arrived.IsZero() {
+		evt.arrived = now
+		pro.scope.Counter("batches").Inc(1)
+	}
+	if !rgqueue.InContact(&sta.queue, now) && now.Sub(evt.arrived) < contactWait {
+		sta.parked = append(sta.parked, evt)
+		return
+	}
+	bat := evt.batch
+	bat.Remaining.Duration -= now.Sub(evt.arrived)
+	if rsn := rgqueue.Accept(&sta.queue, bat, now); rsn != "" {
 		evt.reply <- rgwire.BatchReply{Refused: rsn}
 		return
 	}
@@ -140,6 +153,15 @@
 	pro.await(sta, evt.batch.ID, waiter{indexes: idxs, reply: evt.reply})
 }
 
+// unpark decides anew on the batches that waited for contact.
+func (pro *Process) unpark(sta *state, now time.Time) {
+	evts := sta.parked
+	sta.parked = nil
+	for _, evt := range evts {
+		pro.acceptBatch(sta, evt, now)
+	}
+}
+
 // await answers the waiter now if its tasks are final, and else keeps it.
 func (pro *Process) await(sta *state, id rgmodel.SubmissionID, wtr waiter) {
 	if outs, final := rgqueue.Outcomes(&sta.queue, id, wtr.indexes); final {
@@ -203,7 +225,7 @@
 		}
 	}
 	rgqueue.Configure(&sta.queue, weights(sta.teams))
-	rgqueue.AdoptRing(&sta.queue, evt.ring, time.Now())
+	rgqueue.AdoptRing(&sta.queue, evt.ring)
 	pro.relink(work, sta)
 }
 
@@ -223,6 +245,7 @@
 		sta.swept = now
 		rgqueue.ExpireRecords(&sta.queue, now)
 	}
+	pro.unpark(sta, now)
 	pro.startBootstrap(work, sta)
 	since := now.Sub(sta.reported)
 	if since >= rgfleet.ReportInterval || (sta.changed && since >= reportInterval) {
@@ -254,7 +277,8 @@
 
 // leave ends a drain: when no task and no caller waits, it tells all entries and waits until they have all answers.
 func (pro *Process) leave(work context.Context, sta *state) {
-	if !sta.queue.Draining || sta.left != nil || sta.queue.Running > 0 || sta.queue.Queued > 0 || len(sta.waiters) > 0 {
+	if !sta.queue.Draining || sta.left != nil || sta.queue.Running > 0 || sta.queue.Queued > 0 || len(sta.waiters) > 0 ||
+		len(sta.parked) > 0 {
 		return
 	}
 	sta.left = make(chan struct{})
--- a/io/rgsidecar/event.go
+++ b/io/rgsidecar/event.go
@@ -15,6 +15,8 @@
 	batchArrived struct {
 		batch rgmodel.Batch
 		reply chan<- rgwire.BatchReply
+		// arrived is set when the batch has to wait for contact with a new entry.
+		arrived time.Time
 	}
 
 	collectArrived struct {
@@ -51,9 +53,6 @@
 		sent  time.Time
 	}
 
-	// refused says that the entry's address refuses connections.
-	refused struct{ entry rgmodel.Entry }
-
 	finished struct {
 		start   rgqueue.Start
 		outcome rgmodel.Outcome
@@ -72,6 +71,5 @@
 func (unlinked) isEvent()       {}
 func (bootstrapped) isEvent()   {}
 func (contacted) isEvent()      {}
-func (refused) isEvent()        {}
 func (finished) isEvent()       {}
 func (drainAsked) isEvent()     {}
--- a/io/rgsidecar/link.go
+++ b/io/rgsidecar/link.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -153,9 +152,6 @@
 func (pro *Process) announce(work context.Context, ent rgmodel.Entry) (*rgwire.Peer, error) {
 	sent := time.Now()
 	per, err := pro.dial(work, ent.Address)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		pro.tell(work, refused{entry: ent})
-	}
 	if err != nil {
 		return nil, err
 	}
@@ -183,6 +179,7 @@
 	lnk.peer = evt.peer
 	sta.links[evt.entry.Incarnation] = lnk
 	rgqueue.Contact(&sta.queue, evt.entry, evt.sent)
+	pro.unpark(sta, time.Now())
 	pro.log.Info("entry connected", zap.String("entry", evt.entry.Name))
 	pro.report(sta, time.Now())
 }
--- a/io/rgwire/message.go
+++ b/io/rgwire/message.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"ragwortgap/core/rghome"
 	"ragwortgap/core/rgmodel"
 )
 
@@ -68,7 +69,7 @@
 		IDs []rgmodel.SubmissionID `json:"submissionIds"`
 	}
 
-	// Configure is a notification of a changed ring or changed team configurations, to sidecars and other entries.
+	// Configure carries a changed ring or changed team configurations; sidecars do not answer it.
 	Configure struct {
 		Ring  rgmodel.Ring         `json:"ring"`
 		Teams []rgmodel.TeamConfig `json:"teams,omitempty"`
@@ -79,6 +80,11 @@
 		Sidecar rgmodel.SidecarKey `json:"sidecar"`
 	}
 
+	// ConfigureReply names the generation of the ring that the receiver now has.
+	ConfigureReply struct {
+		Generation uint64 `json:"generation"`
+	}
+
 	// Forward passes a job to the entry that is its home.
 	// Hops counts how often it has been passed on.
 	Forward struct {
@@ -113,15 +119,14 @@
 		Found bool `json:"found"`
 	}
 
-	// Members asks an entry for what it knows of the system.
-	Members struct{}
+	// Members asks an entry for what it knows of the system, after it has adopted the ring if that is newer.
+	Members struct {
+		Ring rgmodel.Ring `json:"ring"`
+	}
 
 	// MembersReply is the answer to Members.
 	MembersReply struct {
-		Ring     rgmodel.Ring         `json:"ring"`
-		Teams    []rgmodel.TeamConfig `json:"teams"`
-		Sidecars []rgmodel.Sidecar    `json:"sidecars"`
-		Departed []rgmodel.Departure  `json:"departed"`
+		rghome.Knowledge
 	}
 )
 
@@ -194,7 +199,7 @@
 	case "cancelJob":
 		return decodeAs[CancelJob](raw)
 	case "members":
-		return Members{}, nil
+		return decodeAs[Members](raw)
 	default:
 		return nil, errors.NotSupportedf("method %q", name)
 	}
