Add contract tests of takeover, learning, uncertainty and certainty of a home

They guard the conditions that the histories of core/rghome exercise together: each condition of a takeover alone leaves the home not ready.

--- /dev/null
+++ b/core/rgring/ring_test.go
@@ -0,0 +1,227 @@
+package rgring
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"ragwortgap/core/rgmodel"
+)
+
+var (
+	began = time.UnixMilli(1_800_000_000_000)
+	self  = rgmodel.Entry{Name: "self", Incarnation: "self-1"}
+	other = rgmodel.Entry{Name: "other", Incarnation: "other-1"}
+	third = rgmodel.Entry{Name: "third", Incarnation: "third-1"}
+	one   = rgmodel.SidecarKey{Name: "one", Incarnation: "one-1"}
+)
+
+func ring(generation uint64, ents ...rgmodel.Entry) rgmodel.Ring {
+	return rgmodel.Ring{Generation: generation, Entries: ents}
+}
+
+// owned returns an id whose home is the entry in all of the rings.
+func owned(t *testing.T, ent rgmodel.Entry, rngs ...rgmodel.Ring) rgmodel.SubmissionID {
+	t.Helper()
+	for num := range 10_000 {
+		id := rgmodel.SubmissionID(time.Unix(int64(num), 0).String())
+		match := true
+		for _, rng := range rngs {
+			hom, _ := Home(rng, id)
+			match = match && hom == ent
+		}
+		if match {
+			return id
+		}
+	}
+	t.Fatalf("no id with home %s", ent.Name)
+	return ""
+}
+
+// gained returns an id that moves from the other entry to this one with the second ring.
+func gained(t *testing.T, fst, snd rgmodel.Ring) rgmodel.SubmissionID {
+	t.Helper()
+	for num := range 10_000 {
+		id := rgmodel.SubmissionID(time.Unix(int64(num), 0).String())
+		old, _ := Home(fst, id)
+		now, _ := Home(snd, id)
+		if old != self && now == self {
+			return id
+		}
+	}
+	t.Fatal("no id moves")
+	return ""
+}
+
+// TestTakeover guards against a new home that starts a task before it can know whether another home has.
+func TestTakeover(t *testing.T) {
+	fst, snd := ring(1, self, other), ring(2, self, third)
+	tests := map[string]struct {
+		steps func(sta *State)
+		ready bool
+	}{
+		"nothing answered":             {steps: func(*State) {}},
+		"sidecar sealed only":          {steps: func(sta *State) { Sealed(sta, one, 2, nil) }},
+		"sealed for an older ring":     {steps: func(sta *State) { confirm(sta); Sealed(sta, one, 1, nil) }},
+		"entries confirmed only":       {steps: confirm},
+		"confirmed an older ring":      {steps: func(sta *State) { Sealed(sta, one, 2, nil); Confirmed(sta, "other-1", 1) }},
+		"sealed and confirmed":         {steps: func(sta *State) { Sealed(sta, one, 2, nil); confirm(sta) }, ready: true},
+		"sidecar lost, rest confirmed": {steps: func(sta *State) { Lost(sta, one, began); confirm(sta) }, ready: true},
+		"entries ended":                {steps: func(sta *State) { Sealed(sta, one, 2, nil); Ended(sta, "other-1"); Ended(sta, "third-1") }, ready: true},
+		"time has passed": {ready: true, steps: func(sta *State) {
+			Sealed(sta, one, 2, nil)
+			Elapse(sta, began.Add(rgmodel.CertainTime+time.Millisecond))
+		}},
+		"too little time has passed": {steps: func(sta *State) { Sealed(sta, one, 2, nil); Elapse(sta, began.Add(rgmodel.CertainTime)) }},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			sta := &State{Self: self}
+			Adopt(sta, fst, nil, nil, began)
+			Ended(sta, "other-1")
+			Adopt(sta, snd, []rgmodel.SidecarKey{one}, nil, began)
+			tc.steps(sta)
+			_, waiting := Find(sta, gained(t, fst, snd), began.Add(time.Hour), false).(NotReady)
+			if waiting == tc.ready {
+				t.Errorf("got ready %t, want %t", !waiting, tc.ready)
+			}
+			if _, ok := Find(sta, owned(t, self, fst, snd), began.Add(time.Hour), false).(Fresh); !ok {
+				t.Error("an id that stays here has to wait")
+			}
+		})
+	}
+}
+
+func confirm(sta *State) {
+	Confirmed(sta, "other-1", 2)
+	Confirmed(sta, "third-1", 2)
+}
+
+// TestLearned guards against an entry that takes the word of another one that cannot know all sidecars.
+func TestLearned(t *testing.T) {
+	tests := map[string]struct {
+		generation, since uint64
+		want              bool
+	}{
+		"member before the ring, ring adopted": {generation: 5, since: 4, want: true},
+		"member for long, newer ring":          {generation: 6, since: 1, want: true},
+		"ring not adopted":                     {generation: 4, since: 1},
+		"joined with the same ring":            {generation: 5, since: 5},
+		"knows nothing itself":                 {generation: 5, since: 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			sta := &State{Self: self}
+			Adopt(sta, ring(5, self, other), nil, nil, began)
+			if Complete(sta) {
+				t.Fatal("complete after a gap in the generations")
+			}
+			if got := Learned(sta, tc.generation, tc.since); got != tc.want || Complete(sta) != tc.want {
+				t.Errorf("got %t, complete %t, want %t", got, Complete(sta), tc.want)
+			}
+		})
+	}
+}
+
+// TestFind guards against a second start after the records of the first have been lost, and against a lost record
+// that makes ids uncertain that cannot be in it.
+func TestFind(t *testing.T) {
+	rec := rgmodel.Record{Digest: 7}
+	tests := map[string]struct {
+		steps   func(sta *State, id rgmodel.SubmissionID)
+		created time.Time
+		own     bool
+		want    Standing
+	}{
+		"fresh": {created: began, want: Fresh{}},
+		"recorded": {
+			created: began,
+			steps: func(sta *State, id rgmodel.SubmissionID) {
+				Sealed(sta, one, 1, []rgmodel.Record{{ID: id, Digest: rec.Digest}})
+			},
+			want: Recorded{},
+		},
+		"older than a loss":   {created: began, steps: loseOne, want: Uncertain{}},
+		"younger than a loss": {created: began.Add(rgmodel.ClockSkewLimit), steps: loseOne, want: Fresh{}},
+		"own id after a loss": {created: began, own: true, steps: loseOne, want: Fresh{}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			sta := &State{Self: self}
+			Adopt(sta, ring(1, self), []rgmodel.SidecarKey{one}, nil, began)
+			id := rgmodel.SubmissionID("any")
+			if tc.steps != nil {
+				tc.steps(sta, id)
+			}
+			Sealed(sta, one, 1, nil)
+			got := Find(sta, id, tc.created, tc.own)
+			switch tc.want.(type) {
+			case Fresh:
+				_, ok := got.(Fresh)
+				check(t, ok, got)
+			case Recorded:
+				_, ok := got.(Recorded)
+				check(t, ok, got)
+			case Uncertain:
+				_, ok := got.(Uncertain)
+				check(t, ok, got)
+			}
+		})
+	}
+}
+
+func loseOne(sta *State, _ rgmodel.SubmissionID) {
+	Lost(sta, one, began)
+}
+
+func check(t *testing.T, ok bool, got Standing) {
+	t.Helper()
+	if !ok {
+		t.Errorf("got %T", got)
+	}
+}
+
+// TestCertain guards against "not run" from an entry that another one may have replaced.
+func TestCertain(t *testing.T) {
+	tests := map[string]struct {
+		generation uint64
+		after      time.Duration
+		want       bool
+	}{
+		"just read":       {generation: 1, after: time.Second, want: true},
+		"read too old":    {generation: 1, after: rgmodel.CertainTime},
+		"older ring read": {generation: 0, after: time.Second},
+		"newer ring read": {generation: 2, after: time.Second},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			sta := &State{Self: self}
+			Adopt(sta, ring(1, self), nil, nil, began)
+			Checked(sta, tc.generation, began)
+			if got := Certain(sta, began.Add(tc.after)); got != tc.want {
+				t.Errorf("got %t, want %t", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestHomeProperties guards against ids that move between entries that stay, which would cost a takeover for nothing.
+func TestHomeProperties(t *testing.T) {
+	par := gopter.DefaultTestParametersWithSeed(1)
+	pps := gopter.NewProperties(par)
+	pps.Property("an id moves only from or to an entry that leaves or joins", prop.ForAll(func(txt string) bool {
+		id := rgmodel.SubmissionID(txt)
+		three, _ := Home(ring(1, self, other, third), id)
+		two, _ := Home(ring(2, self, other), id)
+		return three == third || three == two
+	}, gen.AnyString()))
+	pps.Property("the order of the entries does not matter", prop.ForAll(func(txt string) bool {
+		fst, _ := Home(ring(1, self, other, third), rgmodel.SubmissionID(txt))
+		snd, _ := Home(ring(1, third, self, other), rgmodel.SubmissionID(txt))
+		return fst == snd
+	}, gen.AnyString()))
+	pps.TestingRun(t)
+}
