--- a/io/rgentry/process.go
+++ b/io/rgentry/process.go
@@ -3,6 +3,7 @@
 package rgentry
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync/atomic"
@@ -69,7 +70,7 @@
 		self: rgmodel.Entry{
 			Name:             set.Name,
 			Incarnation:      uuid.NewString(),
-			Address:          lis.Addr().String(),
+			Address:          cmp.Or(set.AdvertisedAddress, lis.Addr().String()),
 			AvailabilityZone: set.AvailabilityZone,
 		},
 		log:      log.With(zap.String("entry", set.Name)),
