--- a/core/rgfleet/command_member.go
+++ b/core/rgfleet/command_member.go
@@ -70,18 +70,23 @@
 	return lost
 }
 
-// Learn adds what another entry knows: departures, and sidecars that are not known here, which it returns.
-// A sidecar that has departed here and not there is known again.
+// Learn adds what another entry knows: departures, and sidecars that are not connected here, which it returns.
+// They have LostAfter from now on to announce themselves, whatever this entry believed of them before.
 func Learn(sta *State, scs []rgmodel.Sidecar, deps []rgmodel.Departure, now time.Time) []rgmodel.SidecarKey {
 	if sta.Members == nil {
 		sta.Members = map[string]*Member{}
 	}
 	var added []rgmodel.SidecarKey
 	for _, sc := range scs {
-		if sta.Members[sc.Name] == nil {
-			sta.Members[sc.Name] = &Member{Sidecar: sc, Cut: now}
-			added = append(added, sc.Key())
+		old := sta.Members[sc.Name]
+		if old != nil && old.Connected {
+			continue
 		}
+		if old != nil && old.Sidecar.Incarnation != sc.Incarnation {
+			depart(sta, old, now)
+		}
+		sta.Members[sc.Name] = &Member{Sidecar: sc, Cut: now}
+		added = append(added, sc.Key())
 	}
 	for _, dep := range deps {
 		if !departed(sta, dep.Sidecar) {
