Bound the results that a sidecar keeps

Cause: a record kept its results for the whole resubmission window. With 64 KB a result, 8 slots and 50 ms a task that is up to 10 MB/s for 10 minutes, while a node may spend 32 MB on control.

Ruled out: forgetting whole records (a resubmitted task could run again), and dropping results of submissions with pending tasks (their caller still waits).

Change: State.MaxResultBytes (16 MB by default) bounds the sum of the results. The oldest settled submissions lose theirs; the verdict RanOK stays, with the new reason resultDropped.

Conclusion: kept results are at most the bound plus those that callers wait for.

--- a/core/rgmodel/verdict.go
+++ b/core/rgmodel/verdict.go
@@ -37,6 +37,8 @@
 	ReasonSidecarLost      Reason = "sidecarLost"
 	ReasonDeadlineExceeded Reason = "deadlineExceeded"
 	ReasonRetryBudget      Reason = "retryBudget"
+	// ReasonResultDropped goes with RanOK: the task ran, and its result is no longer kept.
+	ReasonResultDropped Reason = "resultDropped"
 )
 
 type (
--- a/core/rgqueue/command_accept.go
+++ b/core/rgqueue/command_accept.go
@@ -83,6 +83,7 @@
 		rec.Tasks[tsk.Index] = &Task{Outcome: rgmodel.Outcome{Index: tsk.Index}}
 	}
 	sta.Queued += len(tasks)
+	rec.Pending += len(tasks)
 }
 
 func openFlow(sta *State, key rgmodel.Flow) *Flow {
--- a/core/rgqueue/command_cancel.go
+++ b/core/rgqueue/command_cancel.go
@@ -29,10 +29,12 @@
 // ExpireRecords forgets settled records past their window, and flows without work or debt.
 func ExpireRecords(sta *State, now time.Time) {
 	for id, rec := range sta.Records {
-		if now.After(rec.Expires) && settled(rec) {
+		if now.After(rec.Expires) && rec.Pending == 0 {
+			sta.ResultBytes -= resultBytes(rec)
 			delete(sta.Records, id)
 		}
 	}
+	forgetSettled(sta)
 	if sta.Queued == 0 && sta.Running == 0 {
 		// The end of a busy period settles all debts, so that no flow is kept for its debt alone.
 		for _, flo := range sta.Flows {
@@ -84,12 +86,3 @@
 	}
 	return ids
 }
-
-func settled(rec *Record) bool {
-	for _, tsk := range rec.Tasks {
-		if tsk.State != rgmodel.TaskFinal {
-			return false
-		}
-	}
-	return true
-}
--- a/core/rgqueue/command_start.go
+++ b/core/rgqueue/command_start.go
@@ -52,9 +52,18 @@
 }
 
 func finalize(sta *State, id rgmodel.SubmissionID, out rgmodel.Outcome) {
-	tsk := sta.Records[id].Tasks[out.Index]
+	rec := sta.Records[id]
+	tsk := rec.Tasks[out.Index]
 	tsk.State = rgmodel.TaskFinal
 	tsk.Outcome = out
+	rec.Pending--
+	sta.ResultBytes += len(out.Result)
+	if rec.Pending == 0 && resultBytes(rec) > 0 {
+		sta.Settlements++
+		rec.Settlement = sta.Settlements
+		sta.Settled = append(sta.Settled, Settled{ID: id, Settlement: rec.Settlement})
+	}
+	trimResults(sta)
 }
 
 // learn uses successes only: an upstream that fails fast must not look fast.
--- a/core/rgqueue/state.go
+++ b/core/rgqueue/state.go
@@ -15,6 +15,8 @@
 	DefaultMaxQueued = 4096
 	// DefaultServiceTime is assumed for a kind that is neither learned nor declared.
 	DefaultServiceTime = 200 * time.Millisecond
+	// DefaultMaxResultBytes bounds the results that are kept for resubmissions.
+	DefaultMaxResultBytes = 16 << 20
 	// learnRate is the weight of the newest sample in the moving average of service times.
 	learnRate = 0.1
 )
@@ -53,6 +55,16 @@
 		Tasks   map[int]*Task
 		Expires time.Time
 		Window  time.Duration
+		// Pending is the number of tasks that are not final.
+		Pending int
+		// Settlement is the number of the latest time at which no task was pending any more.
+		Settlement uint64
+	}
+
+	// Settled says that a submission with results had no pending task at the numbered time.
+	Settled struct {
+		ID         rgmodel.SubmissionID
+		Settlement uint64
 	}
 
 	// State is all that a sidecar decides on; the zero value is an empty sidecar with the documented defaults.
@@ -66,15 +78,22 @@
 		Announced map[string]bool
 		MaxQueued int
 		Records   map[rgmodel.SubmissionID]*Record
-		Flows     map[rgmodel.Flow]*Flow
-		Weights   map[rgmodel.Flow]int
-		Times     map[string]time.Duration
-		Virtual   float64
-		Arrivals  uint64
-		Queued    int
-		Running   int
-		Succeeded uint64
-		Failed    uint64
+		// MaxResultBytes bounds ResultBytes, the sum of the results in all records; zero means DefaultMaxResultBytes.
+		// Results of a submission with pending tasks are kept beyond the bound, because a caller waits for them.
+		MaxResultBytes int
+		ResultBytes    int
+		// Settled is in order of settlement. An entry is out of date when its record is gone or has a later one.
+		Settled     []Settled
+		Settlements uint64
+		Flows       map[rgmodel.Flow]*Flow
+		Weights     map[rgmodel.Flow]int
+		Times       map[string]time.Duration
+		Virtual     float64
+		Arrivals    uint64
+		Queued      int
+		Running     int
+		Succeeded   uint64
+		Failed      uint64
 	}
 
 	// Start is a task that the caller of StartNext must now forward to the upstream.
--- a/io/rgapi/job.go
+++ b/io/rgapi/job.go
@@ -208,10 +208,12 @@
 // status is that of the first task that did not succeed.
 func status(ans rgmodel.Answer) int {
 	for _, out := range ans.Outcomes {
-		if out.Verdict == rgmodel.RanOK {
+		if out.Verdict == rgmodel.RanOK && out.Reason != rgmodel.ReasonResultDropped {
 			continue
 		}
 		switch out.Reason {
+		case rgmodel.ReasonResultDropped:
+			return http.StatusGone
 		case rgmodel.ReasonDigestMismatch:
 			return http.StatusConflict
 		case rgmodel.ReasonNeverRunnable:
