Refuse jobs at the entry by the expected wait of their flow

Cause: in a flood an entry admitted every job. The sidecars refused batches one by one, after messages and retries, and tasks started shortly before their deadline used slots for nothing.

Ruled out: waiting times per sidecar (a job is admitted whole, and placement evens out the sidecars), and demand without an end for every flow with a queue (a flow with a short queue would halve the share of the others). A declared service time does not count the job's own tasks: with one that is ten times too long, a kind that sends large jobs only would be refused for ever.

Change: rgadmission.CheckWait compares the expected end of the job's last task with the deadline; admit calls it before the quota, so that a refused job spends none. Members count the tasks sent since a report by flow. Reports hold the 32 busiest flows and at most 64 learned times. The weight of a flow has one function, which sidecars and entries share.

On a scratch copy, each term of the estimate and each bound of the report was switched off, and TestCheckWait or TestReportBounds failed.

Conclusion: the decision is in place; its effect in a flood is measured next.

--- a/core/rgadmission/admission.go
+++ b/core/rgadmission/admission.go
@@ -12,6 +12,10 @@
 	RetryRatio = 0.1
 	// RetryReserve is the number of retries that are allowed without any first batch.
 	RetryReserve = 10
+	// DefaultServiceTime is assumed for a kind that is neither learned nor declared.
+	DefaultServiceTime = 200 * time.Millisecond
+	// MinRetryAfter is one report of a busy sidecar: before it, an entry knows no more than at the refusal.
+	MinRetryAfter = 200 * time.Millisecond
 )
 
 type (
@@ -28,6 +32,14 @@
 		Primed  bool
 	}
 
+	// Load is what an entry knows of one sidecar that may get work.
+	Load struct {
+		Slots  int
+		Report rgmodel.Report
+		// Sent counts the tasks of each flow that this entry has sent and that the report cannot include.
+		Sent map[rgmodel.Flow]int
+	}
+
 	// Refusal is a job's refusal; the zero value admits.
 	Refusal struct {
 		Reason rgmodel.Reason
--- /dev/null
+++ b/core/rgadmission/query_wait.go
@@ -0,0 +1,125 @@
+package rgadmission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+type (
+	// totals sums the loads of all sidecars.
+	totals struct {
+		slots   int
+		running int
+		sent    int
+		// ahead counts the tasks of the job's flow that are queued or may still be.
+		ahead int
+		// demand counts the tasks of each other flow.
+		demand map[rgmodel.Flow]int
+		// learned is the mean service time of the job's kind over all slots where it is known, else zero.
+		learned time.Duration
+	}
+
+	claim struct {
+		demand, weight float64
+	}
+)
+
+// CheckWait refuses a job whose flow is expected to wait longer than the job's deadline allows.
+// Loads are those of the sidecars that may run the job, and teams give the weights of flows.
+//
+// A flow without tasks in a queue is never refused. So a flow always has a job to learn its service time from, however
+// wrong the declared or the last learned time is.
+func CheckWait(lds []Load, teams map[string]rgmodel.TeamConfig, jb rgmodel.Job) Refusal {
+	tot := sum(lds, jb.Flow)
+	ahead := tot.ahead - max(0, tot.slots-tot.running-tot.sent)
+	if tot.slots == 0 || ahead <= 0 {
+		return Refusal{}
+	}
+	share := slotShare(tot, teams, jb.Flow)
+	wait := time.Duration(float64(ahead) * float64(declared(jb)) / share)
+	if tot.learned > 0 {
+		// The last task of the job must start early enough to finish: one that the deadline cuts off has
+		// used a slot for nothing.
+		last := ahead + len(jb.Tasks)
+		wait = time.Duration(float64(last)*float64(tot.learned)/share) + tot.learned
+	}
+	if wait <= jb.Deadline.Duration {
+		return Refusal{}
+	}
+	return Refusal{
+		Reason:     rgmodel.ReasonExpectedWait,
+		Detail:     "the expected wait of " + wait.Round(time.Millisecond).String() + " exceeds the deadline of " + jb.Deadline.String(),
+		RetryAfter: max(MinRetryAfter, wait-jb.Deadline.Duration),
+	}
+}
+
+func sum(lds []Load, own rgmodel.Flow) totals {
+	tot := totals{demand: map[rgmodel.Flow]int{}}
+	var learned time.Duration
+	known := 0
+	for _, lod := range lds {
+		tot.slots += lod.Slots
+		tot.running += lod.Report.Running
+		for _, flo := range lod.Report.Flows {
+			if flo.Flow == own {
+				tot.ahead += flo.Queued
+				continue
+			}
+			tot.demand[flo.Flow] += flo.Queued + flo.Running
+		}
+		for flo, tasks := range lod.Sent {
+			if flo == own {
+				tot.ahead += tasks
+				continue
+			}
+			tot.sent += tasks
+			tot.demand[flo] += tasks
+		}
+		for _, kt := range lod.Report.Times {
+			if kt.Kind == own.Kind {
+				learned += kt.Mean.Duration * time.Duration(lod.Slots)
+				known += lod.Slots
+			}
+		}
+	}
+	if known > 0 {
+		tot.learned = learned / time.Duration(known)
+	}
+	return tot
+}
+
+// slotShare is the number of slots that the flow gets with endless work, by weighted max-min fairness: a flow with fewer
+// tasks than its share leaves the rest to the others (Bertsekas, Gallager: "Data Networks", 1992, section 6.5.2).
+func slotShare(tot totals, teams map[string]rgmodel.TeamConfig, own rgmodel.Flow) float64 {
+	clms := make([]claim, 0, len(tot.demand))
+	free, mine := float64(tot.slots), weight(teams, own)
+	total := mine
+	for flo, tasks := range tot.demand {
+		clm := claim{demand: float64(tasks), weight: weight(teams, flo)}
+		clms = append(clms, clm)
+		total += clm.weight
+	}
+	slices.SortFunc(clms, func(fst, snd claim) int { return cmp.Compare(fst.demand/fst.weight, snd.demand/snd.weight) })
+	for _, clm := range clms {
+		if clm.demand > free*clm.weight/total {
+			break
+		}
+		free -= clm.demand
+		total -= clm.weight
+	}
+	return free * mine / total
+}
+
+func weight(teams map[string]rgmodel.TeamConfig, flo rgmodel.Flow) float64 {
+	return float64(teams[flo.Team].FlowWeight(flo.Kind))
+}
+
+func declared(jb rgmodel.Job) time.Duration {
+	if jb.RunTime.Duration > 0 {
+		return jb.RunTime.Duration
+	}
+	return DefaultServiceTime
+}
--- /dev/null
+++ b/core/rgadmission/query_wait_test.go
@@ -0,0 +1,114 @@
+package rgadmission_test
+
+import (
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgadmission"
+	"ragwortgap/core/rgmodel"
+)
+
+type waitCase struct {
+	loads    []rgadmission.Load
+	tasks    int
+	deadline time.Duration
+	declared time.Duration
+	want     rgmodel.Reason
+	// wantRetry is checked for a refusal only.
+	wantRetry time.Duration
+}
+
+var (
+	own   = rgmodel.Flow{Team: "zelenaSkola", Kind: "stockChecks"}
+	heavy = rgmodel.Flow{Team: "zelenaSkola", Kind: "allocations"}
+	teams = map[string]rgmodel.TeamConfig{"zelenaSkola": {
+		Kinds: []rgmodel.KindConfig{{Kind: "stockChecks", Weight: 1}, {Kind: "allocations", Weight: 3}},
+	}}
+)
+
+// waitCases have 8 slots and a learned service time of 100 ms, unless the case says otherwise.
+var waitCases = map[string]waitCase{
+	"no sidecar":        {tasks: 1, deadline: time.Second},
+	"free slots":        {loads: []rgadmission.Load{load(map[rgmodel.Flow][2]int{own: {0, 4}})}, tasks: 1, deadline: time.Millisecond},
+	"slots busy, empty": {loads: []rgadmission.Load{load(map[rgmodel.Flow][2]int{own: {0, 8}})}, tasks: 360, deadline: time.Millisecond},
+	"the last task ends at the deadline": {
+		loads: []rgadmission.Load{load(map[rgmodel.Flow][2]int{own: {72, 8}})}, tasks: 8, deadline: 1100 * time.Millisecond,
+	},
+	"the last task ends after the deadline": {
+		loads: []rgadmission.Load{load(map[rgmodel.Flow][2]int{own: {72, 8}})}, tasks: 8, deadline: time.Second,
+		want: rgmodel.ReasonExpectedWait, wantRetry: rgadmission.MinRetryAfter,
+	},
+	"retry after the excess": {
+		loads: []rgadmission.Load{load(map[rgmodel.Flow][2]int{own: {792, 8}})}, tasks: 8, deadline: time.Second,
+		want: rgmodel.ReasonExpectedWait, wantRetry: 9100 * time.Millisecond,
+	},
+	"tasks sent since the report count": {
+		loads: []rgadmission.Load{sent(load(map[rgmodel.Flow][2]int{own: {0, 8}}), own, 72)}, tasks: 8, deadline: time.Second,
+		want: rgmodel.ReasonExpectedWait, wantRetry: rgadmission.MinRetryAfter,
+	},
+	"tasks sent since the report take free slots first": {
+		loads: []rgadmission.Load{sent(load(nil), own, 8)}, tasks: 8, deadline: time.Millisecond,
+	},
+	"another flow's queue takes its share only": {
+		loads: []rgadmission.Load{load(map[rgmodel.Flow][2]int{own: {8, 2}, heavy: {4000, 6}})}, tasks: 2, deadline: 600 * time.Millisecond,
+	},
+	"another flow's queue takes its share": {
+		loads: []rgadmission.Load{load(map[rgmodel.Flow][2]int{own: {8, 2}, heavy: {4000, 6}})}, tasks: 2, deadline: 590 * time.Millisecond,
+		want: rgmodel.ReasonExpectedWait, wantRetry: rgadmission.MinRetryAfter,
+	},
+	"a flow below its share leaves the rest": {
+		loads: []rgadmission.Load{load(map[rgmodel.Flow][2]int{own: {50, 7}, heavy: {0, 1}})}, tasks: 6, deadline: 900 * time.Millisecond,
+	},
+	"all sidecars count": {
+		loads: []rgadmission.Load{load(map[rgmodel.Flow][2]int{own: {80, 8}}), load(map[rgmodel.Flow][2]int{own: {0, 8}})},
+		tasks: 16, deadline: 700 * time.Millisecond,
+	},
+	"a declared time does not count the job's own tasks": {
+		loads: []rgadmission.Load{unlearned(load(map[rgmodel.Flow][2]int{own: {8, 8}}))}, tasks: 360,
+		declared: time.Second, deadline: time.Second,
+	},
+	"a declared time counts the tasks ahead": {
+		loads: []rgadmission.Load{unlearned(load(map[rgmodel.Flow][2]int{own: {16, 8}}))}, tasks: 1,
+		declared: time.Second, deadline: time.Second,
+		want: rgmodel.ReasonExpectedWait, wantRetry: time.Second,
+	},
+}
+
+// load has the queued and running tasks of each flow.
+func load(flos map[rgmodel.Flow][2]int) rgadmission.Load {
+	lod := rgadmission.Load{Slots: 8}
+	lod.Report.Times = []rgmodel.KindTime{{Kind: own.Kind, Mean: rgmodel.Duration{Duration: 100 * time.Millisecond}}}
+	for flo, cnt := range flos {
+		lod.Report.Flows = append(lod.Report.Flows, rgmodel.FlowLoad{Flow: flo, Queued: cnt[0], Running: cnt[1]})
+		lod.Report.Queued += cnt[0]
+		lod.Report.Running += cnt[1]
+	}
+	return lod
+}
+
+func sent(lod rgadmission.Load, flo rgmodel.Flow, tasks int) rgadmission.Load {
+	lod.Sent = map[rgmodel.Flow]int{flo: tasks}
+	return lod
+}
+
+func unlearned(lod rgadmission.Load) rgadmission.Load {
+	lod.Report.Times = nil
+	return lod
+}
+
+// TestCheckWait guards against jobs that are admitted without time to finish, and against refusals of jobs that have it.
+func TestCheckWait(t *testing.T) {
+	for name, tc := range waitCases {
+		t.Run(name, func(t *testing.T) {
+			jb := rgmodel.Job{Flow: own, Tasks: make([]rgmodel.Task, tc.tasks)}
+			jb.Deadline.Duration, jb.RunTime.Duration = tc.deadline, tc.declared
+			got := rgadmission.CheckWait(tc.loads, teams, jb)
+			if got.Reason != tc.want {
+				t.Fatalf("reason %q (%s), want %q", got.Reason, got.Detail, tc.want)
+			}
+			if got.RetryAfter != tc.wantRetry {
+				t.Errorf("retry after %s, want %s", got.RetryAfter, tc.wantRetry)
+			}
+		})
+	}
+}
--- a/core/rgfleet/command_member.go
+++ b/core/rgfleet/command_member.go
@@ -39,6 +39,7 @@
 		return
 	}
 	mem.Report, mem.Reported, mem.SentSince = rep, now, 0
+	clear(mem.SentFlows)
 }
 
 // Sent counts tasks that go to a sidecar.
--- a/core/rgfleet/fleet.go
+++ b/core/rgfleet/fleet.go
@@ -29,6 +29,8 @@
 		Cut time.Time
 		// SentSince counts the tasks this entry has sent and that the newest report cannot include.
 		SentSince int
+		// SentFlows is SentSince by flow.
+		SentFlows map[rgmodel.Flow]int
 		Health    Health
 	}
 
--- a/core/rgqueue/query_report.go
+++ b/core/rgqueue/query_report.go
@@ -7,7 +7,7 @@
 	"ragwortgap/core/rgmodel"
 )
 
-// Report returns the sidecar's load, with flows and kinds in a fixed order.
+// Report returns the sidecar's load, with the busiest flows and the learned times in a fixed order.
 func Report(sta *State) rgmodel.Report {
 	rep := rgmodel.Report{
 		Sidecar:     sta.Self.Name,
@@ -25,11 +25,29 @@
 		}
 	}
 	slices.SortFunc(rep.Flows, func(fst, snd rgmodel.FlowLoad) int {
-		return cmp.Or(cmp.Compare(fst.Flow.Team, snd.Flow.Team), cmp.Compare(fst.Flow.Kind, snd.Flow.Kind))
+		return cmp.Or(
+			cmp.Compare(snd.Queued+snd.Running, fst.Queued+fst.Running),
+			cmp.Compare(fst.Flow.Team, snd.Flow.Team),
+			cmp.Compare(fst.Flow.Kind, snd.Flow.Kind),
+		)
 	})
+	rep.Flows = rep.Flows[:min(len(rep.Flows), MaxReportedFlows)]
+	rep.Times = reportedTimes(sta, rep.Flows)
+	return rep
+}
+
+// reportedTimes returns the learned times, those of the flows in the report first.
+func reportedTimes(sta *State, flos []rgmodel.FlowLoad) []rgmodel.KindTime {
+	busy := map[string]int{}
+	for _, flo := range flos {
+		busy[flo.Flow.Kind] = 1
+	}
+	var tims []rgmodel.KindTime
 	for kind, tim := range sta.Times {
-		rep.Times = append(rep.Times, rgmodel.KindTime{Kind: kind, Mean: rgmodel.Duration{Duration: tim}})
+		tims = append(tims, rgmodel.KindTime{Kind: kind, Mean: rgmodel.Duration{Duration: tim}})
 	}
-	slices.SortFunc(rep.Times, func(fst, snd rgmodel.KindTime) int { return cmp.Compare(fst.Kind, snd.Kind) })
-	return rep
+	slices.SortFunc(tims, func(fst, snd rgmodel.KindTime) int {
+		return cmp.Or(cmp.Compare(busy[snd.Kind], busy[fst.Kind]), cmp.Compare(fst.Kind, snd.Kind))
+	})
+	return tims[:min(len(tims), MaxReportedTimes)]
 }
--- /dev/null
+++ b/core/rgqueue/report_test.go
@@ -0,0 +1,41 @@
+package rgqueue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgqueue"
+)
+
+// TestReportBounds guards against a report that grows with the number of kinds, or leaves out the busiest flows or their
+// learned times.
+func TestReportBounds(t *testing.T) {
+	const kinds = 100
+	sta := ready(kinds)
+	sta.MaxQueued = kinds * kinds
+	for i := range kinds {
+		rgqueue.Accept(sta, batch(fmt.Sprintf("first%d", i), fmt.Sprintf("k%02d", i), 1), epoch)
+	}
+	for _, stt := range rgqueue.StartNext(sta, epoch).Starts {
+		rgqueue.Finish(sta, stt, ok(stt), time.Second)
+	}
+	for i := range kinds {
+		rgqueue.Accept(sta, batch(fmt.Sprintf("more%d", i), fmt.Sprintf("k%02d", i), 1+i), epoch)
+	}
+	rep := rgqueue.Report(sta)
+	if len(rep.Flows) != rgqueue.MaxReportedFlows || len(rep.Times) != rgqueue.MaxReportedTimes {
+		t.Fatalf("%d flows and %d times in the report", len(rep.Flows), len(rep.Times))
+	}
+	times := map[string]bool{}
+	for _, tim := range rep.Times {
+		times[tim.Kind] = true
+	}
+	for i, got := range rep.Flows {
+		want := rgmodel.FlowLoad{Flow: flow(fmt.Sprintf("k%02d", kinds-1-i)), Queued: kinds - i}
+		if got != want || !times[got.Flow.Kind] {
+			t.Errorf("flow %d is %v with a learned time: %t, want %v with one", i, got, times[got.Flow.Kind], want)
+		}
+	}
+}
--- a/core/rgqueue/state.go
+++ b/core/rgqueue/state.go
@@ -17,6 +17,10 @@
 	DefaultServiceTime = 200 * time.Millisecond
 	// DefaultMaxResultBytes bounds the results that are kept for resubmissions.
 	DefaultMaxResultBytes = 16 << 20
+	// MaxReportedFlows bounds the size of a report, because callers choose the names of kinds.
+	MaxReportedFlows = 32
+	// MaxReportedTimes is larger, because placement needs the times of idle kinds too.
+	MaxReportedTimes = 64
 	// learnRate is the weight of the newest sample in the moving average of service times.
 	learnRate = 0.1
 )
--- a/io/rgentry/submit.go
+++ b/io/rgentry/submit.go
@@ -89,6 +89,10 @@
 			Reason: rgmodel.ReasonNoUpstream, Detail: "no upstream can take work now", RetryAfter: rgfleet.ReportInterval,
 		}
 	default:
+		// The wait comes first, because a job that is refused must not spend the team's quota.
+		if rfs := rgadmission.CheckWait(loads(sta, jb, now), sta.teams, jb); rfs.Reason != "" {
+			return rfs
+		}
 		return rgadmission.TakeQuota(&sta.admission, sta.teams[jb.Flow.Team], len(jb.Tasks), len(sta.ring.Ring.Entries), now)
 	}
 }
@@ -196,6 +200,7 @@
 		sta.outstanding[prt.sidecar]++
 		if !prt.recorded {
 			rgfleet.Sent(&sta.fleet, prt.sidecar, len(prt.tasks))
+			rgfleet.SentFlow(&sta.fleet, prt.sidecar, rn.flow, len(prt.tasks))
 		}
 	}
 }
--- a/io/rgsidecar/control.go
+++ b/io/rgsidecar/control.go
@@ -207,7 +207,7 @@
 	wgts := map[rgmodel.Flow]int{}
 	for _, tc := range teams {
 		for _, kc := range tc.Kinds {
-			wgts[rgmodel.Flow{Team: tc.Team, Kind: kc.Kind}] = max(1, tc.Weight) * max(1, kc.Weight)
+			wgts[rgmodel.Flow{Team: tc.Team, Kind: kc.Kind}] = tc.FlowWeight(kc.Kind)
 		}
 	}
 	return wgts
