Place tasks by the load of their own flow, and measure floods

Two faults of placement undid the fair shares. Load counted the queues of all flows, so that the sidecar with the shortest queue of the flood attracted whole jobs of the others. And a sidecar that had not learned a kind was judged by the declared time: ten times too long, it kept tasks away, and the sidecar never learned the kind.

Ruled out: the shares themselves. On the sidecars with work for them, the other kinds ran their part of the slots; the rest of the sidecars had none of it.

Change: rgfleet.FlowLoad counts the slots in use and the queue of the task's own flow; rgfleet.MeanTime gives the mean learned time of the other sidecars to one that has not learned a kind. candidates uses both. BenchmarkFlood drives the queues, the fleet view, placement and admission in virtual time: 10 sidecars with 8 slots, three kinds with 12% of the capacity each, declared times ten times too long, floods of 3 and 10 times the capacity.

--- /dev/null
+++ b/core/rgadmission/flood_bench_test.go
@@ -0,0 +1,78 @@
+package rgadmission_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+var (
+	usual = []kindLoad{
+		{name: "stockChecks", urgency: rgmodel.UrgencyLow, weight: 1, mean: 100 * time.Millisecond, tasks: 6, part: 0.12},
+		{name: "menuConfirmations", weight: 1, mean: 200 * time.Millisecond, tasks: 6, part: 0.12},
+		{name: "allocations", urgency: rgmodel.UrgencyHigh, weight: 1, mean: 400 * time.Millisecond, tasks: 6, part: 0.12},
+	}
+	policies = map[string]policy{
+		"fifo":          {},
+		"fair":          {fair: true},
+		"fairAdmission": {fair: true, admission: true},
+	}
+	floods = map[string]flood{
+		"leastUrgent3x":  {kind: "stockChecks", factor: 3},
+		"leastUrgent10x": {kind: "stockChecks", factor: 10},
+		"mostUrgent3x":   {kind: "allocations", factor: 3},
+		"mostUrgent10x":  {kind: "allocations", factor: 10},
+	}
+)
+
+// BenchmarkFlood reports what the other kinds keep while one kind floods: the lowest throughput and the highest p99
+// response time of any of them, relative to a run without the flood. A job without a complete answer counts in the p99 with
+// its deadline. It also reports the slot time of jobs without a complete answer, as a part of all slot time, and the
+// batches that sidecars refused, as a part of all batches.
+func BenchmarkFlood(b *testing.B) {
+	for polName, pol := range policies {
+		for _, long := range []bool{false, true} {
+			loads, suffix := usual, ""
+			for fldName, fld := range floods {
+				if long {
+					loads, suffix = withLong(usual, fld.kind), "Long"
+				}
+				b.Run(polName+"/"+fldName+suffix, func(b *testing.B) {
+					for range b.N {
+						report(b, simulate(pol, loads, flood{}), simulate(pol, loads, fld), fld.kind)
+					}
+				})
+			}
+		}
+	}
+}
+
+// withLong lets all tasks of the flooding kind take several seconds.
+func withLong(loads []kindLoad, kind string) []kindLoad {
+	var out []kindLoad
+	for _, lod := range loads {
+		if lod.name == kind {
+			lod.mean = 2 * time.Second
+		}
+		out = append(out, lod)
+	}
+	return out
+}
+
+func report(b *testing.B, calm, flooded *floodRun, kind string) {
+	kept, slower := math.Inf(1), 0.0
+	for name, ref := range calm.results {
+		if name == kind {
+			continue
+		}
+		got := flooded.results[name]
+		kept = min(kept, float64(got.complete)/float64(ref.complete))
+		slower = max(slower, float64(got.response.ValueAtQuantile(99))/float64(ref.response.ValueAtQuantile(99)))
+	}
+	b.ReportMetric(kept, "minThroughput")
+	b.ReportMetric(slower, "maxP99")
+	b.ReportMetric(flooded.wasted(), "wastedSlotTime")
+	b.ReportMetric(float64(flooded.bounced)/float64(max(1, flooded.batches)), "bouncedBatches")
+}
--- /dev/null
+++ b/core/rgadmission/flood_test.go
@@ -0,0 +1,344 @@
+package rgadmission_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"ragwortgap/core/rgadmission"
+	"ragwortgap/core/rgfleet"
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgplacement"
+	"ragwortgap/core/rgqueue"
+)
+
+const (
+	floodSeed    = 20261204
+	sidecars     = 10
+	slots        = 8
+	floodStart   = 10 * time.Second
+	measureStart = 15 * time.Second
+	measureEnd   = 75 * time.Second
+	jobDeadline  = 5 * time.Second
+	reportEvery  = 200 * time.Millisecond
+	// longTask and longPart describe the few tasks of every kind that take several seconds.
+	longTask = 3 * time.Second
+	longPart = 0.0005
+)
+
+type (
+	// kindLoad is a kind of work with its part of the capacity.
+	kindLoad struct {
+		name    string
+		urgency rgmodel.Urgency
+		weight  int
+		mean    time.Duration
+		tasks   int
+		part    float64
+	}
+
+	// policy switches the mechanisms of a run.
+	policy struct{ fair, admission bool }
+
+	// flood is extra work of one kind, as a multiple of the capacity; zero is no flood.
+	flood struct {
+		kind   string
+		factor float64
+	}
+
+	event interface{ isEvent() }
+
+	jobArrives struct {
+		load  kindLoad
+		extra bool
+		rnd   *rand.Rand
+		rate  float64
+	}
+	taskEnds struct {
+		sidecar int
+		start   rgqueue.Start
+		took    time.Duration
+		out     rgmodel.Outcome
+	}
+	reportDue struct{ sidecar int }
+
+	timed struct {
+		at    time.Duration
+		order int
+		event event
+	}
+	timeline []timed
+
+	jobRun struct {
+		load   kindLoad
+		extra  bool
+		began  time.Duration
+		left   int
+		times  []time.Duration
+		failed bool
+		// spent is the slot time of the job so far.
+		spent time.Duration
+	}
+
+	kindResult struct {
+		jobs, complete int
+		response       *hdrhistogram.Histogram
+	}
+
+	// floodRun is a fleet and one entry in virtual time.
+	floodRun struct {
+		policy   policy
+		now      time.Duration
+		events   timeline
+		order    int
+		queues   []*rgqueue.State
+		fleet    rgfleet.State
+		teams    map[string]rgmodel.TeamConfig
+		jobs     map[rgmodel.SubmissionID]*jobRun
+		results  map[string]*kindResult
+		random   *rand.Rand
+		batches  int
+		bounced  int
+		sequence uint64
+	}
+)
+
+func (jobArrives) isEvent() {}
+func (taskEnds) isEvent()   {}
+func (reportDue) isEvent()  {}
+
+func (tl timeline) Len() int      { return len(tl) }
+func (tl timeline) Swap(i, j int) { tl[i], tl[j] = tl[j], tl[i] }
+func (tl timeline) Less(i, j int) bool {
+	if tl[i].at != tl[j].at {
+		return tl[i].at < tl[j].at
+	}
+	return tl[i].order < tl[j].order
+}
+
+// Push is called by container/heap only.
+func (tl *timeline) Push(elm any) { *tl = append(*tl, elm.(timed)) }
+
+// Pop is called by container/heap only.
+func (tl *timeline) Pop() any {
+	old := *tl
+	lst := old[len(old)-1]
+	*tl = old[:len(old)-1]
+	return lst
+}
+
+func simulate(pol policy, loads []kindLoad, fld flood) *floodRun {
+	run := &floodRun{
+		policy: pol, jobs: map[rgmodel.SubmissionID]*jobRun{}, results: map[string]*kindResult{},
+		random: rand.New(rand.NewPCG(floodSeed, 0)), teams: map[string]rgmodel.TeamConfig{},
+	}
+	tc := rgmodel.TeamConfig{Team: "t"}
+	wgts := map[rgmodel.Flow]int{}
+	for _, lod := range loads {
+		tc.Kinds = append(tc.Kinds, rgmodel.KindConfig{Kind: lod.name, Weight: lod.weight})
+		wgts[rgmodel.Flow{Team: "t", Kind: lod.name}] = lod.weight
+	}
+	run.teams["t"] = tc
+	ent := rgmodel.Entry{Incarnation: "e"}
+	for i := range sidecars {
+		sc := rgmodel.Sidecar{Name: fmt.Sprint(i), Capacity: rgmodel.Capacity{Slots: slots}}
+		que := &rgqueue.State{Self: sc}
+		rgqueue.AdoptRing(que, rgmodel.Ring{Generation: 1, Entries: []rgmodel.Entry{ent}})
+		rgqueue.Announce(que, ent)
+		rgqueue.Configure(que, wgts)
+		run.queues = append(run.queues, que)
+		rgfleet.Announce(&run.fleet, sc, at(0))
+		rgfleet.Seal(&run.fleet, sc.Key())
+		run.schedule(reportEvery*time.Duration(i)/sidecars, reportDue{sidecar: i})
+	}
+	for i, lod := range loads {
+		run.results[lod.name] = &kindResult{response: hdrhistogram.New(1, 100_000_000, 3)}
+		run.source(lod, lod.part, false, 0, uint64(i)+1)
+		if lod.name == fld.kind {
+			run.source(lod, fld.factor, true, floodStart, 99)
+		}
+	}
+	for len(run.events) > 0 {
+		evt := heap.Pop(&run.events).(timed)
+		run.now = evt.at
+		run.step(evt.event)
+	}
+	return run
+}
+
+// source schedules the first job of a Poisson process whose work is a part of the capacity.
+// Each source has its own random numbers, so that a kind has the same jobs with and without a flood.
+func (run *floodRun) source(lod kindLoad, part float64, extra bool, from time.Duration, stream uint64) {
+	mean := lod.mean.Seconds()*(1-longPart) + longTask.Seconds()*longPart
+	rate := part * sidecars * slots / mean / float64(lod.tasks)
+	run.schedule(from, jobArrives{load: lod, extra: extra, rate: rate, rnd: rand.New(rand.NewPCG(floodSeed, stream))})
+}
+
+func (run *floodRun) schedule(when time.Duration, evt event) {
+	run.order++
+	heap.Push(&run.events, timed{at: when, order: run.order, event: evt})
+}
+
+func (run *floodRun) step(evt event) {
+	switch evt := evt.(type) {
+	case jobArrives:
+		run.submit(evt)
+		if next := run.now + time.Duration(evt.rnd.ExpFloat64()/evt.rate*float64(time.Second)); next < measureEnd {
+			run.schedule(next, evt)
+		}
+	case taskEnds:
+		que := run.queues[evt.sidecar]
+		rgqueue.Finish(que, evt.start, evt.out, evt.took)
+		run.jobs[evt.start.ID].spent += evt.took
+		run.settle(evt.start.ID, evt.out)
+		run.startNext(evt.sidecar)
+	case reportDue:
+		que := run.queues[evt.sidecar]
+		run.expire(rgqueue.ExpireQueued(que, at(run.now)))
+		run.sequence++
+		rep := rgqueue.Report(que)
+		rep.Sequence = run.sequence
+		rgfleet.Report(&run.fleet, rep, at(run.now))
+		if run.now < measureEnd+jobDeadline {
+			run.schedule(run.now+reportEvery, evt)
+		}
+	}
+}
+
+func (run *floodRun) submit(evt jobArrives) {
+	lod := evt.load
+	jb := rgmodel.Job{
+		ID: rgmodel.SubmissionID(fmt.Sprintf("%d", len(run.jobs))), Flow: rgmodel.Flow{Team: "t", Kind: lod.name},
+		Urgency: lod.urgency, Deadline: rgmodel.Duration{Duration: jobDeadline},
+		// The declared run time is ten times too long.
+		RunTime: rgmodel.Duration{Duration: 10 * lod.mean},
+	}
+	if !run.policy.fair {
+		jb.Flow.Kind, jb.Urgency = "all", rgmodel.UrgencyNormal
+	}
+	jr := &jobRun{load: lod, extra: evt.extra, began: run.now, left: lod.tasks}
+	for i := range lod.tasks {
+		jb.Tasks = append(jb.Tasks, rgmodel.Task{Index: i})
+		tim := lod.mean/2 + time.Duration(evt.rnd.ExpFloat64()*float64(lod.mean)/2)
+		if evt.rnd.Float64() < longPart {
+			tim = longTask
+		}
+		jr.times = append(jr.times, tim)
+	}
+	run.jobs[jb.ID] = jr
+	if run.measured(jr) {
+		run.results[lod.name].jobs++
+	}
+	mems := rgfleet.Usable(&run.fleet, at(run.now))
+	if run.policy.admission && rgadmission.CheckWait(loadsOf(mems), run.teams, jb).Reason != "" {
+		run.settle(jb.ID, rgmodel.Outcome{Verdict: rgmodel.NotRun, Reason: rgmodel.ReasonExpectedWait})
+		return
+	}
+	run.place(jb, mems)
+}
+
+func loadsOf(mems []*rgfleet.Member) []rgadmission.Load {
+	var lds []rgadmission.Load
+	for _, mem := range mems {
+		lds = append(lds, rgadmission.Load{Slots: mem.Sidecar.Capacity.Slots, Report: mem.Report, Sent: mem.SentFlows})
+	}
+	return lds
+}
+
+func (run *floodRun) place(jb rgmodel.Job, mems []*rgfleet.Member) {
+	var cans []rgplacement.Candidate
+	usual := rgfleet.MeanTime(mems, jb.Flow.Kind, jb.RunTime.Duration)
+	for _, mem := range mems {
+		cans = append(cans, rgplacement.Candidate{
+			Sidecar: mem.Sidecar.Key(), Slots: mem.Sidecar.Capacity.Slots,
+			Load:        rgfleet.FlowLoad(mem, jb.Flow),
+			ServiceTime: rgfleet.ServiceTime(mem, jb.Flow.Kind, usual),
+		})
+	}
+	next := 0
+	for _, sha := range rgplacement.Plan(rgplacement.LeastFinish{}, cans, len(jb.Tasks), run.random) {
+		var sc int
+		_, _ = fmt.Sscan(sha.Sidecar.Name, &sc)
+		bat := rgmodel.Batch{
+			ID: jb.ID, Generation: 1, Flow: jb.Flow, Urgency: jb.Urgency, Remaining: jb.Deadline, RunTime: jb.RunTime,
+			Tasks: jb.Tasks[next : next+sha.Tasks],
+		}
+		next += sha.Tasks
+		run.batches++
+		rgfleet.Sent(&run.fleet, sha.Sidecar, sha.Tasks)
+		rgfleet.SentFlow(&run.fleet, sha.Sidecar, jb.Flow, sha.Tasks)
+		rgqueue.Accept(run.queues[sc], bat, at(run.now))
+		if outs, final := rgqueue.Outcomes(run.queues[sc], jb.ID, []int{bat.Tasks[0].Index}); final {
+			run.bounced++
+			run.settle(jb.ID, outs[0])
+		}
+		run.startNext(sc)
+	}
+}
+
+func (run *floodRun) startNext(sc int) {
+	prg := rgqueue.StartNext(run.queues[sc], at(run.now))
+	run.expire(prg.Expired)
+	for _, stt := range prg.Starts {
+		took, left := run.jobs[stt.ID].times[stt.Task.Index], stt.Deadline.Sub(at(run.now))
+		out := rgmodel.Outcome{Index: stt.Task.Index, Verdict: rgmodel.RanOK}
+		if took > left {
+			took, out.Verdict = left, rgmodel.MayHaveRun
+		}
+		run.schedule(run.now+took, taskEnds{sidecar: sc, start: stt, took: took, out: out})
+	}
+}
+
+func (run *floodRun) expire(ids []rgmodel.SubmissionID) {
+	for _, id := range ids {
+		run.settle(id, rgmodel.Outcome{Verdict: rgmodel.NotRun, Reason: rgmodel.ReasonExpired})
+	}
+}
+
+// settle counts an outcome; a job that cannot become complete has its queued tasks cancelled.
+func (run *floodRun) settle(id rgmodel.SubmissionID, out rgmodel.Outcome) {
+	jr := run.jobs[id]
+	switch {
+	case jr.failed:
+	case out.Verdict != rgmodel.RanOK:
+		jr.failed = true
+		for _, que := range run.queues {
+			if rec := que.Records[id]; rec != nil && rec.Pending > 0 {
+				rgqueue.Cancel(que, []rgmodel.SubmissionID{id})
+			}
+		}
+		if run.measured(jr) {
+			_ = run.results[jr.load.name].response.RecordValue(jobDeadline.Microseconds())
+		}
+	default:
+		jr.left--
+		if jr.left == 0 && run.measured(jr) {
+			run.results[jr.load.name].complete++
+			_ = run.results[jr.load.name].response.RecordValue((run.now - jr.began).Microseconds())
+		}
+	}
+}
+
+// wasted is the part of the slot time that went to jobs without a complete answer.
+func (run *floodRun) wasted() float64 {
+	var spent, lost time.Duration
+	for _, jr := range run.jobs {
+		spent += jr.spent
+		if jr.failed {
+			lost += jr.spent
+		}
+	}
+	return float64(lost) / float64(spent)
+}
+
+// measured leaves out the flood itself and what arrives before it has filled the queues.
+func (run *floodRun) measured(jr *jobRun) bool {
+	return !jr.extra && jr.began >= measureStart
+}
+
+func at(now time.Duration) time.Time {
+	return time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC).Add(now)
+}
--- a/io/rgentry/submit.go
+++ b/io/rgentry/submit.go
@@ -152,7 +152,9 @@
 	sta *state, self rgmodel.Entry, jb rgmodel.Job, tried map[rgmodel.SidecarKey]bool, now time.Time,
 ) []rgplacement.Candidate {
 	var cans []rgplacement.Candidate
-	for _, mem := range rgfleet.Usable(&sta.fleet, now) {
+	mems := rgfleet.Usable(&sta.fleet, now)
+	usual := rgfleet.MeanTime(mems, jb.Flow.Kind, jb.RunTime.Duration)
+	for _, mem := range mems {
 		key := mem.Sidecar.Key()
 		if tried[key] || !jb.Requires.Fits(mem.Sidecar.Capacity.Resources) {
 			continue
@@ -160,8 +162,8 @@
 		can := rgplacement.Candidate{
 			Sidecar:     key,
 			Slots:       mem.Sidecar.Capacity.Slots,
-			Load:        mem.Report.Queued + mem.Report.Running + mem.SentSince,
-			ServiceTime: rgfleet.ServiceTime(mem, jb.Flow.Kind, jb.RunTime.Duration),
+			Load:        rgfleet.FlowLoad(mem, jb.Flow),
+			ServiceTime: rgfleet.ServiceTime(mem, jb.Flow.Kind, usual),
 		}
 		if mem.Sidecar.AvailabilityZone != self.AvailabilityZone {
 			can.Distance = zoneDistance
