Leave slots free for recently active flows when tasks are long

The flood took each slot that others left for a moment and held it for seconds.

Ruled out: a single free slot (the flood still takes all others; not measured) and a cap at the flow's share (not measured; 43% of the slot time would be idle here). Without the rule that a flow within its share is never held, TestShares failed: a flow entitled to 0.333 got 0.262.

Change: a task above 300 ms starts only when the free slots exceed what other flows have used recently (moving average over 10 s; 1.5 times as many for tasks above 1 s), unless its flow is below its share. A held flow gets no credit. Admission adds a margin of 1.25 to the expected wait, because service times exceed their mean and slots are left free.

Each part of the rule was switched off on a scratch copy, and TestHold, TestHeldFlow or TestShares failed.

--- a/core/rgadmission/query_wait.go
+++ b/core/rgadmission/query_wait.go
@@ -8,6 +8,10 @@
 	"ragwortgap/core/rgmodel"
 )
 
+// margin allows for service times above the mean and for slots that sidecars leave free. From BenchmarkFlood: 1.25 instead
+// of 1 lowers the slot time of jobs that miss their deadline from 39% to 29% (most urgent kind, 10 times the capacity).
+const margin = 1.25
+
 type (
 	// totals sums the loads of all sidecars.
 	totals struct {
@@ -44,7 +48,7 @@
 		// The last task of the job must start early enough to finish: one that the deadline cuts off has
 		// used a slot for nothing.
 		last := ahead + len(jb.Tasks)
-		wait = time.Duration(float64(last)*float64(tot.learned)/share) + tot.learned
+		wait = time.Duration(margin * (float64(last)*float64(tot.learned)/share + float64(tot.learned)))
 	}
 	if wait <= jb.Deadline.Duration {
 		return Refusal{}
--- a/core/rgqueue/command_cancel.go
+++ b/core/rgqueue/command_cancel.go
@@ -42,7 +42,7 @@
 		}
 	}
 	for key, flo := range sta.Flows {
-		if len(flo.Waiting) == 0 && flo.Running == 0 && flo.Finish <= sta.Virtual {
+		if len(flo.Waiting) == 0 && flo.Running == 0 && flo.Finish <= sta.Virtual && flo.Usage < minUsage {
 			delete(sta.Flows, key)
 		}
 	}
--- a/core/rgqueue/command_start.go
+++ b/core/rgqueue/command_start.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 
 	"ragwortgap/core/rgmodel"
@@ -10,8 +11,17 @@
 // StartNext fills the free slots and drops the tasks that it meets past their deadline.
 func StartNext(sta *State, now time.Time) Progress {
 	var prg Progress
+	decayUsage(sta, now)
 	for sta.Running < sta.Self.Capacity.Slots && sta.Queued > 0 {
-		key := nextFlow(sta)
+		held := heldFlows(sta)
+		for key := range held {
+			// A flow gets no credit for slots that it may not take.
+			sta.Flows[key].Finish = max(sta.Flows[key].Finish, sta.Virtual)
+		}
+		key, ok := nextFlow(sta, held)
+		if !ok {
+			break
+		}
 		que := heap.Pop((*waitingHeap)(&sta.Flows[key].Waiting)).(Queued)
 		sta.Queued--
 		if !now.Before(que.Deadline) {
@@ -35,11 +45,24 @@
 	return Start{ID: que.ID, Flow: key, Task: que.Task, Deadline: que.Deadline, Cost: cost}
 }
 
+// decayUsage forgets what the flows have used in the past.
+func decayUsage(sta *State, now time.Time) {
+	dur := now.Sub(sta.Decayed)
+	if dur <= 0 {
+		return
+	}
+	sta.Decayed = now
+	for _, flo := range sta.Flows {
+		flo.Usage *= math.Exp(-dur.Seconds() / usageTime.Seconds())
+	}
+}
+
 // Finish records the outcome of a started task and frees its slot.
 // The flow is charged the difference between the service time that was assumed at the start and took.
 func Finish(sta *State, stt Start, out rgmodel.Outcome, took time.Duration) {
 	flo := sta.Flows[stt.Flow]
 	flo.Running--
+	flo.Usage += took.Seconds() / usageTime.Seconds()
 	flo.Finish += float64(took-stt.Cost) / float64(flo.Weight)
 	sta.Running--
 	if out.Verdict == rgmodel.RanOK {
--- /dev/null
+++ b/core/rgqueue/hold_test.go
@@ -0,0 +1,84 @@
+package rgqueue_test
+
+import (
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgqueue"
+)
+
+// TestHold guards against a flood of long tasks that takes the slots which other flows have used a moment ago, and against
+// slots that stay empty without need.
+func TestHold(t *testing.T) {
+	tests := map[string]struct {
+		service time.Duration
+		weight  int
+		// usage and running are those of another flow of weight 1.
+		usage   float64
+		running int
+		// third is the usage of a third flow of weight 1.
+		third float64
+		pause time.Duration
+		want  int
+	}{
+		"no other flow":                                 {service: 2 * time.Second, want: 8},
+		"short tasks take all slots":                    {service: 300 * time.Millisecond, usage: 2, want: 8},
+		"long tasks leave what another flow has used":   {service: 400 * time.Millisecond, usage: 2, want: 6},
+		"very long tasks leave room for bursts":         {service: 2 * time.Second, usage: 2, want: 5},
+		"slots that the other flow has are not left":    {service: 2 * time.Second, usage: 2, running: 2, want: 5},
+		"a flow below its share takes what it needs":    {service: 2 * time.Second, usage: 8, want: 4},
+		"another flow keeps no more than its share":     {service: 2 * time.Second, usage: 8, third: 0.1, want: 5},
+		"the share goes by weight":                      {service: 2 * time.Second, weight: 3, usage: 8, want: 6},
+		"use in the past is forgotten":                  {service: 2 * time.Second, usage: 2, pause: 2 * time.Minute, want: 8},
+		"a sidecar's unused slots are left for a while": {service: 2 * time.Second, usage: 2, pause: 10 * time.Second, want: 6},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			sta := ready(8)
+			rgqueue.Configure(sta, map[rgmodel.Flow]int{flow("long"): tc.weight})
+			sta.Times = map[string]time.Duration{"long": tc.service, "other": time.Millisecond}
+			sta.Decayed = epoch
+			sta.Flows = map[rgmodel.Flow]*rgqueue.Flow{}
+			if tc.usage > 0 {
+				sta.Flows[flow("other")] = &rgqueue.Flow{Weight: 1, Usage: tc.usage}
+			}
+			if tc.third > 0 {
+				sta.Flows[flow("third")] = &rgqueue.Flow{Weight: 1, Usage: tc.third}
+			}
+			rgqueue.Accept(sta, batch("running", "other", tc.running), epoch)
+			rgqueue.StartNext(sta, epoch)
+			bat := batch("flood", "long", 20)
+			bat.Remaining.Duration = time.Hour
+			rgqueue.Accept(sta, bat, epoch.Add(tc.pause))
+			if got := len(rgqueue.StartNext(sta, epoch.Add(tc.pause)).Starts); got != tc.want {
+				t.Errorf("%d long tasks started, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestHeldFlow guards against a held flow that saves up credit while others run, and against use that is not counted.
+func TestHeldFlow(t *testing.T) {
+	sta := ready(2)
+	sta.Times = map[string]time.Duration{"long": 2 * time.Second, "other": time.Second / 2}
+	for i := range 60 {
+		now := epoch.Add(time.Duration(i) * time.Second)
+		bat := batch("other"+now.String(), "other", 1)
+		rgqueue.Accept(sta, bat, now)
+		stt := rgqueue.StartNext(sta, now).Starts
+		if i == 20 {
+			flood := batch("flood", "long", 20)
+			flood.Remaining.Duration = time.Hour
+			rgqueue.Accept(sta, flood, now)
+		}
+		rgqueue.Finish(sta, stt[0], ok(stt[0]), time.Second/2)
+		rgqueue.StartNext(sta, now)
+		if flo := sta.Flows[flow("long")]; flo != nil && (flo.Running != 1 || flo.Finish < sta.Virtual) {
+			t.Fatalf("after %d s, %d long tasks run at %f, virtual time %f", i, flo.Running, flo.Finish, sta.Virtual)
+		}
+	}
+	if use := sta.Flows[flow("other")].Usage; use < 0.4 || use > 0.6 {
+		t.Errorf("usage %f of a flow that used half a slot", use)
+	}
+}
--- a/core/rgqueue/query_wait.go
+++ b/core/rgqueue/query_wait.go
@@ -80,18 +80,19 @@
 
 // nextFlow returns the flow with waiting tasks whose virtual start is the earliest.
 // Ties go to the flow whose head arrived first, so that the choice does not depend on map order.
-func nextFlow(sta *State) rgmodel.Flow {
+// It returns false when all flows with waiting tasks are held.
+func nextFlow(sta *State, held map[rgmodel.Flow]bool) (rgmodel.Flow, bool) {
 	var best rgmodel.Flow
 	var bestFlow *Flow
 	for key, flo := range sta.Flows {
-		if len(flo.Waiting) == 0 {
+		if len(flo.Waiting) == 0 || held[key] {
 			continue
 		}
 		if bestFlow == nil || before(flo, bestFlow) {
 			best, bestFlow = key, flo
 		}
 	}
-	return best
+	return best, bestFlow != nil
 }
 
 func before(fst, snd *Flow) bool {
--- a/core/rgqueue/state.go
+++ b/core/rgqueue/state.go
@@ -21,6 +21,18 @@
 	MaxReportedFlows = 32
 	// MaxReportedTimes is larger, because placement needs the times of idle kinds too.
 	MaxReportedTimes = 64
+	// LongTask is the service time above which a start may not take a slot that other flows have used recently, because
+	// they would wait too long for it. Shorter tasks free a slot often enough.
+	LongTask = 300 * time.Millisecond
+	// VeryLongTask is the service time above which other flows also need room for bursts.
+	VeryLongTask = time.Second
+	// veryLongFactor is from BenchmarkFlood with 2 s tasks: with 1, the p99 of other flows is up to 1.63 times that without
+	// a flood; with 2, 23% of the slot time is not used, instead of 18%.
+	veryLongFactor = 1.5
+	// usageTime is the time constant of the slots that a flow has used recently.
+	usageTime = 10 * time.Second
+	// minUsage is the usage below which a flow counts as not active.
+	minUsage = 0.01
 	// learnRate is the weight of the newest sample in the moving average of service times.
 	learnRate = 0.1
 )
@@ -44,6 +56,8 @@
 		// Finish is the virtual time, in nanoseconds of service per unit of weight, at which the flow's
 		// last started task is charged off.
 		Finish float64
+		// Usage is the number of slots that the flow has used recently, as a moving average.
+		Usage float64
 	}
 
 	// Task is the record of one task.
@@ -93,11 +107,13 @@
 		Weights     map[rgmodel.Flow]int
 		Times       map[string]time.Duration
 		Virtual     float64
-		Arrivals    uint64
-		Queued      int
-		Running     int
-		Succeeded   uint64
-		Failed      uint64
+		// Decayed is when the usage of the flows was last brought up to date.
+		Decayed   time.Time
+		Arrivals  uint64
+		Queued    int
+		Running   int
+		Succeeded uint64
+		Failed    uint64
 	}
 
 	// Start is a task that the caller of StartNext must now forward to the upstream.
