Add the questionnaire, the generated configuration and the merge as core decisions

Cause: entry and sidecar each had their own copy of the rule that the highest revision wins, and configurations could only be written by hand. Ruled out: storing the source of each setting with the sidecars; they never show it, so the push leaves it out. Change: core/rgconfig checks answers, generates rgmodel.TeamConfig with the answer behind each setting, compares two sets of answers, merges, and sums up the revisions in force in a digest that sidecars add to their reports. The maximum deadline moves to rgmodel, because the checks need it. Conclusion: one merge rule, tested over 50 seeded orders per case.

--- /dev/null
+++ b/core/rgconfig/config_test.go
@@ -0,0 +1,236 @@
+package rgconfig
+
+import (
+	"maps"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+func dur(val time.Duration) rgmodel.Duration {
+	return rgmodel.Duration{Duration: val}
+}
+
+func good() Answers {
+	return Answers{
+		Team:               "kitapDostu",
+		ResubmissionWindow: dur(10 * time.Minute),
+		Quota:              rgmodel.Quota{Sustained: 100, Burst: 200},
+		Kinds: []KindAnswers{
+			{Kind: "signUps", Urgency: "high", UsualRunTime: dur(80 * time.Millisecond), LongestRunTime: dur(time.Second),
+				CallerWait: dur(2 * time.Second), Objective: 0.999, Rate: 20, LargestJob: 10, SurvivesFlood: true},
+			{Kind: "readingLists", Idempotent: true, Urgency: "low", UsualRunTime: dur(120 * time.Millisecond),
+				LongestRunTime: dur(2 * time.Second), CallerWait: dur(20 * time.Second), Objective: 0.9, Rate: 50, LargestJob: 200},
+		},
+	}
+}
+
+type wrongAnswer struct {
+	change   func(ans *Answers)
+	question string
+	answer   string
+	reason   string
+}
+
+var wrongAnswers = map[string]wrongAnswer{
+	"team with slash": {
+		func(ans *Answers) { ans.Team = "a/b" },
+		"team", `"a/b"`, "without spaces, slashes",
+	},
+	"window above ten minutes": {
+		func(ans *Answers) { ans.ResubmissionWindow = dur(11 * time.Minute) },
+		"resubmissionWindow", "11m0s", "10m0s",
+	},
+	"window below a deadline": {
+		func(ans *Answers) { ans.ResubmissionWindow = dur(time.Second) },
+		"resubmissionWindow", "1s", "30s",
+	},
+	"no sustained quota": {
+		func(ans *Answers) { ans.Quota.Sustained = 0 },
+		"quota/sustained", "0", "more than 0",
+	},
+	"quota below usual rates": {
+		func(ans *Answers) { ans.Quota.Sustained = 60 },
+		"quota/sustained", "60", "70 tasks per second",
+	},
+	"burst below one job": {
+		func(ans *Answers) { ans.Quota.Burst = 150 },
+		"quota/burst", "150", "below one job",
+	},
+	"no kinds": {
+		func(ans *Answers) { ans.Kinds = nil },
+		"kinds", "0", "1 to 16",
+	},
+	"duplicate kind": {
+		func(ans *Answers) { ans.Kinds[1].Kind = "signUps" },
+		"kinds/signUps/kind", `"signUps"`, "same name",
+	},
+	"kind without name": {
+		func(ans *Answers) { ans.Kinds[1].Kind = "" },
+		"kinds/1/kind", `""`, "need a name",
+	},
+	"unknown urgency": {
+		func(ans *Answers) { ans.Kinds[0].Urgency = "now" },
+		"kinds/signUps/urgency", `"now"`, "low, normal or high",
+	},
+	"no run time": {
+		func(ans *Answers) { ans.Kinds[0].UsualRunTime = dur(0) },
+		"kinds/signUps/usualRunTime", "0s", "more than 0s",
+	},
+	"longest below usual": {
+		func(ans *Answers) { ans.Kinds[0].LongestRunTime = dur(1) },
+		"kinds/signUps/longestRunTime", "1ns", "usual run time of 80ms",
+	},
+	"longest above maximum": {
+		func(ans *Answers) { ans.Kinds[0].LongestRunTime = dur(time.Minute) },
+		"kinds/signUps/longestRunTime", "1m0s", "30s",
+	},
+	"caller waits too short": {
+		func(ans *Answers) { ans.Kinds[0].CallerWait = dur(50 * time.Millisecond) },
+		"kinds/signUps/callerWait", "50ms", "usual run time of 80ms",
+	},
+	"caller waits too long": {
+		func(ans *Answers) { ans.Kinds[0].CallerWait = dur(31 * time.Second) },
+		"kinds/signUps/callerWait", "31s", "maximum deadline of 30s",
+	},
+	"objective of all jobs": {
+		func(ans *Answers) { ans.Kinds[0].Objective = 1 },
+		"kinds/signUps/objective", "1", "below 1",
+	},
+	"negative rate": {
+		func(ans *Answers) { ans.Kinds[0].Rate = -1 },
+		"kinds/signUps/rate", "-1", "0 or more",
+	},
+	"job above the limit": {
+		func(ans *Answers) { ans.Kinds[0].LargestJob = 361 },
+		"kinds/signUps/largestJob", "361", "1 to 360",
+	},
+	"every kind survives flood": {
+		func(ans *Answers) { ans.Kinds[1].SurvivesFlood = true },
+		"kinds/*/survivesFlood", "true", "at least one kind",
+	},
+}
+
+// TestCheck guards against wrong answers that reach a configuration, and against reports that name the wrong question.
+func TestCheck(t *testing.T) {
+	if prs := Check(good()); len(prs) != 0 {
+		t.Fatalf("right answers are refused: %v", prs)
+	}
+	for name, tc := range wrongAnswers {
+		t.Run(name, func(t *testing.T) {
+			ans := good()
+			tc.change(&ans)
+			prs := Check(ans)
+			if len(prs) != 1 || prs[0].Question != tc.question || prs[0].Answer != tc.answer ||
+				!strings.Contains(prs[0].Reason, tc.reason) {
+				t.Errorf("got %+v, want one problem: %s, %s, %s", prs, tc.question, tc.answer, tc.reason)
+			}
+			if _, err := Generate(ans); err == nil {
+				t.Error("a configuration is generated from wrong answers")
+			}
+		})
+	}
+}
+
+// TestGenerate guards against settings without a source, and against a kind that must survive a flood and gets no
+// more than others.
+func TestGenerate(t *testing.T) {
+	cfg, err := Generate(good())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name := range Settings(cfg) {
+		if name != "team" && cfg.Sources[name] == "" {
+			t.Errorf("setting %s has no source", name)
+		}
+	}
+	if fst, snd := cfg.Kinds[0].Weight, cfg.Kinds[1].Weight; fst != WeightSurvivor || snd != WeightLow {
+		t.Errorf("weights %d and %d, want %d and %d", fst, snd, WeightSurvivor, WeightLow)
+	}
+}
+
+// TestCompare guards against changes that are left out or that name another answer than the one that caused them.
+func TestCompare(t *testing.T) {
+	tests := map[string]struct {
+		change func(ans *Answers)
+		want   []Change
+	}{
+		"nothing": {func(*Answers) {}, nil},
+		"burst": {func(ans *Answers) { ans.Quota.Burst = 300 }, []Change{
+			{Setting: "quota/burst", Before: "200", After: "300", Answer: "quota/burst"},
+		}},
+		"flood": {func(ans *Answers) { ans.Kinds[0].SurvivesFlood = false }, []Change{
+			{Setting: "kinds/signUps/weight", Before: "10", After: "2", Answer: "kinds/signUps/survivesFlood and kinds/signUps/urgency"}}},
+		"urgency": {func(ans *Answers) { ans.Kinds[1].Urgency = "normal" }, []Change{
+			{Setting: "kinds/readingLists/urgency", Before: "-1", After: "0", Answer: "kinds/readingLists/urgency"},
+			{Setting: "kinds/readingLists/weight", Before: "1", After: "2", Answer: "kinds/readingLists/urgency"}}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			ans := good()
+			tc.change(&ans)
+			chs, err := Compare(good(), ans)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range chs {
+				if chs[i].Why == "" {
+					t.Errorf("no explanation of %s", chs[i].Setting)
+				}
+				chs[i].Why = ""
+			}
+			if !reflect.DeepEqual(chs, tc.want) {
+				t.Errorf("got %+v, want %+v", chs, tc.want)
+			}
+		})
+	}
+}
+
+// TestMerge guards against a configuration that reverts when messages come late, twice or from an older store.
+func TestMerge(t *testing.T) {
+	rev := func(team string, num uint64) rgmodel.TeamConfig { return rgmodel.TeamConfig{Team: team, Revision: num} }
+	tests := map[string]struct {
+		read  []rgmodel.TeamConfig
+		want  map[string]uint64
+		newer int
+	}{
+		"in order":      {[]rgmodel.TeamConfig{rev("a", 1), rev("a", 2)}, map[string]uint64{"a": 2}, 2},
+		"older later":   {[]rgmodel.TeamConfig{rev("a", 3), rev("a", 2), rev("a", 1)}, map[string]uint64{"a": 3}, 1},
+		"same twice":    {[]rgmodel.TeamConfig{rev("a", 3), rev("a", 3)}, map[string]uint64{"a": 3}, 1},
+		"two teams":     {[]rgmodel.TeamConfig{rev("a", 3), rev("b", 1), rev("a", 1)}, map[string]uint64{"a": 3, "b": 1}, 2},
+		"zero revision": {[]rgmodel.TeamConfig{rev("a", 0)}, map[string]uint64{}, 0},
+	}
+	revisions := func(teams map[string]rgmodel.TeamConfig) map[string]uint64 {
+		got := map[string]uint64{}
+		for name, cfg := range teams {
+			got[name] = cfg.Revision
+		}
+		return got
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			teams := map[string]rgmodel.TeamConfig{}
+			if newer := Merge(teams, tc.read); len(newer) != tc.newer {
+				t.Errorf("%d are called newer, want %d", len(newer), tc.newer)
+			}
+			ver := VersionOf(teams)
+			rnd := rand.New(rand.NewPCG(1, 1))
+			for range 50 {
+				cpy := slices.Clone(tc.read)
+				rnd.Shuffle(len(cpy), func(i, j int) { cpy[i], cpy[j] = cpy[j], cpy[i] })
+				oth := map[string]rgmodel.TeamConfig{}
+				for _, cfg := range cpy {
+					Merge(oth, []rgmodel.TeamConfig{cfg})
+				}
+				if got := revisions(oth); !maps.Equal(got, tc.want) || VersionOf(oth) != ver {
+					t.Fatalf("order %v gives %v, want %v", cpy, got, tc.want)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/rgconfig/query_check.go
@@ -0,0 +1,98 @@
+package rgconfig
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// Check returns a problem for each wrong or contradictory answer, in the order of the questions.
+func Check(ans Answers) Problems {
+	var prs Problems
+	add := func(bad bool, name string, val any, reason string) {
+		if bad {
+			prs = append(prs, Problem{Question: name, Answer: show(val), Reason: reason})
+		}
+	}
+	add(!validName(ans.Team), QuestionTeam, ans.Team, needName)
+	add(!within(ans.ResubmissionWindow, MinResubmissionWindow, rgmodel.DefaultResubmissionWindow), QuestionWindow, ans.ResubmissionWindow,
+		fmt.Sprintf("need %s to %s", MinResubmissionWindow, rgmodel.DefaultResubmissionWindow))
+	add(!positive(ans.Quota.Sustained), QuestionSustained, ans.Quota.Sustained, "need more than 0 tasks per second")
+	add(!positive(ans.Quota.Burst), QuestionBurst, ans.Quota.Burst, "need more than 0 tasks")
+	add(len(ans.Kinds) == 0 || len(ans.Kinds) > MaxKinds, QuestionKinds, len(ans.Kinds), fmt.Sprintf("need 1 to %d kinds", MaxKinds))
+	seen := map[string]bool{}
+	rate := 0.0
+	for i, ka := range ans.Kinds {
+		add(seen[ka.Kind], kindPath(ka.Kind, QuestionKind), ka.Kind, "another kind has the same name")
+		seen[ka.Kind] = true
+		rate += ka.Rate
+		add(ka.LargestJob <= rgmodel.MaxTasks && positive(ans.Quota.Burst) && float64(ka.LargestJob) > ans.Quota.Burst,
+			QuestionBurst, ans.Quota.Burst, fmt.Sprintf("below one job: the largest job of %q has %d tasks", ka.Kind, ka.LargestJob))
+		prs = append(prs, checkKind(i, ka)...)
+	}
+	add(positive(ans.Quota.Sustained) && rate > ans.Quota.Sustained, QuestionSustained, ans.Quota.Sustained,
+		fmt.Sprintf("below the usual rates of the kinds, which are %g tasks per second in all", rate))
+	add(len(ans.Kinds) > 1 && allSurvive(ans.Kinds), QuestionKinds+"/*/"+QuestionSurvivesFlood, true,
+		"a flood of one kind can only be held back for others if at least one kind need not survive it")
+	return prs
+}
+
+const needName = "need a name of 1 to 64 bytes without spaces, slashes and control characters"
+
+func checkKind(num int, ka KindAnswers) Problems {
+	var prs Problems
+	kind := ka.Kind
+	if !validName(kind) {
+		kind = strconv.Itoa(num)
+	}
+	add := func(bad bool, name string, val any, reason string) {
+		if bad {
+			prs = append(prs, Problem{Question: kindPath(kind, name), Answer: show(val), Reason: reason})
+		}
+	}
+	_, known := urgencies[ka.Urgency]
+	add(!validName(ka.Kind), QuestionKind, ka.Kind, needName)
+	add(!known, QuestionUrgency, ka.Urgency, "need low, normal or high")
+	add(ka.UsualRunTime.Duration <= 0, QuestionUsualRunTime, ka.UsualRunTime, "need more than 0s")
+	add(ka.LongestRunTime.Duration < ka.UsualRunTime.Duration, QuestionLongestRunTime, ka.LongestRunTime,
+		"shorter than the usual run time of "+ka.UsualRunTime.String())
+	add(ka.LongestRunTime.Duration > rgmodel.MaxDeadline, QuestionLongestRunTime, ka.LongestRunTime,
+		"above the maximum deadline of "+rgmodel.MaxDeadline.String())
+	add(ka.CallerWait.Duration < ka.UsualRunTime.Duration, QuestionCallerWait, ka.CallerWait,
+		"the caller waits less than the usual run time of "+ka.UsualRunTime.String())
+	add(ka.CallerWait.Duration > rgmodel.MaxDeadline, QuestionCallerWait, ka.CallerWait,
+		"above the maximum deadline of "+rgmodel.MaxDeadline.String())
+	add(!(ka.Objective > 0 && ka.Objective < 1), QuestionObjective, ka.Objective, "need a share above 0 and below 1")
+	add(!(ka.Rate >= 0) || math.IsInf(ka.Rate, 0), QuestionRate, ka.Rate, "need 0 or more tasks per second")
+	add(ka.LargestJob < 1 || ka.LargestJob > rgmodel.MaxTasks, QuestionLargestJob, ka.LargestJob,
+		fmt.Sprintf("need 1 to %d tasks", rgmodel.MaxTasks))
+	return prs
+}
+
+func allSurvive(kas []KindAnswers) bool {
+	for _, ka := range kas {
+		if !ka.SurvivesFlood {
+			return false
+		}
+	}
+	return true
+}
+
+func positive(val float64) bool {
+	return val > 0 && !math.IsInf(val, 0)
+}
+
+func validName(name string) bool {
+	bad := func(chr rune) bool { return chr <= ' ' || chr == '/' || chr == '\x7f' }
+	return name != "" && len(name) <= MaxNameBytes && !strings.ContainsFunc(name, bad)
+}
+
+func show(val any) string {
+	if txt, ok := val.(string); ok {
+		return strconv.Quote(txt)
+	}
+	return fmt.Sprint(val)
+}
--- /dev/null
+++ b/core/rgconfig/query_compare.go
@@ -0,0 +1,97 @@
+package rgconfig
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"ragwortgap/core/rgmodel"
+)
+
+const absent = "(absent)"
+
+// Compare returns the settings that change from one set of answers to another, ordered by setting, each with the
+// answer that changes it. It fails with Problems when answers of either set are wrong.
+func Compare(before, after Answers) ([]Change, error) {
+	old, err := Generate(before)
+	if err != nil {
+		return nil, err
+	}
+	cur, err := Generate(after)
+	if err != nil {
+		return nil, err
+	}
+	return Differences(old, cur), nil
+}
+
+// Differences returns the settings in which two configurations differ, ordered by setting.
+func Differences(old, cur rgmodel.TeamConfig) []Change {
+	bef, aft := Settings(old), Settings(cur)
+	all := maps.Clone(bef)
+	maps.Copy(all, aft)
+	var chs []Change
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		chg := Change{Setting: name, Before: value(bef, name), After: value(aft, name)}
+		chg.Answer = source(old.Sources[name], cur.Sources[name])
+		if chg.Before == chg.After {
+			continue
+		}
+		chg.Why = why(chg)
+		chs = append(chs, chg)
+	}
+	return chs
+}
+
+// Settings returns the settings of a configuration as texts by their path.
+func Settings(tc rgmodel.TeamConfig) map[string]string {
+	set := map[string]string{
+		"team":               tc.Team,
+		"weight":             fmt.Sprint(tc.Weight),
+		"quota/sustained":    fmt.Sprint(tc.Quota.Sustained),
+		"quota/burst":        fmt.Sprint(tc.Quota.Burst),
+		"resubmissionWindow": tc.ResubmissionWindow.String(),
+	}
+	for _, kc := range tc.Kinds {
+		set[kindPath(kc.Kind, "weight")] = fmt.Sprint(kc.Weight)
+		set[kindPath(kc.Kind, "urgency")] = fmt.Sprint(kc.Urgency)
+		set[kindPath(kc.Kind, "idempotent")] = fmt.Sprint(kc.Idempotent)
+		set[kindPath(kc.Kind, "usualRunTime")] = kc.UsualRunTime.String()
+		set[kindPath(kc.Kind, "longestRunTime")] = kc.LongestRunTime.String()
+		set[kindPath(kc.Kind, "callerWait")] = kc.CallerWait.String()
+		set[kindPath(kc.Kind, "objective")] = fmt.Sprint(kc.Objective)
+	}
+	return set
+}
+
+func value(set map[string]string, name string) string {
+	if val, ok := set[name]; ok {
+		return val
+	}
+	return absent
+}
+
+// source names both answers where the deciding one has changed: a kind that need no longer survive a flood gets its
+// weight from its urgency.
+func source(old, cur string) string {
+	switch {
+	case old == "" || old == cur:
+		return cur
+	case cur == "":
+		return old
+	default:
+		return old + " and " + cur
+	}
+}
+
+func why(chg Change) string {
+	switch {
+	case chg.Before == absent:
+		return "the kind was added"
+	case chg.After == absent:
+		return "the kind was removed"
+	case chg.Answer == "":
+		return "the team has another name"
+	default:
+		return fmt.Sprintf("decided by the answer to %s", chg.Answer)
+	}
+}
--- /dev/null
+++ b/core/rgconfig/query_generate.go
@@ -0,0 +1,69 @@
+package rgconfig
+
+import "ragwortgap/core/rgmodel"
+
+// Generate returns the configuration that the answers ask for, without revision and change id. Sources names for
+// each setting the question whose answer decides it. It fails with Problems when answers are wrong.
+func Generate(ans Answers) (rgmodel.TeamConfig, error) {
+	if prs := Check(ans); len(prs) > 0 {
+		return rgmodel.TeamConfig{}, prs
+	}
+	tc := rgmodel.TeamConfig{
+		Team: ans.Team,
+		// All teams have the same weight; a team cannot ask for a larger share than others.
+		Weight:             1,
+		Quota:              ans.Quota,
+		ResubmissionWindow: ans.ResubmissionWindow,
+		Sources: map[string]string{
+			"weight":             QuestionTeam,
+			"quota/sustained":    QuestionSustained,
+			"quota/burst":        QuestionBurst,
+			"resubmissionWindow": QuestionWindow,
+		},
+	}
+	for _, ka := range ans.Kinds {
+		kc := rgmodel.KindConfig{
+			Kind:           ka.Kind,
+			Weight:         weight(ka),
+			Urgency:        urgencies[ka.Urgency],
+			Idempotent:     ka.Idempotent,
+			UsualRunTime:   ka.UsualRunTime,
+			LongestRunTime: ka.LongestRunTime,
+			CallerWait:     ka.CallerWait,
+			Objective:      ka.Objective,
+		}
+		tc.Kinds = append(tc.Kinds, kc)
+		for setting, qus := range kindSources(ka) {
+			tc.Sources[kindPath(ka.Kind, setting)] = kindPath(ka.Kind, qus)
+		}
+	}
+	return tc, nil
+}
+
+func weight(ka KindAnswers) int {
+	switch {
+	case ka.SurvivesFlood:
+		return WeightSurvivor
+	case urgencies[ka.Urgency] == rgmodel.UrgencyLow:
+		return WeightLow
+	default:
+		return WeightNormal
+	}
+}
+
+// kindSources names the question behind each setting of a kind.
+func kindSources(ka KindAnswers) map[string]string {
+	src := map[string]string{
+		"weight":         QuestionSurvivesFlood,
+		"urgency":        QuestionUrgency,
+		"idempotent":     QuestionIdempotent,
+		"usualRunTime":   QuestionUsualRunTime,
+		"longestRunTime": QuestionLongestRunTime,
+		"callerWait":     QuestionCallerWait,
+		"objective":      QuestionObjective,
+	}
+	if !ka.SurvivesFlood {
+		src["weight"] = QuestionUrgency
+	}
+	return src
+}
--- a/core/rgmodel/config.go
+++ b/core/rgmodel/config.go
@@ -32,6 +32,17 @@
 		Quota              Quota        `json:"quota"`
 		ResubmissionWindow Duration     `json:"resubmissionWindow"`
 		Kinds              []KindConfig `json:"kinds"`
+		// Sources names the answer that each setting came from, by the path of the setting. Sidecars do without it.
+		Sources map[string]string `json:"sources,omitempty"`
+	}
+
+	// ConfigVersion sums up the configurations in force at a process.
+	ConfigVersion struct {
+		Teams int `json:"teams"`
+		// Revisions is the sum of all teams' revisions; it only grows.
+		Revisions uint64 `json:"revisions"`
+		// Digest is equal at two processes that have the same revision of each team.
+		Digest string `json:"digest"`
 	}
 )
 
--- a/core/rgmodel/fleet.go
+++ b/core/rgmodel/fleet.go
@@ -60,6 +60,8 @@
 		Succeeded   uint64     `json:"succeeded"`
 		Failed      uint64     `json:"failed"`
 		Draining    bool       `json:"draining,omitempty"`
+		// Config sums up the configurations in force at the sidecar.
+		Config ConfigVersion `json:"config"`
 	}
 
 	// TaskState is how far a task has come at a sidecar.
--- a/core/rgmodel/job.go
+++ b/core/rgmodel/job.go
@@ -10,6 +10,9 @@
 const (
 	// MaxTasks is the largest number of tasks in a job.
 	MaxTasks = 360
+	// MaxDeadline is the longest time that a job may take. It is no longer than the default drain bound, so that a
+	// planned stop cuts off nothing.
+	MaxDeadline = 30 * time.Second
 	// ClockSkewLimit bounds how far apart the clocks of callers and entries are assumed to be.
 	ClockSkewLimit = 2 * time.Second
 	// DefaultResubmissionWindow is how long a submission is remembered where the team's answers give no other value.
--- a/io/rgapi/job.go
+++ b/io/rgapi/job.go
@@ -22,9 +22,8 @@
 	MaxPayloadBytes = 64 << 10
 	// MaxNameBytes bounds the names of teams and kinds.
 	MaxNameBytes = 64
-	// MaxDeadline is the longest time that a job may take. It is no longer than the default drain bound, so that a
-	// planned stop cuts off nothing.
-	MaxDeadline = 30 * time.Second
+	// MaxDeadline is the longest time that a job may take.
+	MaxDeadline = rgmodel.MaxDeadline
 
 	statusComplete = "complete"
 	statusFailed   = "failed"
--- a/io/rgentry/ring.go
+++ b/io/rgentry/ring.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rgfleet"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgring"
@@ -64,16 +65,10 @@
 
 // adoptTeams takes in newer configurations and pushes them on.
 func (pro *Process) adoptTeams(work context.Context, sta *state, teams []rgmodel.TeamConfig) {
-	var newer []rgmodel.TeamConfig
-	for _, tc := range teams {
-		if tc.Revision > sta.teams[tc.Team].Revision {
-			sta.teams[tc.Team] = tc
-			newer = append(newer, tc)
-		}
-	}
+	newer := rgconfig.Merge(sta.teams, teams)
 	if len(newer) == 0 {
 		return
 	}
 	pro.publish(sta)
-	pro.push(work, sta, newer)
+	pro.push(work, sta, rgconfig.Compact(newer))
 }
--- a/io/rgsidecar/control.go
+++ b/io/rgsidecar/control.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rgfleet"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgqueue"
@@ -26,6 +27,7 @@
 	state struct {
 		queue    rgqueue.State
 		teams    map[string]rgmodel.TeamConfig
+		config   rgmodel.ConfigVersion
 		links    map[string]link
 		waiters  map[rgmodel.SubmissionID][]waiter
 		running  map[taskKey]context.CancelFunc
@@ -193,12 +195,12 @@
 }
 
 func (pro *Process) configure(work context.Context, sta *state, evt configured) {
-	for _, tc := range evt.teams {
-		if tc.Revision > sta.teams[tc.Team].Revision {
-			sta.teams[tc.Team] = tc
-		}
+	if newer := rgconfig.Merge(sta.teams, evt.teams); len(newer) > 0 {
+		rgqueue.Configure(&sta.queue, weights(sta.teams))
+		sta.config = rgconfig.VersionOf(sta.teams)
+		// The next report tells the entries what is in force.
+		sta.changed = true
 	}
-	rgqueue.Configure(&sta.queue, weights(sta.teams))
 	rgqueue.AdoptRing(&sta.queue, evt.ring)
 	pro.relink(work, sta)
 }
@@ -231,7 +233,7 @@
 	sta.sequence++
 	sta.changed, sta.reported = false, now
 	rep := rgqueue.Report(&sta.queue)
-	rep.Sequence = sta.sequence
+	rep.Sequence, rep.Config = sta.sequence, sta.config
 	for _, lnk := range sta.links {
 		replaceReport(lnk.reports, rep)
 	}
