Add the configuration commands and the apply of a change to the store

Cause: teams could not fill in answers, and an operator could not tell whether a write whose answer was lost had taken effect. Ruled out: a second key per change as a receipt; the change id inside the value is enough, because a repeated compare-and-swap fails once the first took effect. An overtaken change is told apart by the revision: a revision above its own means that it may have been in force before. Change: questionnaire, generate, explain, apply and status; rgstore.Apply; GET /v1/status shows the revisions in force at the entry and at each sidecar; the store stand-in can show an older state; an entry that only itself is cut off from the store asks another entry for newer configurations every 2 s. Conclusion: of 8 operators racing on one revision exactly one wins, and the others name it.

--- a/core/rgconfig/query_check.go
+++ b/core/rgconfig/query_check.go
@@ -96,3 +96,32 @@
 	}
 	return fmt.Sprint(val)
 }
+
+// CheckConfig returns a problem for each wrong setting of a configuration that was not generated from answers.
+func CheckConfig(tc rgmodel.TeamConfig) Problems {
+	ans := Answers{Team: tc.Team, ResubmissionWindow: tc.ResubmissionWindow, Quota: tc.Quota}
+	var prs Problems
+	checkWeight := func(name string, wgt int) {
+		if wgt < WeightLow || wgt > WeightSurvivor {
+			prs = append(prs, Problem{Question: name, Answer: show(wgt), Reason: fmt.Sprintf("need %d to %d", WeightLow, WeightSurvivor)})
+		}
+	}
+	checkWeight("weight", tc.Weight)
+	for _, kc := range tc.Kinds {
+		checkWeight(kindPath(kc.Kind, "weight"), kc.Weight)
+		ans.Kinds = append(ans.Kinds, KindAnswers{
+			Kind: kc.Kind, Idempotent: kc.Idempotent, Urgency: urgencyName(kc.Urgency), UsualRunTime: kc.UsualRunTime,
+			LongestRunTime: kc.LongestRunTime, CallerWait: kc.CallerWait, Objective: kc.Objective, LargestJob: 1,
+		})
+	}
+	return append(prs, Check(ans)...)
+}
+
+func urgencyName(urg rgmodel.Urgency) string {
+	for name, val := range urgencies {
+		if val == urg {
+			return name
+		}
+	}
+	return strconv.Itoa(int(urg))
+}
--- a/core/rgconfig/query_version.go
+++ b/core/rgconfig/query_version.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,3 +33,23 @@
 	}
 	return cpy
 }
+
+// Newer returns the configurations of higher revisions than those given, ordered by team.
+func Newer(teams map[string]rgmodel.TeamConfig, than map[string]uint64) []rgmodel.TeamConfig {
+	var tcs []rgmodel.TeamConfig
+	for _, name := range slices.Sorted(maps.Keys(teams)) {
+		if tc := teams[name]; tc.Revision > than[name] {
+			tcs = append(tcs, tc)
+		}
+	}
+	return tcs
+}
+
+// Revisions returns the revision of each team.
+func Revisions(teams map[string]rgmodel.TeamConfig) map[string]uint64 {
+	rvs := make(map[string]uint64, len(teams))
+	for name, tc := range teams {
+		rvs[name] = tc.Revision
+	}
+	return rvs
+}
--- a/core/rgfleet/query_member.go
+++ b/core/rgfleet/query_member.go
@@ -40,6 +40,15 @@
 	return scs
 }
 
+// Configs returns the configurations in force at the known sidecars, as of their newest reports.
+func Configs(sta *State) map[rgmodel.SidecarKey]rgmodel.ConfigVersion {
+	cvs := make(map[rgmodel.SidecarKey]rgmodel.ConfigVersion, len(sta.Members))
+	for _, mem := range sta.Members {
+		cvs[mem.Sidecar.Key()] = mem.Report.Config
+	}
+	return cvs
+}
+
 // Runnable reports whether any known sidecar has the resources, and is true while none is known.
 func Runnable(sta *State, res rgmodel.Resources) bool {
 	for _, mem := range sta.Members {
--- a/io/rgcli/cli.go
+++ b/io/rgcli/cli.go
@@ -12,6 +12,7 @@
 	"github.com/alexflint/go-arg"
 	"github.com/juju/errors"
 
+	"ragwortgap/core/rgconfig"
 	"ragwortgap/io/rgsettings"
 )
 
@@ -28,6 +29,12 @@
 		Sidecar *sidecarCommand `arg:"subcommand:sidecar" help:"run the sidecar of an upstream"`
 		Demo    *demoCommand    `arg:"subcommand:demo" help:"run the whole system with stand-ins in one process"`
 		Version *versionQuery   `arg:"subcommand:version" help:"print the version"`
+
+		Questionnaire *questionnaireCommand `arg:"subcommand:questionnaire" help:"ask a team's questions, or check its answers"`
+		Generate      *generateQuery        `arg:"subcommand:generate" help:"print the configuration that answers ask for"`
+		Explain       *explainQuery         `arg:"subcommand:explain" help:"print what a change of answers changes"`
+		Apply         *applyCommand         `arg:"subcommand:apply" help:"write a team's configuration to the store"`
+		Status        *statusQuery          `arg:"subcommand:status" help:"print the configuration in force at entries and sidecars"`
 	}
 )
 
@@ -60,6 +67,16 @@
 		return cmd.run(ctx)
 	case *demoCommand:
 		return cmd.run(ctx, out)
+	case *questionnaireCommand:
+		return cmd.run(ctx, os.Stdin, out)
+	case *generateQuery:
+		return cmd.run(out)
+	case *explainQuery:
+		return cmd.run(out)
+	case *applyCommand:
+		return cmd.run(ctx, out)
+	case *statusQuery:
+		return cmd.run(ctx, out)
 	case *versionQuery:
 		return cmd.run(out)
 	default:
@@ -74,7 +91,8 @@
 	}
 	_, _ = fmt.Fprintln(log, "ragwortgap:", err)
 	var fld rgsettings.FieldError
-	if errors.As(err, &fld) || errors.Is(err, errors.BadRequest) || errors.Is(err, errors.NotValid) {
+	var prs rgconfig.Problems
+	if errors.As(err, &fld) || errors.As(err, &prs) || errors.Is(err, errors.BadRequest) || errors.Is(err, errors.NotValid) {
 		return exitUsage
 	}
 	return exitFailure
--- /dev/null
+++ b/io/rgcli/command_apply.go
@@ -0,0 +1,70 @@
+package rgcli
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"ragwortgap/core/rgconfig"
+	"ragwortgap/io/rganswers"
+	"ragwortgap/io/rgentry"
+	"ragwortgap/io/rgstore"
+)
+
+type applyCommand struct {
+	File     string        `arg:"positional,required" help:"answers or configuration, JSON with comments"`
+	Store    string        `arg:"--store,required" help:"URL of the store"`
+	ChangeID string        `arg:"--change-id" help:"change id; repeat it to apply a change again whose outcome is unknown"`
+	Base     uint64        `arg:"--base" help:"revision that the change builds on; refused if another one is in force"`
+	Timeout  time.Duration `arg:"--timeout" default:"30s" help:"how long to try"`
+}
+
+func (cmd *applyCommand) run(ctx context.Context, out io.Writer) error {
+	tc, err := rganswers.ReadConfig(cmd.File)
+	if err != nil {
+		return err
+	}
+	if cmd.ChangeID == "" {
+		cmd.ChangeID = uuid.NewString()
+	}
+	ctx, stop := context.WithTimeout(ctx, cmd.Timeout)
+	defer stop()
+	chg := rgstore.Change{Key: rgentry.KeyConfig + tc.Team, Config: tc, ID: cmd.ChangeID, Base: cmd.Base}
+	res, err := rgstore.Client{Base: cmd.Store}.Apply(ctx, chg)
+	if err != nil {
+		return errors.Annotatef(err, "apply %s with --change-id %s", cmd.File, cmd.ChangeID)
+	}
+	switch res := res.(type) {
+	case rgstore.Applied:
+		say(out, "%s: revision %d accepted, change %s", tc.Team, res.Config.Revision, res.Config.ChangeID)
+		return nil
+	case rgstore.Unchanged:
+		say(out, "%s: revision %d has the same settings; nothing written", tc.Team, res.Config.Revision)
+		return nil
+	case rgstore.Raced:
+		return printRace(out, res)
+	default:
+		return errors.NotSupportedf("result %T", res)
+	}
+}
+
+// printRace shows both versions and what differs between them.
+func printRace(out io.Writer, res rgstore.Raced) error {
+	say(out, "in force: revision %d, change %s", res.Theirs.Revision, res.Theirs.ChangeID)
+	if err := printConfig(out, res.Theirs); err != nil {
+		return err
+	}
+	say(out, "not applied: change %s", res.Mine.ChangeID)
+	if err := printConfig(out, res.Mine); err != nil {
+		return err
+	}
+	printChanges(out, rgconfig.Differences(res.Theirs, res.Mine))
+	if res.Overwritten {
+		return errors.Errorf("change %s was overtaken by revision %d and may have been in force before it",
+			res.Mine.ChangeID, res.Theirs.Revision)
+	}
+	return errors.Errorf("another change came first: revision %d is in force and nothing was written", res.Theirs.Revision)
+}
--- /dev/null
+++ b/io/rgcli/config_test.go
@@ -0,0 +1,152 @@
+package rgcli
+
+import (
+	"bytes"
+	"context"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"ragwortgap/io/rganswers"
+	"ragwortgap/io/rgentry"
+	"ragwortgap/io/rgstandin"
+)
+
+const examples = "../../examples/"
+
+// TestExamples guards against examples that the checks refuse, and against generated files that cannot be read back.
+func TestExamples(t *testing.T) {
+	tests := map[string]struct{ weights map[string]int }{
+		"kitapDostu":  {map[string]int{"signUps": 10, "chapterReminders": 2, "readingLists": 1}},
+		"zelenaSkola": {map[string]int{"menuConfirmations": 10, "allocations": 2, "stockChecks": 10}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var out, log bytes.Buffer
+			if code := Main([]string{"generate", examples + name + ".json"}, &out, &log); code != exitOK {
+				t.Fatalf("exit code %d: %s", code, log.String())
+			}
+			if !strings.Contains(out.String(), "// from the answer to quota/burst") {
+				t.Errorf("no comment that names the answer: %s", out.String())
+			}
+			cfg, err := rganswers.ReadConfig(write(t, out.String()))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for kind, wgt := range tc.weights {
+				if kc, ok := cfg.Kind(kind); !ok || kc.Weight != wgt {
+					t.Errorf("kind %s has weight %d, want %d", kind, kc.Weight, wgt)
+				}
+			}
+		})
+	}
+}
+
+// TestConfigCommands guards against wrong exit codes and messages that do not name the cause.
+func TestConfigCommands(t *testing.T) {
+	raw, err := os.ReadFile(examples + "kitapDostu.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	right := string(raw)
+	edit := func(old, txt string) string { return write(t, strings.Replace(right, old, txt, 1)) }
+	sto := &rgstandin.Store{}
+	srv := httptest.NewServer(sto)
+	defer srv.Close()
+	store := "--store=" + srv.URL
+	burst := edit(`"burst": 720`, `"burst": 800`)
+	tests := map[string]struct {
+		args []string
+		code int
+		want []string
+	}{
+		"check right answers": {[]string{"questionnaire", "--check", write(t, right)}, exitOK, []string{"3 kinds are right"}},
+		"check wrong answer": {
+			[]string{"questionnaire", "--check", edit(`"2s"`, `"20ms"`)}, exitUsage,
+			[]string{"kinds/signUps/callerWait", "20ms", "80ms"},
+		},
+		"check unknown member":   {[]string{"questionnaire", "--check", edit(`"rate"`, `"rates"`)}, exitUsage, []string{"rates"}},
+		"check no JSON":          {[]string{"questionnaire", "--check", write(t, "{")}, exitUsage, []string{"file"}},
+		"neither file nor check": {[]string{"questionnaire"}, exitUsage, []string{"--check"}},
+		"missing file":           {[]string{"generate", "missing.json"}, exitFailure, []string{"missing.json"}},
+		"explain": {
+			[]string{"explain", write(t, right), burst}, exitOK,
+			[]string{"quota/burst: 720 -> 800", "answer to quota/burst"},
+		},
+		"apply wrong answers": {
+			[]string{"apply", store, edit(`"burst": 720`, `"burst": 3`)}, exitUsage,
+			[]string{"below one job"},
+		},
+		"status of nobody": {[]string{"status", "127.0.0.1:1"}, exitFailure, []string{"1 entries without answer"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) { check(t, tc.args, tc.code, tc.want) })
+	}
+	// The order matters here: a second operator works from the revision before the first one's change.
+	check(t, []string{"apply", store, write(t, right)}, exitOK, []string{"revision 1 accepted"})
+	check(t, []string{"apply", store, "--base=1", burst}, exitOK, []string{"revision 2 accepted"})
+	check(t, []string{"apply", store, "--base=1", edit(`"burst": 720`, `"burst": 900`)}, exitFailure,
+		[]string{"in force: revision 2", `"burst": 800`, "not applied", `"burst": 900`, "another change came first"})
+	check(t, []string{"apply", store, burst}, exitOK, []string{"same settings"})
+	if puts := sto.Calls()["PUT keys"]; puts != 2 {
+		t.Errorf("%d writes, want 2 to %s", puts, rgentry.KeyConfig)
+	}
+}
+
+// TestQuestionnaire guards against a dialogue that ends at a slip of the pen or writes another answer than given.
+func TestQuestionnaire(t *testing.T) {
+	kind := "signUps\nperhaps\nfalse\nhigh\n80ms\n1s\n2s\n0.999\n40\n20\ntrue\nno\n"
+	tests := map[string]struct {
+		input string
+		code  int
+		want  string
+	}{
+		"right":         {"kitapDostu\n10m\n400\n720\n" + kind, exitOK, `answer "perhaps"`},
+		"contradiction": {"kitapDostu\n10m\n400\n3\n" + kind, exitUsage, "written to"},
+		"input ends":    {"kitapDostu\n", exitUsage, "resubmit"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "answers.json")
+			var out, log bytes.Buffer
+			cmd := questionnaireCommand{File: path}
+			err := cmd.run(context.Background(), strings.NewReader(tc.input), &out)
+			if code := exitCode(err, &log); code != tc.code || !strings.Contains(out.String(), tc.want) {
+				t.Errorf("exit code %d, want %d; output %s%s", code, tc.code, out.String(), log.String())
+			}
+			if tc.code != exitOK {
+				return
+			}
+			ans, err := rganswers.ReadAnswers(path)
+			if err != nil || ans.Kinds[0].LargestJob != 20 || !ans.Kinds[0].SurvivesFlood {
+				t.Errorf("got %+v, %v", ans, err)
+			}
+		})
+	}
+}
+
+func check(t *testing.T, args []string, code int, want []string) {
+	t.Helper()
+	var out, log bytes.Buffer
+	got := Main(args, &out, &log)
+	all := out.String() + log.String()
+	if got != code {
+		t.Errorf("%v: exit code %d, want %d: %s", args, got, code, all)
+	}
+	for _, txt := range want {
+		if !strings.Contains(all, txt) {
+			t.Errorf("%v: no %q in: %s", args, txt, all)
+		}
+	}
+}
+
+func write(t *testing.T, txt string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file.json")
+	if err := os.WriteFile(path, []byte(txt), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
--- a/io/rgentry/caller.go
+++ b/io/rgentry/caller.go
@@ -56,6 +56,13 @@
 	return pro.localState(ctx, id)
 }
 
+// SidecarConfigs returns what the newest report of each sidecar says of its configuration. It is asked for and not in
+// the view, because a change would otherwise publish a view for each sidecar's report.
+func (pro *Process) SidecarConfigs(ctx context.Context) (map[rgmodel.SidecarKey]rgmodel.ConfigVersion, error) {
+	rep := make(chan map[rgmodel.SidecarKey]rgmodel.ConfigVersion, 1)
+	return ask(ctx, pro, configsAsked{reply: rep}, rep)
+}
+
 // CancelJob cancels a running job at its home and returns whether there was one.
 func (pro *Process) CancelJob(ctx context.Context, id rgmodel.SubmissionID) (bool, error) {
 	if ent, ok := pro.elsewhere(id); ok {
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -30,6 +30,7 @@
 		submissions rgsubmission.State
 		admission   rgadmission.State
 		teams       map[string]rgmodel.TeamConfig
+		config      rgmodel.ConfigVersion
 		policy      rgplacement.Policy
 		random      *rand.Rand
 		peers       map[rgmodel.SidecarKey]*rgwire.Peer
@@ -123,6 +124,8 @@
 		pro.learn(work, sta, evt, now)
 	case membersAsked:
 		evt.reply <- members(sta)
+	case configsAsked:
+		evt.reply <- rgfleet.Configs(&sta.fleet)
 	case stateAsked:
 		evt.reply <- jobState(sta, evt.id)
 	case cancelAsked:
@@ -175,6 +178,7 @@
 	pro.view.Store(&View{
 		Ring:     sta.ring.Ring,
 		Teams:    teams,
+		Config:   sta.config,
 		Sidecars: rgfleet.Sidecars(&sta.fleet),
 		Ready:    len(rgfleet.Usable(&sta.fleet, time.Now())),
 		Draining: sta.draining,
--- a/io/rgentry/event.go
+++ b/io/rgentry/event.go
@@ -82,6 +82,11 @@
 
 	membersAsked struct{ reply chan<- rgwire.MembersReply }
 
+	// configsAsked asks for the configurations in force at the sidecars.
+	configsAsked struct {
+		reply chan<- map[rgmodel.SidecarKey]rgmodel.ConfigVersion
+	}
+
 	stateAsked struct {
 		id    rgmodel.SubmissionID
 		reply chan<- rgwire.JobStateReply
@@ -112,6 +117,7 @@
 func (teamsRead) isEvent()      {}
 func (membersLearned) isEvent() {}
 func (membersAsked) isEvent()   {}
+func (configsAsked) isEvent()   {}
 func (stateAsked) isEvent()     {}
 func (jobFailed) isEvent()      {}
 func (cancelAsked) isEvent()    {}
--- a/io/rgentry/process.go
+++ b/io/rgentry/process.go
@@ -47,8 +47,10 @@
 
 	// View is what traffic goroutines may read; it is never changed after it was published.
 	View struct {
-		Ring     rgmodel.Ring
-		Teams    map[string]rgmodel.TeamConfig
+		Ring  rgmodel.Ring
+		Teams map[string]rgmodel.TeamConfig
+		// Config sums up Teams.
+		Config   rgmodel.ConfigVersion
 		Sidecars []rgmodel.Sidecar
 		// Ready is the number of sidecars that may get work.
 		Ready    int
--- a/io/rgentry/ring.go
+++ b/io/rgentry/ring.go
@@ -69,6 +69,7 @@
 	if len(newer) == 0 {
 		return
 	}
+	sta.config = rgconfig.VersionOf(sta.teams)
 	pro.publish(sta)
 	pro.push(work, sta, rgconfig.Compact(newer))
 }
--- a/io/rgentry/serve.go
+++ b/io/rgentry/serve.go
@@ -5,6 +5,7 @@
 
 	"github.com/juju/errors"
 
+	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgwire"
 )
@@ -24,6 +25,9 @@
 	case rgwire.Members:
 		rep := make(chan rgwire.MembersReply, 1)
 		return ask(ctx, pro, membersAsked{reply: rep}, rep)
+	case rgwire.ConfigsSince:
+		vie := pro.View()
+		return rgwire.ConfigsReply{Ring: vie.Ring, Teams: rgconfig.Newer(vie.Teams, msg.Revisions)}, nil
 	case rgwire.Forward:
 		return rgwire.ForwardReply{Answer: pro.submitJob(ctx, msg.Job, false, msg.Hops).Answer}, nil
 	case rgwire.JobState:
--- a/io/rgentry/store.go
+++ b/io/rgentry/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgstore"
 	"ragwortgap/io/rgwire"
@@ -29,6 +31,9 @@
 	watchWait = 10 * time.Second
 	// storeRetry is the pause after a failed call to the store.
 	storeRetry = 250 * time.Millisecond
+	// peerInterval is how often an entry that the store does not answer asks another entry for newer configurations.
+	// The question has some 20 bytes for each team: 2.7 KB/s for 270 teams.
+	peerInterval = 2 * time.Second
 )
 
 // follower is the traffic goroutine that watches the store.
@@ -59,6 +64,7 @@
 // read takes the whole state from the store, or from another entry while the store is down.
 func (fol *follower) read(ctx context.Context) {
 	asked := false
+	var synced time.Time
 	for ctx.Err() == nil {
 		lis, err := fol.process.store.List(ctx, KeyPrefix)
 		if err == nil {
@@ -71,6 +77,10 @@
 		if !asked && fol.process.View().Ring.Generation == 0 {
 			asked = fol.learnFrom(ctx, fol.process.settings.Peers)
 		}
+		if now := time.Now(); now.Sub(synced) >= peerInterval {
+			synced = now
+			fol.syncPeer(ctx)
+		}
 		pause(ctx, storeRetry)
 	}
 }
@@ -129,6 +139,32 @@
 	return false
 }
 
+// syncPeer asks one other entry, chosen at random, for what this one has missed while only it is cut off from the store.
+func (fol *follower) syncPeer(ctx context.Context) {
+	pro := fol.process
+	vie := pro.View()
+	var adrs []string
+	for _, ent := range vie.Ring.Entries {
+		if ent.Address != pro.self.Address {
+			adrs = append(adrs, ent.Address)
+		}
+	}
+	// A new entry gets its first ring from learnFrom, together with the sidecars that it has to seal.
+	if len(adrs) == 0 {
+		return
+	}
+	call, stop := context.WithTimeout(ctx, peerInterval)
+	defer stop()
+	var rep rgwire.ConfigsReply
+	ent := rgmodel.Entry{Address: adrs[rand.IntN(len(adrs))]}
+	if pro.entries.ask(call, pro, ent, rgwire.ConfigsSince{Revisions: rgconfig.Revisions(vie.Teams)}, &rep) != nil {
+		pro.scope.Counter("peerSyncErrors").Inc(1)
+		return
+	}
+	pro.tell(ctx, teamsRead{teams: rep.Teams})
+	pro.tell(ctx, ringRead{ring: rep.Ring})
+}
+
 // adopt passes the ring and the configurations on to the control goroutine, which ignores what is not newer.
 func (fol *follower) adopt(ctx context.Context) {
 	var teams []rgmodel.TeamConfig
--- a/io/rgqueryapi/routes.go
+++ b/io/rgqueryapi/routes.go
@@ -6,6 +6,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgapi"
 	"ragwortgap/io/rgentry"
@@ -20,12 +21,22 @@
 
 	// Status is what an entry knows of the system.
 	Status struct {
-		Entry    rgmodel.Entry     `json:"entry"`
-		Ring     rgmodel.Ring      `json:"ring"`
-		Sidecars []rgmodel.Sidecar `json:"sidecars"`
+		Entry    rgmodel.Entry         `json:"entry"`
+		Ring     rgmodel.Ring          `json:"ring"`
+		Config   rgmodel.ConfigVersion `json:"config"`
+		Sidecars []SidecarStatus       `json:"sidecars"`
+		// Teams holds the revision in force of each team.
 		Teams    map[string]uint64 `json:"teams"`
 		Draining bool              `json:"draining"`
 	}
+
+	// SidecarStatus is a sidecar and what its newest report says of its configuration.
+	SidecarStatus struct {
+		rgmodel.Sidecar
+		Config rgmodel.ConfigVersion `json:"config"`
+		// Current says that the sidecar has the same revision of each team in force as the entry.
+		Current bool `json:"current"`
+	}
 )
 
 // Register adds the routes to a router.
@@ -54,11 +65,19 @@
 }
 
 // status answers 503 while the entry is not in the ring or drains, so that the balancer can send callers elsewhere.
-func (rts Routes) status(rsp http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+func (rts Routes) status(rsp http.ResponseWriter, req *http.Request, _ httprouter.Params) {
+	scv, err := rts.Entry.SidecarConfigs(req.Context())
+	if err != nil {
+		rgapi.Write(rsp, http.StatusServiceUnavailable, rgapi.Problem{Reason: err.Error()})
+		return
+	}
 	vie := rts.Entry.View()
-	sta := Status{Entry: rts.Entry.Self(), Ring: vie.Ring, Sidecars: vie.Sidecars, Teams: map[string]uint64{}, Draining: vie.Draining}
-	for name, tc := range vie.Teams {
-		sta.Teams[name] = tc.Revision
+	sta := Status{
+		Entry: rts.Entry.Self(), Ring: vie.Ring, Config: vie.Config, Teams: rgconfig.Revisions(vie.Teams), Draining: vie.Draining,
+	}
+	for _, sc := range vie.Sidecars {
+		ver := scv[sc.Key()]
+		sta.Sidecars = append(sta.Sidecars, SidecarStatus{Sidecar: sc, Config: ver, Current: ver == vie.Config})
 	}
 	code := http.StatusOK
 	if vie.Draining || vie.Ring.Generation == 0 {
--- a/io/rgstandin/store.go
+++ b/io/rgstandin/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -24,6 +25,15 @@
 		changed chan struct{}
 		calls   map[string]int
 		faults  StoreFaults
+		// old is the state that is shown while Stale is set.
+		old *storeState
+	}
+
+	// storeState is what reads show.
+	storeState struct {
+		items   map[string]storeItem
+		deleted map[string]uint64
+		version uint64
 	}
 
 	// StoreFaults are the faults that a Store shows.
@@ -34,6 +44,8 @@
 		LoseAnswers bool
 		// Delay is added to each call.
 		Delay time.Duration
+		// Stale answers reads with the state at the time when it was set; writes go to the true state.
+		Stale bool
 	}
 
 	storeItem struct {
@@ -54,9 +66,23 @@
 func (sto *Store) SetFaults(flt StoreFaults) {
 	sto.mutex.Lock()
 	defer sto.mutex.Unlock()
+	switch {
+	case !flt.Stale:
+		sto.old = nil
+	case sto.old == nil:
+		sto.old = &storeState{items: maps.Clone(sto.items), deleted: maps.Clone(sto.deleted), version: sto.version}
+	}
 	sto.faults = flt
 }
 
+// shown returns the state that reads show. The caller holds the mutex.
+func (sto *Store) shown() storeState {
+	if sto.old != nil {
+		return *sto.old
+	}
+	return storeState{items: sto.items, deleted: sto.deleted, version: sto.version}
+}
+
 // Calls returns the number of calls by method and route.
 func (sto *Store) Calls() map[string]int {
 	sto.mutex.Lock()
@@ -132,7 +158,7 @@
 	sto.mutex.Lock()
 	defer sto.mutex.Unlock()
 	sto.sweep(time.Now())
-	itm, ok := sto.items[key]
+	itm, ok := sto.shown().items[key]
 	if !ok {
 		return http.StatusNotFound, nil
 	}
@@ -166,13 +192,14 @@
 	sto.mutex.Lock()
 	defer sto.mutex.Unlock()
 	sto.sweep(time.Now())
-	lis := rgstore.Listing{Version: sto.version}
-	for key, itm := range sto.items {
+	shn := sto.shown()
+	lis := rgstore.Listing{Version: shn.version}
+	for key, itm := range shn.items {
 		if strings.HasPrefix(key, prefix) && itm.Version > after {
 			lis.Items = append(lis.Items, itm.Item)
 		}
 	}
-	for key, ver := range sto.deleted {
+	for key, ver := range shn.deleted {
 		if after > 0 && strings.HasPrefix(key, prefix) && ver > after {
 			lis.Items = append(lis.Items, rgstore.Item{Key: key, Version: ver, Deleted: true})
 		}
--- /dev/null
+++ b/io/rgstore/command_apply.go
@@ -0,0 +1,151 @@
+package rgstore
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+
+	"ragwortgap/core/rgconfig"
+	"ragwortgap/core/rgmodel"
+)
+
+// applyPause is the pause after a call that the store did not answer.
+const applyPause = 100 * time.Millisecond
+
+type (
+	// Change is a configuration that is to be written.
+	Change struct {
+		Key    string
+		Config rgmodel.TeamConfig
+		// ID recognises the change in the store after an answer was lost; each change needs its own.
+		ID string
+		// Base is the revision that the operator has seen, or zero to replace whatever is there.
+		Base uint64
+	}
+
+	// ApplyResult says what became of a change.
+	ApplyResult interface{ isApplyResult() }
+
+	// Applied means that the store holds the configuration; Attempts counts the writes.
+	Applied struct {
+		Config   rgmodel.TeamConfig
+		Attempts int
+	}
+
+	// Unchanged means that the store held the same settings already, so that nothing was written.
+	Unchanged struct{ Config rgmodel.TeamConfig }
+
+	// Raced means that another change came first and this one is not in force. Overwritten is set if this change
+	// may have been in force for a time before.
+	Raced struct {
+		Mine        rgmodel.TeamConfig
+		Theirs      rgmodel.TeamConfig
+		Overwritten bool
+	}
+)
+
+func (Applied) isApplyResult()   {}
+func (Unchanged) isApplyResult() {}
+func (Raced) isApplyResult()     {}
+
+// Apply writes a configuration by compare-and-swap and goes on until the outcome is known or ctx ends. It fails when
+// the outcome is not known; the same change with the same ID may then be applied again.
+func (cli Client) Apply(ctx context.Context, chg Change) (ApplyResult, error) {
+	itm, cur, err := cli.readTeam(ctx, chg.Key, 0)
+	if err != nil {
+		return nil, err
+	}
+	mine := chg.Config
+	rgconfig.Stamp(&mine, cur, chg.ID)
+	switch {
+	case cur.ChangeID == chg.ID && chg.ID != "":
+		return Applied{Config: cur}, nil
+	case chg.Base > 0 && chg.Base != cur.Revision:
+		mine.Revision = chg.Base + 1
+		return Raced{Mine: mine, Theirs: cur}, nil
+	case cur.Revision > 0 && len(rgconfig.Differences(cur, mine)) == 0:
+		return Unchanged{Config: cur}, nil
+	}
+	raw, err := json.Marshal(mine)
+	if err != nil {
+		return nil, errors.Annotate(err, "encode configuration")
+	}
+	return cli.write(ctx, chg.Key, mine, Write{Value: raw, Expected: itm.Version})
+}
+
+// write repeats the same compare-and-swap until it is known whether it took effect. Writing again is safe: the
+// expected version is gone once it did.
+func (cli Client) write(ctx context.Context, key string, mine rgmodel.TeamConfig, wri Write) (ApplyResult, error) {
+	for tries := 1; ; tries++ {
+		switch res := cli.Put(ctx, key, wri).(type) {
+		case Written:
+			return Applied{Config: mine, Attempts: tries}, nil
+		case Conflicted:
+			cur, err := decodeTeam(res.Current)
+			if err != nil {
+				return nil, err
+			}
+			return compare(mine, cur, tries), nil
+		case Unknown:
+			// An older state than the one that was read before says nothing about the write.
+			itm, cur, err := cli.readTeam(ctx, key, wri.Expected)
+			if err != nil {
+				return nil, errors.Annotatef(err, "change %s may have taken effect", mine.ChangeID)
+			}
+			if itm.Version != wri.Expected {
+				return compare(mine, cur, tries), nil
+			}
+		}
+		if !pause(ctx, applyPause) {
+			return nil, errors.Annotatef(ctx.Err(), "change %s may have taken effect", mine.ChangeID)
+		}
+	}
+}
+
+func compare(mine, cur rgmodel.TeamConfig, tries int) ApplyResult {
+	if cur.ChangeID == mine.ChangeID {
+		return Applied{Config: cur, Attempts: tries}
+	}
+	// A lost answer hides whether the write came before the other one; the revision tells.
+	return Raced{Mine: mine, Theirs: cur, Overwritten: tries > 0 && cur.Revision > mine.Revision}
+}
+
+// readTeam reads until the store answers with a state that is at least as new as the version, or ctx ends.
+func (cli Client) readTeam(ctx context.Context, key string, least uint64) (Item, rgmodel.TeamConfig, error) {
+	for {
+		itm, err := cli.Get(ctx, key)
+		if errors.Is(err, errors.NotFound) {
+			itm, err = Item{Key: key}, nil
+		}
+		if err == nil && itm.Version >= least {
+			cur, err := decodeTeam(itm)
+			return itm, cur, err
+		}
+		if !pause(ctx, applyPause) {
+			return Item{}, rgmodel.TeamConfig{}, errors.Annotatef(ctx.Err(), "read %s", key)
+		}
+	}
+}
+
+func decodeTeam(itm Item) (rgmodel.TeamConfig, error) {
+	var tc rgmodel.TeamConfig
+	if len(itm.Value) == 0 {
+		return tc, nil
+	}
+	err := json.Unmarshal(itm.Value, &tc)
+	return tc, errors.Annotatef(err, "configuration at %s", itm.Key)
+}
+
+// pause returns false when ctx ends first.
+func pause(ctx context.Context, dur time.Duration) bool {
+	tmr := time.NewTimer(dur)
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/io/rgstore/store_test.go
@@ -0,0 +1,292 @@
+package rgstore_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgstandin"
+	"ragwortgap/io/rgstore"
+)
+
+const (
+	teamKey = "ragwortgap/config/kitapDostu"
+	// bound is far above what any call takes; it only ends a test that hangs.
+	bound = 20 * time.Second
+)
+
+// fixture is a client of a stand-in over loopback. After, if set, sees each request once the store has taken it.
+type fixture struct {
+	*testing.T
+	ctx   context.Context
+	store *rgstandin.Store
+	cli   rgstore.Client
+	after atomic.Pointer[func(req *http.Request)]
+}
+
+func open(t *testing.T) *fixture {
+	t.Helper()
+	fix := &fixture{T: t, store: &rgstandin.Store{}}
+	srv := httptest.NewServer(http.HandlerFunc(func(rsp http.ResponseWriter, req *http.Request) {
+		// The deferred call runs although the store drops the connection by a panic.
+		defer func() {
+			if fnc := fix.after.Load(); fnc != nil {
+				(*fnc)(req)
+			}
+		}()
+		fix.store.ServeHTTP(rsp, req)
+	}))
+	ctx, stop := context.WithTimeout(context.Background(), bound)
+	t.Cleanup(func() { stop(); srv.Close() })
+	fix.ctx, fix.cli = ctx, rgstore.Client{Base: srv.URL}
+	return fix
+}
+
+func change(id string, burst float64) rgstore.Change {
+	return rgstore.Change{Key: teamKey, ID: id, Config: rgmodel.TeamConfig{
+		Team: "kitapDostu", Weight: 1, Quota: rgmodel.Quota{Sustained: 10, Burst: burst},
+	}}
+}
+
+func (fix *fixture) apply(chg rgstore.Change) rgstore.ApplyResult {
+	fix.Helper()
+	res, err := fix.cli.Apply(fix.ctx, chg)
+	if err != nil {
+		fix.Fatal(err)
+	}
+	return res
+}
+
+func (fix *fixture) wantApplied(res rgstore.ApplyResult, revision uint64) {
+	fix.Helper()
+	app, ok := res.(rgstore.Applied)
+	if !ok || app.Config.Revision != revision {
+		fix.Errorf("got %+v, want revision %d applied", res, revision)
+	}
+}
+
+// wantStored reads the true state, whatever faults the store shows.
+func (fix *fixture) wantStored(id string, revision uint64) {
+	fix.Helper()
+	fix.store.SetFaults(rgstandin.StoreFaults{})
+	itm, err := fix.cli.Get(fix.ctx, teamKey)
+	if err != nil {
+		fix.Fatal(err)
+	}
+	var tc rgmodel.TeamConfig
+	if err := json.Unmarshal(itm.Value, &tc); err != nil {
+		fix.Fatal(err)
+	}
+	if tc.ChangeID != id || tc.Revision != revision {
+		fix.Errorf("the store holds change %s, revision %d, want %s, %d", tc.ChangeID, tc.Revision, id, revision)
+	}
+}
+
+// TestApply guards against changes that are lost, applied twice or reported wrongly.
+func TestApply(t *testing.T) {
+	tests := map[string]func(fix *fixture){
+		"first change": func(fix *fixture) {
+			fix.wantApplied(fix.apply(change("a", 1)), 1)
+			fix.wantStored("a", 1)
+		},
+		"same change again": func(fix *fixture) {
+			fix.apply(change("a", 1))
+			fix.wantApplied(fix.apply(change("a", 1)), 1)
+			fix.wantStored("a", 1)
+		},
+		"same settings": func(fix *fixture) {
+			fix.apply(change("a", 1))
+			if res, ok := fix.apply(change("b", 1)).(rgstore.Unchanged); !ok || res.Config.Revision != 1 {
+				fix.Errorf("got %+v, want unchanged", res)
+			}
+		},
+		"operators racing":            racing,
+		"base is outdated":            outdatedBase,
+		"answer lost":                 answerLost,
+		"answer lost and overwritten": overwritten,
+		"store down and back":         downAndBack,
+		"store shows an older state": func(fix *fixture) {
+			fix.apply(change("a", 1))
+			fix.store.SetFaults(rgstandin.StoreFaults{Stale: true})
+			fix.apply(change("b", 2))
+			res, ok := fix.apply(change("c", 3)).(rgstore.Raced)
+			if !ok || res.Theirs.ChangeID != "b" || res.Overwritten {
+				fix.Errorf("got %+v, want a race lost to b", res)
+			}
+			fix.wantStored("b", 2)
+		},
+	}
+	for name, run := range tests {
+		t.Run(name, func(t *testing.T) { run(open(t)) })
+	}
+}
+
+func racing(fix *fixture) {
+	fix.apply(change("base", 1))
+	grp := pool.NewWithResults[rgstore.ApplyResult]().WithContext(fix.ctx)
+	for num := range 8 {
+		grp.Go(func(ctx context.Context) (rgstore.ApplyResult, error) {
+			chg := change(fmt.Sprint("racer", num), float64(num+2))
+			chg.Base = 1
+			return fix.cli.Apply(ctx, chg)
+		})
+	}
+	rss, err := grp.Wait()
+	if err != nil {
+		fix.Fatal(err)
+	}
+	winner, losers := "", 0
+	for _, res := range rss {
+		if app, ok := res.(rgstore.Applied); ok {
+			winner += app.Config.ChangeID
+		}
+	}
+	for _, res := range rss {
+		if rac, ok := res.(rgstore.Raced); ok && rac.Theirs.ChangeID == winner && rac.Mine.ChangeID != winner {
+			losers++
+		}
+	}
+	if losers != 7 {
+		fix.Errorf("winner %q, %d losers that name it, want 7", winner, losers)
+	}
+	fix.wantStored(winner, 2)
+}
+
+func outdatedBase(fix *fixture) {
+	fix.apply(change("a", 1))
+	fix.apply(change("b", 2))
+	chg := change("c", 3)
+	chg.Base = 1
+	res, ok := fix.apply(chg).(rgstore.Raced)
+	if !ok || res.Theirs.ChangeID != "b" || res.Mine.Quota.Burst != 3 {
+		fix.Errorf("got %+v, want both versions", res)
+	}
+	fix.wantStored("b", 2)
+}
+
+func answerLost(fix *fixture) {
+	fix.store.SetFaults(rgstandin.StoreFaults{LoseAnswers: true})
+	res := fix.apply(change("a", 1))
+	fix.wantApplied(res, 1)
+	if app, ok := res.(rgstore.Applied); !ok || app.Attempts != 1 {
+		fix.Errorf("got %+v, want the change recognised after one write", res)
+	}
+	fix.wantStored("a", 1)
+}
+
+// overwritten loses the answer and lets another operator write before the read-back.
+func overwritten(fix *fixture) {
+	fix.store.SetFaults(rgstandin.StoreFaults{LoseAnswers: true})
+	other := func(req *http.Request) {
+		if req.Method == http.MethodPut && fix.after.Swap(nil) != nil {
+			fix.store.SetFaults(rgstandin.StoreFaults{})
+			fix.apply(change("b", 2))
+		}
+	}
+	fix.after.Store(&other)
+	res, ok := fix.apply(change("a", 1)).(rgstore.Raced)
+	if !ok || !res.Overwritten || res.Theirs.ChangeID != "b" {
+		fix.Errorf("got %+v, want a overwritten by b", res)
+	}
+	fix.wantStored("b", 2)
+}
+
+func downAndBack(fix *fixture) {
+	fix.store.SetFaults(rgstandin.StoreFaults{Down: true})
+	calls := 0
+	back := func(*http.Request) {
+		if calls++; calls == 2 {
+			fix.store.SetFaults(rgstandin.StoreFaults{})
+		}
+	}
+	fix.after.Store(&back)
+	fix.wantApplied(fix.apply(change("a", 1)), 1)
+	fix.wantStored("a", 1)
+}
+
+// TestStore guards against a stand-in and a client that disagree on versions, leases and watches.
+func TestStore(t *testing.T) {
+	tests := map[string]func(fix *fixture){
+		"watch returns a change": func(fix *fixture) {
+			fix.apply(change("a", 1))
+			lis, err := fix.cli.Watch(fix.ctx, "ragwortgap/", 0, bound)
+			if err != nil || len(lis.Items) != 1 || lis.Items[0].Version != lis.Version {
+				fix.Errorf("got %+v, %v", lis, err)
+			}
+		},
+		"watch ends without a change": func(fix *fixture) {
+			fix.apply(change("a", 1))
+			lis, err := fix.cli.Watch(fix.ctx, "ragwortgap/", 1, time.Millisecond)
+			if err != nil || len(lis.Items) != 0 || lis.Version != 1 {
+				fix.Errorf("got %+v, %v", lis, err)
+			}
+		},
+		"watch ignores other prefixes": func(fix *fixture) {
+			fix.apply(change("a", 1))
+			lis, err := fix.cli.Watch(fix.ctx, "other/", 0, time.Millisecond)
+			if err != nil || len(lis.Items) != 0 {
+				fix.Errorf("got %+v, %v", lis, err)
+			}
+		},
+		"watch fails while the store is down": func(fix *fixture) {
+			fix.store.SetFaults(rgstandin.StoreFaults{Down: true})
+			if _, err := fix.cli.Watch(fix.ctx, "ragwortgap/", 0, bound); err == nil {
+				fix.Error("no error")
+			}
+		},
+		"write with a wrong version": func(fix *fixture) {
+			fix.apply(change("a", 1))
+			res := fix.cli.Put(fix.ctx, teamKey, rgstore.Write{Value: json.RawMessage("1"), Expected: 7})
+			if con, ok := res.(rgstore.Conflicted); !ok || con.Current.Version != 1 {
+				fix.Errorf("got %+v, want a conflict with version 1", res)
+			}
+		},
+		"lease expires": leaseExpires,
+		"lease revoked": func(fix *fixture) {
+			lea := fix.leased(bound)
+			if err := fix.cli.Revoke(fix.ctx, lea.ID); err != nil {
+				fix.Fatal(err)
+			}
+			if _, err := fix.cli.Get(fix.ctx, teamKey); !errors.Is(err, errors.NotFound) {
+				fix.Errorf("got %v, want not found", err)
+			}
+		},
+	}
+	for name, run := range tests {
+		t.Run(name, func(t *testing.T) { run(open(t)) })
+	}
+}
+
+// leaseExpires waits for the expiry by a watch, as an entry does.
+func leaseExpires(fix *fixture) {
+	lea := fix.leased(time.Second)
+	lis, err := fix.cli.Watch(fix.ctx, "ragwortgap/", 1, bound)
+	if err != nil || len(lis.Items) != 1 || !lis.Items[0].Deleted {
+		fix.Errorf("got %+v, %v, want one deleted key", lis, err)
+	}
+	if err := fix.cli.Renew(fix.ctx, lea.ID); !errors.Is(err, errors.NotFound) {
+		fix.Errorf("got %v, want not found", err)
+	}
+}
+
+func (fix *fixture) leased(ttl time.Duration) rgstore.Lease {
+	fix.Helper()
+	lea, err := fix.cli.Grant(fix.ctx, ttl)
+	if err != nil {
+		fix.Fatal(err)
+	}
+	wri := rgstore.Write{Value: json.RawMessage(`{}`), Lease: lea.ID}
+	if res, ok := fix.cli.Put(fix.ctx, teamKey, wri).(rgstore.Written); !ok {
+		fix.Fatalf("got %+v, want written", res)
+	}
+	return lea
+}
--- a/io/rgwire/message.go
+++ b/io/rgwire/message.go
@@ -108,6 +108,18 @@
 		Found bool `json:"found"`
 	}
 
+	// ConfigsSince asks an entry for configurations of higher revisions than those given, while the store does not
+	// answer the asker.
+	ConfigsSince struct {
+		Revisions map[string]uint64 `json:"revisions"`
+	}
+
+	// ConfigsReply is the answer to ConfigsSince.
+	ConfigsReply struct {
+		Ring  rgmodel.Ring         `json:"ring"`
+		Teams []rgmodel.TeamConfig `json:"teams,omitempty"`
+	}
+
 	// Members asks an entry for what it knows of the system.
 	Members struct{}
 
@@ -120,18 +132,19 @@
 	}
 )
 
-func (Announce) isMessage()   {}
-func (Report) isMessage()     {}
-func (StartBatch) isMessage() {}
-func (Collect) isMessage()    {}
-func (Seal) isMessage()       {}
-func (Cancel) isMessage()     {}
-func (Configure) isMessage()  {}
-func (Leave) isMessage()      {}
-func (Forward) isMessage()    {}
-func (JobState) isMessage()   {}
-func (CancelJob) isMessage()  {}
-func (Members) isMessage()    {}
+func (Announce) isMessage()     {}
+func (Report) isMessage()       {}
+func (StartBatch) isMessage()   {}
+func (Collect) isMessage()      {}
+func (Seal) isMessage()         {}
+func (Cancel) isMessage()       {}
+func (Configure) isMessage()    {}
+func (Leave) isMessage()        {}
+func (Forward) isMessage()      {}
+func (JobState) isMessage()     {}
+func (CancelJob) isMessage()    {}
+func (ConfigsSince) isMessage() {}
+func (Members) isMessage()      {}
 
 func method(msg Message) string {
 	switch msg.(type) {
@@ -157,6 +170,8 @@
 		return "jobState"
 	case CancelJob:
 		return "cancelJob"
+	case ConfigsSince:
+		return "configsSince"
 	case Members:
 		return "members"
 	default:
@@ -188,6 +203,8 @@
 		return decodeAs[JobState](raw)
 	case "cancelJob":
 		return decodeAs[CancelJob](raw)
+	case "configsSince":
+		return decodeAs[ConfigsSince](raw)
 	case "members":
 		return Members{}, nil
 	default:
