--- a/io/rgstandin/store.go
+++ b/io/rgstandin/store.go
@@ -26,7 +26,8 @@
 		calls   map[string]int
 		faults  StoreFaults
 		// old is the state that is shown while Stale is set.
-		old *storeState
+		old        *storeState
+		remembered *storeState
 	}
 
 	// storeState is what reads show.
@@ -44,7 +45,8 @@
 		LoseAnswers bool
 		// Delay is added to each call.
 		Delay time.Duration
-		// Stale answers reads with the state at the time when it was set; writes go to the true state.
+		// Stale answers reads with the state of the last call of Remember, or else with the state at the time when it
+		// was set; writes go to the true state.
 		Stale bool
 	}
 
@@ -69,12 +71,25 @@
 	switch {
 	case !flt.Stale:
 		sto.old = nil
+	case sto.remembered != nil:
+		sto.old = sto.remembered
 	case sto.old == nil:
-		sto.old = &storeState{items: maps.Clone(sto.items), deleted: maps.Clone(sto.deleted), version: sto.version}
+		sto.old = sto.copyState()
 	}
 	sto.faults = flt
 }
 
+// Remember keeps the present state to be shown later by the fault Stale.
+func (sto *Store) Remember() {
+	sto.mutex.Lock()
+	defer sto.mutex.Unlock()
+	sto.remembered = sto.copyState()
+}
+
+func (sto *Store) copyState() *storeState {
+	return &storeState{items: maps.Clone(sto.items), deleted: maps.Clone(sto.deleted), version: sto.version}
+}
+
 // shown returns the state that reads show. The caller holds the mutex.
 func (sto *Store) shown() storeState {
 	if sto.old != nil {
