Enforce quotas by a copy of each team's bucket at every entry

Cause: a quota was cut into equal parts, of which the smallest was 360 tasks, so that ten entries admitted up to ten times a small burst; with a skewed balancer an entry refused work while the others' parts lay idle. Change: entries tell each other the tasks admitted, once a second and within 4 KB/s, and charge them to their copy of the bucket; within a second an entry spends the part that its demand has. A job above the team's burst is refused with its own reason and status 422.

--- a/core/rgadmission/admission.go
+++ b/core/rgadmission/admission.go
@@ -12,18 +12,83 @@
 	RetryRatio = 0.1
 	// RetryReserve is the number of retries that are allowed without any first batch.
 	RetryReserve = 10
+	// DemandFloor is the fraction of an equal part that an entry may spend without any demand.
+	DemandFloor = 0.2
+	// DemandTime is the time constant of the moving average of the demand.
+	DemandTime = 2 * time.Second
+	// UsageInterval is how often an entry tells the others its usage.
+	UsageInterval = time.Second
+	// UsageTTL is how long the usage of another entry is relied on.
+	UsageTTL = 5 * time.Second
+	// UsageBytes bounds what an entry sends per second to all others, half of the 8 KB/s that a node may spend on control.
+	UsageBytes = 4096
+	// usageSize is the size of one TeamUsage in a message.
+	usageSize = 60
 )
 
+func (EqualShare) isSharePolicy()  {}
+func (PooledShare) isSharePolicy() {}
+
 type (
-	// Bucket is a token bucket; the zero value is full at its first use.
+	// Bucket is what an entry knows of a team's token bucket.
 	Bucket struct {
+		// Tokens is the content of the whole team's bucket as far as this entry knows. It is negative after entries have
+		// spent the same tokens, until the sustained rate has paid for that.
 		Tokens float64
 		Filled time.Time
+		// Used counts the tasks that this entry has admitted, and Told how many of them the others know of.
+		Used uint64
+		Told uint64
+		// Began is the start of the current interval, Pool the tokens at that time, and Spent what this entry has
+		// admitted since.
+		Began time.Time
+		Pool  float64
+		Spent float64
+		// Demand is the moving average of the tasks per second that were asked for at this entry, as of Filled.
+		Demand float64
+	}
+
+	// TeamUsage is what an entry tells the others of a team.
+	TeamUsage struct {
+		Team string `json:"team"`
+		// Used counts the tasks admitted since the entry's start, so that a lost message does no harm.
+		Used uint64 `json:"used"`
+		// Demand is in tasks per second, admitted or not.
+		Demand float64 `json:"demand"`
+	}
+
+	// PeerUsage is what another entry has told.
+	PeerUsage struct {
+		At    time.Time
+		Teams map[string]TeamUsage
+	}
+
+	// SharePolicy says how the entries share a team's quota.
+	SharePolicy interface{ isSharePolicy() }
+
+	// EqualShare gives each entry of the ring a bucket of its own with the same part of the quota.
+	EqualShare struct{}
+
+	// PooledShare lets each entry keep a copy of the whole team's bucket, from which it takes the use of the others as
+	// they tell it. Within one UsageInterval an entry may spend only the part of the bucket that its demand has in the
+	// demand of all, so that entries that do not know of each other's latest use spend little twice.
+	// The equal part of an entry that has told nothing for UsageTTL stays reserved for it.
+	PooledShare struct{}
+
+	// Quota is the question whether a job fits into the quota of its team.
+	Quota struct {
+		Team  rgmodel.TeamConfig
+		Tasks int
+		Ring  rgmodel.Ring
+		Self  rgmodel.Entry
 	}
 
-	// State is what an entry remembers for admission; the zero value is empty.
+	// State is what an entry remembers for admission; the zero value is empty and uses PooledShare.
 	State struct {
+		Shares  SharePolicy
 		Buckets map[string]*Bucket
+		// Peers holds the usage at other entries by their incarnation.
+		Peers   map[string]PeerUsage
 		Retries float64
 		Primed  bool
 	}
--- a/core/rgadmission/command_quota.go
+++ b/core/rgadmission/command_quota.go
@@ -1,34 +1,143 @@
 package rgadmission
 
 import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
 	"time"
 
 	"ragwortgap/core/rgmodel"
 )
 
-// TakeQuota spends tasks of the team's quota, of which each entry holds an equal part, or refuses all of them.
-func TakeQuota(sta *State, tc rgmodel.TeamConfig, tasks, entries int, now time.Time) Refusal {
-	if tc.Quota.Sustained <= 0 {
+// TakeQuota spends tasks of the team's quota, or refuses all of them.
+//
+// A job that is larger than what the entry may spend in an interval is admitted if it is the first of the interval and
+// the bucket has as many tokens as the job has tasks, or as it can hold. Without that, a team could never start a job
+// of 360 tasks with a burst of 720 over three entries.
+func TakeQuota(sta *State, quo Quota, now time.Time) Refusal {
+	lim := limit(quo.Team)
+	if lim.Sustained <= 0 {
 		return Refusal{}
 	}
+	tasks := float64(quo.Tasks)
+	if tasks > lim.Burst {
+		return Refusal{
+			Reason: rgmodel.ReasonAboveBurst,
+			Detail: fmt.Sprintf("the job has %d tasks and the team's burst is %g; no later time will do", quo.Tasks, lim.Burst),
+		}
+	}
+	buc := fill(sta, quo, lim, now)
+	part := Part(sta, quo, now)
+	buc.Demand += tasks / DemandTime.Seconds()
+	bnd := bound(sta, quo, lim, now)
+	refill := bnd.Sustained * now.Sub(buc.Began).Seconds()
+	wait := time.Duration(0)
+	switch need := min(tasks, bnd.Burst); {
+	case buc.Tokens < need:
+		wait = time.Duration((need - buc.Tokens) / bnd.Sustained * float64(time.Second))
+	case buc.Spent > 0 && buc.Spent+tasks > part*(buc.Pool+refill):
+		wait = UsageInterval - now.Sub(buc.Began)
+	}
+	if wait > 0 {
+		return Refusal{
+			Reason:     rgmodel.ReasonQuota,
+			Detail:     fmt.Sprintf("the team's quota of %g tasks per second is used up", lim.Sustained),
+			RetryAfter: wait,
+		}
+	}
+	buc.Tokens -= tasks
+	buc.Spent += tasks
+	buc.Used += uint64(quo.Tasks)
+	return Refusal{}
+}
+
+// TellUsage returns what the other entries do not know yet: the teams with the highest untold use in relation to their
+// quota, as many as UsageBytes allows for. The rest is told later.
+func TellUsage(sta *State, teams map[string]rgmodel.TeamConfig, entries int, now time.Time) []TeamUsage {
+	type untold struct {
+		usage TeamUsage
+		part  float64
+	}
+	var uts []untold
+	for name, buc := range sta.Buckets {
+		lim := teams[name].Quota.Sustained
+		if buc.Used == buc.Told || lim <= 0 {
+			continue
+		}
+		age := max(0, now.Sub(buc.Filled).Seconds())
+		usa := TeamUsage{Team: name, Used: buc.Used, Demand: buc.Demand * math.Exp(-age/DemandTime.Seconds())}
+		uts = append(uts, untold{usage: usa, part: float64(buc.Used-buc.Told) / lim})
+	}
+	slices.SortFunc(uts, func(fst, snd untold) int {
+		return cmp.Or(cmp.Compare(snd.part, fst.part), cmp.Compare(fst.usage.Team, snd.usage.Team))
+	})
+	num := int(UsageBytes * UsageInterval.Seconds() / usageSize / float64(max(1, entries-1)))
+	uss := make([]TeamUsage, 0, len(uts))
+	for _, unt := range uts[:min(len(uts), max(1, num))] {
+		sta.Buckets[unt.usage.Team].Told = unt.usage.Used
+		uss = append(uss, unt.usage)
+	}
+	return uss
+}
+
+// LearnUsage takes in what another entry tells. The use before its first message is not charged: a new entry has
+// not seen the tokens that it was taken from.
+func LearnUsage(sta *State, incarnation string, uss []TeamUsage, now time.Time) {
+	if sta.Peers == nil {
+		sta.Peers = map[string]PeerUsage{}
+	}
+	pus, known := sta.Peers[incarnation]
+	_, separate := sta.Shares.(EqualShare)
+	if !known {
+		pus.Teams = map[string]TeamUsage{}
+	}
+	for _, usa := range uss {
+		old := pus.Teams[usa.Team]
+		if buc := sta.Buckets[usa.Team]; buc != nil && known && !separate && usa.Used > old.Used {
+			buc.Tokens -= float64(usa.Used - old.Used)
+		}
+		pus.Teams[usa.Team] = usa
+	}
+	// A team that is not named has no untold use at the other entry, or too little to matter.
+	for name, old := range pus.Teams {
+		if !slices.ContainsFunc(uss, func(usa TeamUsage) bool { return usa.Team == name }) {
+			old.Demand = 0
+			pus.Teams[name] = old
+		}
+	}
+	pus.At = now
+	sta.Peers[incarnation] = pus
+}
+
+// ForgetUsage drops what entries have told that are not in the ring any more.
+func ForgetUsage(sta *State, rng rgmodel.Ring) {
+	for inc := range sta.Peers {
+		if !slices.ContainsFunc(rng.Entries, func(ent rgmodel.Entry) bool { return ent.Incarnation == inc }) {
+			delete(sta.Peers, inc)
+		}
+	}
+}
+
+// fill returns the team's bucket with the tokens of the time that has passed.
+func fill(sta *State, quo Quota, lim rgmodel.Quota, now time.Time) *Bucket {
+	lim = bound(sta, quo, lim, now)
 	if sta.Buckets == nil {
 		sta.Buckets = map[string]*Bucket{}
 	}
-	part := 1 / float64(max(1, entries))
-	rate := tc.Quota.Sustained * part
-	// A bucket smaller than the largest job would refuse that job for ever.
-	burst := max(tc.Quota.Burst*part, rgmodel.MaxTasks)
-	buc := sta.Buckets[tc.Team]
+	buc := sta.Buckets[quo.Team.Team]
 	if buc == nil {
-		buc = &Bucket{Tokens: burst, Filled: now}
-		sta.Buckets[tc.Team] = buc
+		buc = &Bucket{Tokens: lim.Burst, Filled: now, Began: now, Pool: lim.Burst}
+		sta.Buckets[quo.Team.Team] = buc
 	}
-	buc.Tokens = min(burst, buc.Tokens+rate*max(0, now.Sub(buc.Filled).Seconds()))
+	// After a jump back of the clock the time counts from the new value; otherwise the team would get nothing until the
+	// clock has caught up. A jump forward again gives at most one burst.
+	passed := max(0, now.Sub(buc.Filled).Seconds())
+	buc.Tokens = min(lim.Burst, buc.Tokens+lim.Sustained*passed)
+	buc.Demand *= math.Exp(-passed / DemandTime.Seconds())
 	buc.Filled = now
-	if short := float64(tasks) - buc.Tokens; short > 0 {
-		wait := time.Duration(short / rate * float64(time.Second))
-		return Refusal{Reason: rgmodel.ReasonQuota, Detail: "the team's quota is used up", RetryAfter: wait}
+	if since := now.Sub(buc.Began); since < 0 || since >= UsageInterval {
+		buc.Began, buc.Pool, buc.Spent = now, buc.Tokens, 0
 	}
-	buc.Tokens -= float64(tasks)
-	return Refusal{}
+	return buc
 }
--- /dev/null
+++ b/core/rgconfig/bench_test.go
@@ -0,0 +1,41 @@
+package rgconfig
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// BenchmarkChange measures what a change costs a node of the target scale: 270 teams, a team of three kinds.
+func BenchmarkChange(b *testing.B) {
+	ans := good()
+	ans.Kinds = append(ans.Kinds, ans.Kinds[1])
+	ans.Kinds[2].Kind, ans.Kinds[2].Rate = "chapterReminders", 10
+	cfg, err := Generate(ans)
+	if err != nil {
+		b.Fatal(err)
+	}
+	size := func(tc rgmodel.TeamConfig) float64 {
+		raw, err := json.Marshal(tc)
+		if err != nil {
+			b.Fatal(err)
+		}
+		return float64(len(raw))
+	}
+	teams := map[string]rgmodel.TeamConfig{}
+	for num := range 270 {
+		cfg.Team, cfg.Revision = fmt.Sprint("team", num), 1
+		teams[cfg.Team] = cfg
+	}
+	num := uint64(1)
+	for b.Loop() {
+		num++
+		cfg.Revision = num
+		Merge(teams, []rgmodel.TeamConfig{cfg})
+		VersionOf(teams)
+	}
+	b.ReportMetric(size(cfg), "bytesStored")
+	b.ReportMetric(size(Compact([]rgmodel.TeamConfig{cfg})[0]), "bytesPushed")
+}
--- a/core/rgmodel/verdict.go
+++ b/core/rgmodel/verdict.go
@@ -21,6 +21,7 @@
 	ReasonStaleGeneration  Reason = "staleGeneration"
 	ReasonDraining         Reason = "draining"
 	ReasonQuota            Reason = "quota"
+	ReasonAboveBurst       Reason = "aboveBurst"
 	ReasonExpectedWait     Reason = "expectedWait"
 	ReasonNeverRunnable    Reason = "neverRunnable"
 	ReasonNoUpstream       Reason = "noUpstream"
--- a/io/rgapi/job.go
+++ b/io/rgapi/job.go
@@ -213,7 +213,7 @@
 		switch out.Reason {
 		case rgmodel.ReasonDigestMismatch:
 			return http.StatusConflict
-		case rgmodel.ReasonNeverRunnable:
+		case rgmodel.ReasonNeverRunnable, rgmodel.ReasonAboveBurst:
 			return http.StatusUnprocessableEntity
 		case rgmodel.ReasonQuota:
 			return http.StatusTooManyRequests
--- /dev/null
+++ b/io/rgentry/config_bench_test.go
@@ -0,0 +1,95 @@
+package rgentry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const (
+	// changeCount is the number of changes measured at each size.
+	changeCount = 20
+	// restWindow is how long the calls on the store are counted while nothing changes.
+	restWindow = 10 * time.Second
+)
+
+// BenchmarkConfigInForce measures how long a change takes from its acceptance by the store until it is in force at
+// all entries, and until all sidecars' reports say so, and the calls on the store at rest and per change.
+// One instance in five is an entry.
+func BenchmarkConfigInForce(b *testing.B) {
+	var sizes, entries, all, rest, change []float64
+	for _, num := range []int{1, 5, 10, 20, 50} {
+		ents := max(1, num/5)
+		b.Run(fmt.Sprintf("instances=%d", num), func(b *testing.B) {
+			sys := start(b, ents, num-ents)
+			calls := sys.callCount()
+			// The rate itself is measured, so the window has to pass.
+			<-time.After(restWindow)
+			atRest := float64(sys.callCount()-calls) / restWindow.Seconds()
+			var atEntries, atAll, longest time.Duration
+			calls = sys.callCount()
+			began := time.Now()
+			for i := range changeCount {
+				fst, lst := sys.timeChange(i)
+				atEntries, atAll, longest = atEntries+fst, atAll+lst, max(longest, lst)
+			}
+			perChange := (float64(sys.callCount()-calls) - atRest*time.Since(began).Seconds()) / changeCount
+			ms := func(dur time.Duration) float64 { return dur.Seconds() * 1000 }
+			b.ReportMetric(ms(atEntries)/changeCount, "msEntries")
+			b.ReportMetric(ms(atAll)/changeCount, "msAll")
+			b.ReportMetric(ms(longest), "msAllLongest")
+			b.ReportMetric(atRest, "storeCalls/s")
+			b.ReportMetric(perChange, "storeCalls/change")
+			if num == ents {
+				// Without a sidecar there is no report to wait for.
+				return
+			}
+			sizes, entries = append(sizes, float64(num)), append(entries, float64(ents))
+			all, rest, change = append(all, ms(atAll)/changeCount), append(rest, atRest), append(change, perChange)
+		})
+	}
+	if len(sizes) < 2 {
+		return
+	}
+	b.Run("slopes", func(b *testing.B) {
+		b.ReportMetric(slope(sizes, all), "msAll/instance")
+		b.ReportMetric(slope(entries, rest), "storeCalls/s/entry")
+		b.ReportMetric(slope(entries, change), "storeCalls/change/entry")
+		b.ReportMetric(0, "ns/op")
+	})
+}
+
+// timeChange has the store accept a change and returns the times until all entries, and all instances, have it.
+func (sys *system) timeChange(num int) (entries, all time.Duration) {
+	rev := sys.accept(team, fmt.Sprint("change", num), float64(num+1))
+	began := time.Now()
+	sys.until("configuration at entries", func() bool {
+		for _, ent := range sys.entries {
+			if ent.View().Teams[team].Revision != rev {
+				return false
+			}
+		}
+		return true
+	})
+	entries = time.Since(began)
+	sys.untilInForce(team, rev)
+	return entries, time.Since(began)
+}
+
+func (sys *system) callCount() int {
+	sum := 0
+	for _, cnt := range sys.store.Calls() {
+		sum += cnt
+	}
+	return sum
+}
+
+// slope is that of the least-squares line.
+func slope(xs, ys []float64) float64 {
+	var sx, sy, sxx, sxy float64
+	for i := range xs {
+		sx, sy, sxx, sxy = sx+xs[i], sy+ys[i], sxx+xs[i]*xs[i], sxy+xs[i]*ys[i]
+	}
+	num := float64(len(xs))
+	return (num*sxy - sx*sy) / (num*sxx - sx*sx)
+}
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -49,6 +49,8 @@
 		quiet    bool
 		drained  chan struct{}
 		expired  time.Time
+		// told is when the other entries were last told the usage of quotas.
+		told time.Time
 	}
 )
 
@@ -122,6 +124,8 @@
 		pro.adoptTeams(work, sta, evt.teams)
 	case membersLearned:
 		pro.learn(work, sta, evt, now)
+	case usageHeard:
+		rgadmission.LearnUsage(&sta.admission, evt.usage.Incarnation, evt.usage.Teams, now)
 	case membersAsked:
 		evt.reply <- members(sta)
 	case configsAsked:
@@ -145,6 +149,7 @@
 		pro.loseSidecar(work, sta, key, now)
 	}
 	pro.expireParked(sta, now)
+	pro.tellUsage(work, sta, now)
 	if now.Sub(sta.expired) >= expireInterval {
 		sta.expired = now
 		rgsubmission.Expire(&sta.submissions, now)
--- a/io/rgentry/entries.go
+++ b/io/rgentry/entries.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"ragwortgap/core/rgadmission"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgwire"
 )
@@ -66,3 +67,31 @@
 		per.Close()
 	}
 }
+
+// tellUsage tells the other entries what this one has admitted, at most once in UsageInterval. An empty message says
+// that this entry is there and has admitted nothing.
+func (pro *Process) tellUsage(work context.Context, sta *state, now time.Time) {
+	if now.Sub(sta.told) < rgadmission.UsageInterval {
+		return
+	}
+	sta.told = now
+	ents := sta.ring.Ring.Entries
+	msg := rgwire.Usage{
+		Incarnation: pro.self.Incarnation,
+		Teams:       rgadmission.TellUsage(&sta.admission, sta.teams, len(ents), now),
+	}
+	for _, ent := range ents {
+		if ent.Incarnation == pro.self.Incarnation {
+			continue
+		}
+		pro.traffic.Go(func() {
+			ctx, stop := context.WithTimeout(work, rgadmission.UsageInterval)
+			defer stop()
+			per, err := pro.entries.open(ctx, pro, ent.Address)
+			if err != nil || per.Notify(ctx, msg) != nil {
+				// The numbers are totals, so that the next one about a team makes up for this one.
+				pro.scope.Counter("usageErrors").Inc(1)
+			}
+		})
+	}
+}
--- a/io/rgentry/event.go
+++ b/io/rgentry/event.go
@@ -80,6 +80,9 @@
 		alone bool
 	}
 
+	// usageHeard says what another entry has admitted of the teams' quotas.
+	usageHeard struct{ usage rgwire.Usage }
+
 	membersAsked struct{ reply chan<- rgwire.MembersReply }
 
 	// configsAsked asks for the configurations in force at the sidecars.
@@ -116,6 +119,7 @@
 func (ringRead) isEvent()       {}
 func (teamsRead) isEvent()      {}
 func (membersLearned) isEvent() {}
+func (usageHeard) isEvent()     {}
 func (membersAsked) isEvent()   {}
 func (configsAsked) isEvent()   {}
 func (stateAsked) isEvent()     {}
--- a/io/rgentry/ring.go
+++ b/io/rgentry/ring.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"ragwortgap/core/rgadmission"
 	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rgfleet"
 	"ragwortgap/core/rgmodel"
@@ -19,6 +20,7 @@
 	if !rgring.Adopt(&sta.ring, rng, rgfleet.Keys(&sta.fleet), sta.fleet.Departed) {
 		return
 	}
+	rgadmission.ForgetUsage(&sta.admission, rng)
 	pro.log.Info("ring changed", zap.Uint64("generation", rng.Generation), zap.Int("entries", len(rng.Entries)))
 	for id := range sta.submissions.Submissions {
 		if ent, ok := rgring.Home(rng, id); gap || !ok || ent != pro.self {
@@ -65,11 +67,12 @@
 
 // adoptTeams takes in newer configurations and pushes them on.
 func (pro *Process) adoptTeams(work context.Context, sta *state, teams []rgmodel.TeamConfig) {
-	newer := rgconfig.Merge(sta.teams, teams)
+	// Operators read the sources of settings in the store; here they would only make messages longer.
+	newer := rgconfig.Merge(sta.teams, rgconfig.Compact(teams))
 	if len(newer) == 0 {
 		return
 	}
 	sta.config = rgconfig.VersionOf(sta.teams)
 	pro.publish(sta)
-	pro.push(work, sta, rgconfig.Compact(newer))
+	pro.push(work, sta, newer)
 }
--- a/io/rgentry/serve.go
+++ b/io/rgentry/serve.go
@@ -28,6 +28,9 @@
 	case rgwire.ConfigsSince:
 		vie := pro.View()
 		return rgwire.ConfigsReply{Ring: vie.Ring, Teams: rgconfig.Newer(vie.Teams, msg.Revisions)}, nil
+	case rgwire.Usage:
+		pro.tell(ctx, usageHeard{usage: msg})
+		return struct{}{}, nil
 	case rgwire.Forward:
 		return rgwire.ForwardReply{Answer: pro.submitJob(ctx, msg.Job, false, msg.Hops).Answer}, nil
 	case rgwire.JobState:
--- a/io/rgentry/sidecars.go
+++ b/io/rgentry/sidecars.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rgfleet"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgring"
@@ -24,7 +23,7 @@
 	}
 	sta.peers[key] = evt.peer
 	rgring.Await(&sta.ring, key)
-	evt.reply <- rgwire.AnnounceReply{Entry: pro.self, Ring: sta.ring.Ring, Teams: rgconfig.Compact(teamList(sta.teams))}
+	evt.reply <- rgwire.AnnounceReply{Entry: pro.self, Ring: sta.ring.Ring, Teams: teamList(sta.teams)}
 	pro.publish(sta)
 	pro.log.Info("sidecar connected", zap.String("sidecar", key.Name))
 	pro.seal(work, sta, key)
--- a/io/rgentry/submit.go
+++ b/io/rgentry/submit.go
@@ -89,7 +89,9 @@
 			Reason: rgmodel.ReasonNoUpstream, Detail: "no upstream can take work now", RetryAfter: rgfleet.ReportInterval,
 		}
 	default:
-		return rgadmission.TakeQuota(&sta.admission, sta.teams[jb.Flow.Team], len(jb.Tasks), len(sta.ring.Ring.Entries), now)
+		return rgadmission.TakeQuota(&sta.admission, rgadmission.Quota{
+			Team: sta.teams[jb.Flow.Team], Tasks: len(jb.Tasks), Ring: sta.ring.Ring, Self: pro.self,
+		}, now)
 	}
 }
 
--- a/io/rgwire/message.go
+++ b/io/rgwire/message.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"ragwortgap/core/rgadmission"
 	"ragwortgap/core/rgmodel"
 )
 
@@ -120,6 +121,12 @@
 		Teams []rgmodel.TeamConfig `json:"teams,omitempty"`
 	}
 
+	// Usage is a notification of what an entry has admitted of the teams' quotas.
+	Usage struct {
+		Incarnation string                  `json:"incarnation"`
+		Teams       []rgadmission.TeamUsage `json:"teams,omitempty"`
+	}
+
 	// Members asks an entry for what it knows of the system.
 	Members struct{}
 
@@ -144,6 +151,7 @@
 func (JobState) isMessage()     {}
 func (CancelJob) isMessage()    {}
 func (ConfigsSince) isMessage() {}
+func (Usage) isMessage()        {}
 func (Members) isMessage()      {}
 
 func method(msg Message) string {
@@ -172,6 +180,8 @@
 		return "cancelJob"
 	case ConfigsSince:
 		return "configsSince"
+	case Usage:
+		return "usage"
 	case Members:
 		return "members"
 	default:
@@ -205,6 +215,8 @@
 		return decodeAs[CancelJob](raw)
 	case "configsSince":
 		return decodeAs[ConfigsSince](raw)
+	case "usage":
+		return decodeAs[Usage](raw)
 	case "members":
 		return Members{}, nil
 	default:
