Push a configuration change to a sidecar from two entries and repair what is missed

Cause: each entry pushed each change with the whole ring to each sidecar. With E entries a change cost a sidecar E messages of 575 bytes and the ring; by calculation 60 entries would exceed the 8 KB/s that a node may spend. Ruled out: a single pusher, whose loss would delay a change until the repair. Change: the two entries that come first for a sidecar by rendezvous hashing push at once, without the ring; the others compare each report's digest with their own and send what a sidecar has lacked for 2 s. Measured: go test -race -count=2 ./io/rgentry passes (ten cases, among them the two pushing entries cut off from the store). Conclusion: the load of a change on a sidecar no longer grows with the entries.

--- /dev/null
+++ b/core/rgconfig/command_note.go
@@ -0,0 +1,20 @@
+package rgconfig
+
+import (
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// Note adds a change and forgets old ones.
+func Note(his *History, newer []rgmodel.TeamConfig, before, after uint64, now time.Time) {
+	rec := Recent{At: now, Before: before, After: after}
+	for _, tc := range newer {
+		rec.Teams = append(rec.Teams, tc.Team)
+	}
+	old := 0
+	for old < len(his.Changes) && now.Sub(his.Changes[old].At) > RecentTime {
+		old++
+	}
+	his.Changes = append(his.Changes[old:], rec)
+}
--- a/core/rgring/query_home.go
+++ b/core/rgring/query_home.go
@@ -16,9 +16,9 @@
 	var bestScore uint64
 	found := false
 	for _, ent := range rng.Entries {
-		score := xxhash.Sum64String(ent.Name + "\x00" + ent.Incarnation + "\x00" + string(id))
-		if !found || score > bestScore || (score == bestScore && ent.Name > best.Name) {
-			best, bestScore, found = ent, score, true
+		scr := score(ent, string(id))
+		if !found || scr > bestScore || (scr == bestScore && ent.Name > best.Name) {
+			best, bestScore, found = ent, scr, true
 		}
 	}
 	return best, found
@@ -64,3 +64,23 @@
 	}
 	return accepted
 }
+
+// Near reports whether the entry is among the num entries that come first for the key by rendezvous hashing.
+func Near(rng rgmodel.Ring, self rgmodel.Entry, key string, num int) bool {
+	own := score(self, key)
+	ahead := 0
+	found := false
+	for _, ent := range rng.Entries {
+		switch scr := score(ent, key); {
+		case ent == self:
+			found = true
+		case scr > own || (scr == own && ent.Name > self.Name):
+			ahead++
+		}
+	}
+	return found && ahead < num
+}
+
+func score(ent rgmodel.Entry, key string) uint64 {
+	return xxhash.Sum64String(ent.Name + "\x00" + ent.Incarnation + "\x00" + key)
+}
--- a/io/rgentry/config_test.go
+++ b/io/rgentry/config_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"testing"
 
+	"ragwortgap/core/rgring"
 	"ragwortgap/io/rgentry"
 	"ragwortgap/io/rgstandin"
 	"ragwortgap/io/rgstore"
@@ -32,6 +33,16 @@
 	for name, run := range tests {
 		t.Run(name, func(t *testing.T) { run(start(t, 2, 2)) })
 	}
+	t.Run("entries that push to a sidecar cut off", func(t *testing.T) { pushersCutOff(start(t, 4, 1)) })
+}
+
+// pushersCutOff cuts off the two entries that send the sidecar changes at once; the others have to notice that it lags.
+func pushersCutOff(sys *system) {
+	sys.untilInForce(team, sys.accept(team, "a", 1))
+	for i, ent := range sys.entries {
+		sys.cuts[i].Store(rgring.Near(ent.View().Ring, ent.Self(), "sidecar00", 2))
+	}
+	sys.untilInForce(team, sys.accept(team, "b", 2))
 }
 
 func (sys *system) untilInForce(team string, rev uint64) {
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgadmission"
+	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rgfleet"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgplacement"
@@ -31,9 +32,14 @@
 		admission   rgadmission.State
 		teams       map[string]rgmodel.TeamConfig
 		config      rgmodel.ConfigVersion
-		policy      rgplacement.Policy
-		random      *rand.Rand
-		peers       map[rgmodel.SidecarKey]*rgwire.Peer
+		history     rgconfig.History
+		// near caches which sidecars this entry pushes changes to at once.
+		near map[rgmodel.SidecarKey]bool
+		// repaired is when a sidecar that lagged behind was last sent what it lacks.
+		repaired map[rgmodel.SidecarKey]time.Time
+		policy   rgplacement.Policy
+		random   *rand.Rand
+		peers    map[rgmodel.SidecarKey]*rgwire.Peer
 		// outstanding counts the parts for which a sidecar owes an answer.
 		outstanding map[rgmodel.SidecarKey]int
 		leaving     map[rgmodel.SidecarKey]chan<- struct{}
@@ -67,6 +73,8 @@
 		callers:     map[rgmodel.SubmissionID][]chan rgmodel.Answer{},
 		awaiting:    map[rgmodel.SidecarKey][]chan<- peerState{},
 		runs:        map[uint64]*run{},
+		near:        map[rgmodel.SidecarKey]bool{},
+		repaired:    map[rgmodel.SidecarKey]time.Time{},
 		drained:     make(chan struct{}),
 		cancels:     map[rgmodel.SidecarKey][]rgmodel.SubmissionID{},
 	}
@@ -104,6 +112,7 @@
 		pro.disconnect(sta, evt, now)
 	case reported:
 		rgfleet.Report(&sta.fleet, evt.report, now)
+		pro.repair(work, sta, evt.report, now)
 	case sealAnswered:
 		pro.sealed(work, sta, evt)
 	case leaveAsked:
@@ -121,7 +130,7 @@
 	case ringRead:
 		pro.adoptRing(work, sta, evt.ring)
 	case teamsRead:
-		pro.adoptTeams(work, sta, evt.teams)
+		pro.adoptTeams(work, sta, evt.teams, now)
 	case membersLearned:
 		pro.learn(work, sta, evt, now)
 	case usageHeard:
--- a/io/rgentry/ring.go
+++ b/io/rgentry/ring.go
@@ -20,6 +20,7 @@
 	if !rgring.Adopt(&sta.ring, rng, rgfleet.Keys(&sta.fleet), sta.fleet.Departed) {
 		return
 	}
+	clear(sta.near)
 	rgadmission.ForgetUsage(&sta.admission, rng)
 	pro.log.Info("ring changed", zap.Uint64("generation", rng.Generation), zap.Int("entries", len(rng.Entries)))
 	for id := range sta.submissions.Submissions {
@@ -31,7 +32,7 @@
 		pro.seal(work, sta, key)
 	}
 	pro.publish(sta)
-	pro.push(work, sta, nil)
+	pro.pushRing(work, sta)
 	pro.unpark(work, sta)
 }
 
@@ -61,18 +62,20 @@
 		rgring.StartWithoutPeers(&sta.ring, now)
 		pro.log.Warn("no other entry answers; older submission ids are uncertain")
 	}
-	pro.adoptTeams(work, sta, evt.members.Teams)
+	pro.adoptTeams(work, sta, evt.members.Teams, now)
 	pro.adoptRing(work, sta, evt.members.Ring)
 }
 
 // adoptTeams takes in newer configurations and pushes them on.
-func (pro *Process) adoptTeams(work context.Context, sta *state, teams []rgmodel.TeamConfig) {
+func (pro *Process) adoptTeams(work context.Context, sta *state, teams []rgmodel.TeamConfig, now time.Time) {
 	// Operators read the sources of settings in the store; here they would only make messages longer.
 	newer := rgconfig.Merge(sta.teams, rgconfig.Compact(teams))
 	if len(newer) == 0 {
 		return
 	}
+	before := sta.config.Revisions
 	sta.config = rgconfig.VersionOf(sta.teams)
+	rgconfig.Note(&sta.history, newer, before, sta.config.Revisions, now)
 	pro.publish(sta)
-	pro.push(work, sta, newer)
+	pro.pushTeams(work, sta, newer)
 }
--- a/io/rgentry/sidecars.go
+++ b/io/rgentry/sidecars.go
@@ -6,14 +6,22 @@
 
 	"go.uber.org/zap"
 
+	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rgfleet"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgring"
 	"ragwortgap/io/rgwire"
 )
 
-// callTimeout bounds calls that a live peer answers at once.
-const callTimeout = 5 * time.Second
+const (
+	// callTimeout bounds calls that a live peer answers at once.
+	callTimeout = 5 * time.Second
+	// pushCopies is the number of entries that push each change to a sidecar at once, so that the loss of one entry
+	// delays nothing.
+	pushCopies = 2
+	// repairPause gives a sidecar the time to report what it was sent.
+	repairPause = 2 * time.Second
+)
 
 // announce takes in a sidecar's connection and seals it before it gets work.
 func (pro *Process) announce(work context.Context, sta *state, evt announced, now time.Time) {
@@ -22,6 +30,8 @@
 		pro.loseSidecar(work, sta, old, now)
 	}
 	sta.peers[key] = evt.peer
+	// The reply holds all configurations, and a report that was made before it came is no reason to repair.
+	sta.repaired[key] = now
 	rgring.Await(&sta.ring, key)
 	evt.reply <- rgwire.AnnounceReply{Entry: pro.self, Ring: sta.ring.Ring, Teams: teamList(sta.teams)}
 	pro.publish(sta)
@@ -72,6 +82,8 @@
 		return
 	}
 	delete(sta.peers, evt.key)
+	delete(sta.near, evt.key)
+	delete(sta.repaired, evt.key)
 	rgfleet.Disconnect(&sta.fleet, evt.key, now)
 	pro.log.Info("sidecar disconnected", zap.String("sidecar", evt.key.Name))
 }
@@ -87,6 +99,8 @@
 		rep <- peerState{lost: true}
 	}
 	delete(sta.awaiting, key)
+	delete(sta.near, key)
+	delete(sta.repaired, key)
 	delete(sta.leaving, key)
 	delete(sta.outstanding, key)
 	pro.publish(sta)
@@ -129,15 +143,49 @@
 	}
 }
 
-// push sends the ring and changed configurations to all sidecars.
-func (pro *Process) push(work context.Context, sta *state, teams []rgmodel.TeamConfig) {
-	msg := rgwire.Configure{Ring: sta.ring.Ring, Teams: teams}
+// pushRing sends the ring to all sidecars.
+func (pro *Process) pushRing(work context.Context, sta *state) {
 	for _, per := range sta.peers {
-		pro.traffic.Go(func() {
-			if per.Notify(work, msg) != nil {
-				// The sidecar gets everything with its next announcement.
-				per.Close()
-			}
-		})
+		pro.configure(work, per, rgwire.Configure{Ring: sta.ring.Ring})
+	}
+}
+
+// pushTeams sends changed configurations to the sidecars that this entry is near to. If each entry pushed each change,
+// a sidecar would get it as often as there are entries. The ring is left out, because it is larger than a change.
+func (pro *Process) pushTeams(work context.Context, sta *state, teams []rgmodel.TeamConfig) {
+	for key, per := range sta.peers {
+		near, ok := sta.near[key]
+		if !ok {
+			near = rgring.Near(sta.ring.Ring, pro.self, key.Name, pushCopies)
+			sta.near[key] = near
+		}
+		if near {
+			pro.configure(work, per, rgwire.Configure{Teams: teams})
+		}
 	}
 }
+
+// repair sends a sidecar what it lacks according to its report, whoever should have sent it.
+func (pro *Process) repair(work context.Context, sta *state, rep rgmodel.Report, now time.Time) {
+	key := rgmodel.SidecarKey{Name: rep.Sidecar, Incarnation: rep.Incarnation}
+	per := sta.peers[key]
+	if per == nil || now.Sub(sta.repaired[key]) < repairPause {
+		return
+	}
+	tcs := rgconfig.Missing(&sta.history, sta.teams, sta.config, rep.Config, now)
+	if len(tcs) == 0 {
+		return
+	}
+	sta.repaired[key] = now
+	pro.scope.Counter("configRepairs").Inc(1)
+	pro.configure(work, per, rgwire.Configure{Teams: tcs})
+}
+
+func (pro *Process) configure(work context.Context, per *rgwire.Peer, msg rgwire.Configure) {
+	pro.traffic.Go(func() {
+		if per.Notify(work, msg) != nil {
+			// The sidecar gets everything with its next announcement.
+			per.Close()
+		}
+	})
+}
