End waiting watches when a test cuts an entry off from the store

Cause: the cut left a watch open that was already waiting, so that the entry still got the next change from the store; the tests of cut-off entries passed without the code that they guard. Change: the cut ends calls in progress. The checks themselves are unchanged.

--- a/io/rgentry/config_test.go
+++ b/io/rgentry/config_test.go
@@ -40,7 +40,9 @@
 func pushersCutOff(sys *system) {
 	sys.untilInForce(team, sys.accept(team, "a", 1))
 	for i, ent := range sys.entries {
-		sys.cuts[i].Store(rgring.Near(ent.View().Ring, ent.Self(), "sidecar00", 2))
+		if rgring.Near(ent.View().Ring, ent.Self(), "sidecar00", 2) {
+			sys.cuts[i]()
+		}
 	}
 	sys.untilInForce(team, sys.accept(team, "b", 2))
 }
@@ -125,7 +127,7 @@
 
 func cutOff(sys *system) {
 	sys.untilInForce(team, sys.accept(team, "a", 1))
-	sys.cuts[1].Store(true)
+	sys.cuts[1]()
 	rev := sys.accept(team, "b", 2)
 	sys.until("change at the entry that is cut off", func() bool { return sys.entries[1].View().Teams[team].Revision == rev })
 }
--- a/io/rgentry/system_test.go
+++ b/io/rgentry/system_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,23 +34,27 @@
 		store    *rgstandin.Store
 		operator rgstore.Client
 		entries  []*rgentry.Process
-		cuts     []*atomic.Bool
+		// cuts holds for each entry what cuts it off from the store.
+		cuts     []context.CancelFunc
 		sidecars []*rgsidecar.Process
 	}
 
-	// cutStore is the store as one entry sees it.
+	// cutStore is the store as one entry sees it, until ctx ends.
 	cutStore struct {
 		store *rgstandin.Store
-		cut   atomic.Bool
+		ctx   context.Context
 	}
 )
 
-// ServeHTTP drops the connection while the entry is cut off.
+// ServeHTTP drops the connection once the entry is cut off, and ends a watch that waits.
 func (cs *cutStore) ServeHTTP(rsp http.ResponseWriter, req *http.Request) {
-	if cs.cut.Load() {
+	if cs.ctx.Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
-	cs.store.ServeHTTP(rsp, req)
+	ctx, stop := context.WithCancel(req.Context())
+	defer stop()
+	defer context.AfterFunc(cs.ctx, stop)()
+	cs.store.ServeHTTP(rsp, req.WithContext(ctx))
 }
 
 func start(tb testing.TB, entries, sidecars int) *system {
@@ -105,7 +108,9 @@
 
 func (sys *system) startEntry() *rgentry.Process {
 	sys.Helper()
-	cs := &cutStore{store: sys.store}
+	ctx, cut := context.WithCancel(context.Background())
+	sys.Cleanup(cut)
+	cs := &cutStore{store: sys.store, ctx: ctx}
 	set := rgsettings.Entry{
 		Name: fmt.Sprintf("entry%02d", len(sys.entries)), AvailabilityZone: "zone0",
 		CallerAddress: anyPort, PeerAddress: anyPort, Store: sys.serve(cs), Peers: sys.peers(),
@@ -118,7 +123,7 @@
 		sys.Fatal(err)
 	}
 	sys.entries = append(sys.entries, pro)
-	sys.cuts = append(sys.cuts, &cs.cut)
+	sys.cuts = append(sys.cuts, cut)
 	return pro
 }
 
