--- a/core/rgadmission/command_quota.go
+++ b/core/rgadmission/command_quota.go
@@ -27,16 +27,16 @@
 			Detail: fmt.Sprintf("the job has %d tasks and the team's burst is %g; no later time will do", quo.Tasks, lim.Burst),
 		}
 	}
-	buc := fill(sta, quo, lim, now)
-	part := Part(sta, quo, now)
+	hol := hold(sta, quo, now)
+	buc := fill(sta, quo.Team.Team, hol, now)
+	share := part(sta, buc.Demand, hol)
 	buc.Demand += tasks / DemandTime.Seconds()
-	bnd := bound(sta, quo, lim, now)
-	refill := bnd.Sustained * now.Sub(buc.Began).Seconds()
+	refill := hol.quota.Sustained * now.Sub(buc.Began).Seconds()
 	wait := time.Duration(0)
-	switch need := min(tasks, bnd.Burst); {
+	switch need := min(tasks, hol.quota.Burst); {
 	case buc.Tokens < need:
-		wait = time.Duration((need - buc.Tokens) / bnd.Sustained * float64(time.Second))
-	case buc.Spent > 0 && buc.Spent+tasks > part*(buc.Pool+refill):
+		wait = time.Duration((need - buc.Tokens) / hol.quota.Sustained * float64(time.Second))
+	case buc.Spent > 0 && buc.Spent+tasks > share*(buc.Pool+refill):
 		wait = UsageInterval - now.Sub(buc.Began)
 	}
 	if wait > 0 {
@@ -120,15 +120,17 @@
 }
 
 // fill returns the team's bucket with the tokens of the time that has passed.
-func fill(sta *State, quo Quota, lim rgmodel.Quota, now time.Time) *Bucket {
-	lim = bound(sta, quo, lim, now)
+func fill(sta *State, team string, hol holding, now time.Time) *Bucket {
 	if sta.Buckets == nil {
 		sta.Buckets = map[string]*Bucket{}
 	}
-	buc := sta.Buckets[quo.Team.Team]
+	lim := hol.quota
+	buc := sta.Buckets[team]
 	if buc == nil {
-		buc = &Bucket{Tokens: lim.Burst, Filled: now, Began: now, Pool: lim.Burst}
-		sta.Buckets[quo.Team.Team] = buc
+		// The others may be spending all that comes in; a full bucket here would let each entry admit another burst.
+		full := lim.Burst * max(0, 1-hol.demand/lim.Sustained)
+		buc = &Bucket{Tokens: full, Filled: now, Began: now, Pool: full}
+		sta.Buckets[team] = buc
 	}
 	// After a jump back of the clock the time counts from the new value; otherwise the team would get nothing until the
 	// clock has caught up. A jump forward again gives at most one burst.
--- a/core/rgadmission/query_share.go
+++ b/core/rgadmission/query_share.go
@@ -6,50 +6,49 @@
 	"ragwortgap/core/rgmodel"
 )
 
-// Part returns the part of the bucket that the entry may spend in an interval, above 0 and at most 1.
-func Part(sta *State, quo Quota, now time.Time) float64 {
+// holding is what an entry may dispose of.
+type holding struct {
+	// quota is the part of the team's quota that the entry's bucket holds: its own equal part, and the parts of the
+	// entries whose use it knows.
+	quota rgmodel.Quota
+	// demand is that of the other entries, in tasks per second.
+	demand float64
+	// entries is the number of entries of the ring.
+	entries float64
+}
+
+// hold looks through the entries of the ring for what is known of them.
+func hold(sta *State, quo Quota, now time.Time) holding {
+	hol := holding{entries: float64(max(1, len(quo.Ring.Entries)))}
+	known := 1.0
 	switch sta.Shares.(type) {
 	case EqualShare:
-		// The bucket itself holds no more than the entry's part.
-		return 1
 	default:
-		return demandPart(sta, quo, now)
-	}
-}
-
-func demandPart(sta *State, quo Quota, now time.Time) float64 {
-	num := float64(max(1, len(quo.Ring.Entries)))
-	own := 0.0
-	if buc := sta.Buckets[quo.Team.Team]; buc != nil {
-		own = buc.Demand
-	}
-	all := own
-	for _, ent := range quo.Ring.Entries {
-		if pus, ok := sta.Peers[ent.Incarnation]; ok && now.Sub(pus.At) <= UsageTTL {
-			all += pus.Teams[quo.Team.Team].Demand
+		for _, ent := range quo.Ring.Entries {
+			pus, ok := sta.Peers[ent.Incarnation]
+			if ok && ent.Incarnation != quo.Self.Incarnation && now.Sub(pus.At) <= UsageTTL {
+				known++
+				hol.demand += pus.Teams[quo.Team.Team].Demand
+			}
 		}
 	}
-	if all <= 0 {
-		return 1 / num
-	}
-	return DemandFloor/num + (1-DemandFloor)*own/all
+	lim := limit(quo.Team)
+	hol.quota = rgmodel.Quota{Sustained: lim.Sustained * known / hol.entries, Burst: lim.Burst * known / hol.entries}
+	return hol
 }
 
-// bound returns the part of the quota that this entry's bucket holds: its own equal part, and the parts of the entries
-// whose use it knows.
-func bound(sta *State, quo Quota, lim rgmodel.Quota, now time.Time) rgmodel.Quota {
-	num := float64(max(1, len(quo.Ring.Entries)))
-	known := 1.0
+// part returns the part of the bucket that the entry may spend in an interval, above 0 and at most 1.
+func part(sta *State, own float64, hol holding) float64 {
 	switch sta.Shares.(type) {
 	case EqualShare:
+		// The bucket itself holds no more than the entry's part.
+		return 1
 	default:
-		for _, ent := range quo.Ring.Entries {
-			if pus, ok := sta.Peers[ent.Incarnation]; ok && ent.Incarnation != quo.Self.Incarnation && now.Sub(pus.At) <= UsageTTL {
-				known++
-			}
+		if own+hol.demand <= 0 {
+			return 1 / hol.entries
 		}
+		return DemandFloor/hol.entries + (1-DemandFloor)*own/(own+hol.demand)
 	}
-	return rgmodel.Quota{Sustained: lim.Sustained * known / num, Burst: lim.Burst * known / num}
 }
 
 // limit returns the team's quota with its default burst of one largest job.
--- a/core/rgadmission/quota_test.go
+++ b/core/rgadmission/quota_test.go
@@ -91,7 +91,7 @@
 				if len(tc.told) > 0 {
 					LearnUsage(&sta, rng.Entries[1].Incarnation, tc.told[0], at(0))
 				}
-				fill(&sta, quo, limit(quo.Team), at(0))
+				fill(&sta, "a", hold(&sta, quo, at(0)), at(0))
 				for i := 1; i < len(tc.told); i++ {
 					LearnUsage(&sta, rng.Entries[1].Incarnation, tc.told[i], at(i))
 				}
@@ -105,6 +105,30 @@
 	}
 }
 
+// TestLateEntry guards against an entry that admits a burst of its own while the others use up the quota.
+func TestLateEntry(t *testing.T) {
+	tests := map[string]struct {
+		demand float64
+		want   rgmodel.Reason
+	}{
+		"idle team":     {0, ""},
+		"half in use":   {50, ""},
+		"quota used up": {120, rgmodel.ReasonQuota},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			rng := ring(2)
+			var sta State
+			LearnUsage(&sta, rng.Entries[1].Incarnation, []TeamUsage{{Team: "a", Used: 9000, Demand: tc.demand}}, at(0))
+			team := rgmodel.TeamConfig{Team: "a", Quota: rgmodel.Quota{Sustained: 100, Burst: 100}}
+			rfs := TakeQuota(&sta, Quota{Team: team, Tasks: 20, Ring: rng, Self: rng.Entries[0]}, at(0))
+			if rfs.Reason != tc.want {
+				t.Errorf("got %+v, want %q", rfs, tc.want)
+			}
+		})
+	}
+}
+
 // TestSharesOfEntries guards against entries that together admit more than the sustained quota in the long run, also
 // when they do not hear of each other, and against an entry that admits nothing.
 func TestSharesOfEntries(t *testing.T) {
--- /dev/null
+++ b/core/rgadmission/take_bench_test.go
@@ -0,0 +1,23 @@
+package rgadmission
+
+import (
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// BenchmarkTakeQuota measures the decision on one job at an entry of a ring of 60.
+func BenchmarkTakeQuota(b *testing.B) {
+	rng := ring(60)
+	var sta State
+	for _, ent := range rng.Entries[1:] {
+		LearnUsage(&sta, ent.Incarnation, []TeamUsage{{Team: "a", Used: 1, Demand: 1}}, at(0))
+	}
+	team := rgmodel.TeamConfig{Team: "a", Quota: rgmodel.Quota{Sustained: 1000, Burst: 1000}}
+	now := at(0)
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		TakeQuota(&sta, Quota{Team: team, Tasks: 1, Ring: rng, Self: rng.Entries[0]}, now)
+	}
+}
