Say that a change was overtaken only after an answer was lost

Cause: a change that the store refused at its first write was reported as perhaps in force before, when two others had come between. Ruled out: telling it by the revision alone; the revision says that others came, not that this change was ever written. Change: the flag needs a try without an answer.

--- a/io/rgstore/command_apply.go
+++ b/io/rgstore/command_apply.go
@@ -87,7 +87,8 @@
 			if err != nil {
 				return nil, err
 			}
-			return compare(mine, cur, tries), nil
+			// Each try before this one was without an answer.
+			return compare(mine, cur, tries, tries > 1), nil
 		case Unknown:
 			// An older state than the one that was read before says nothing about the write.
 			itm, cur, err := cli.readTeam(ctx, key, wri.Expected)
@@ -95,7 +96,7 @@
 				return nil, errors.Annotatef(err, "change %s may have taken effect", mine.ChangeID)
 			}
 			if itm.Version != wri.Expected {
-				return compare(mine, cur, tries), nil
+				return compare(mine, cur, tries, true), nil
 			}
 		}
 		if !pause(ctx, applyPause) {
@@ -104,12 +105,12 @@
 	}
 }
 
-func compare(mine, cur rgmodel.TeamConfig, tries int) ApplyResult {
+func compare(mine, cur rgmodel.TeamConfig, tries int, unsure bool) ApplyResult {
 	if cur.ChangeID == mine.ChangeID {
 		return Applied{Config: cur, Attempts: tries}
 	}
 	// A lost answer hides whether the write came before the other one; the revision tells.
-	return Raced{Mine: mine, Theirs: cur, Overwritten: tries > 0 && cur.Revision > mine.Revision}
+	return Raced{Mine: mine, Theirs: cur, Overwritten: unsure && cur.Revision > mine.Revision}
 }
 
 // readTeam reads until the store answers with a state that is at least as new as the version, or ctx ends.
