--- a/core/rgconfig/query_check.go
+++ b/core/rgconfig/query_check.go
@@ -18,8 +18,8 @@
 		}
 	}
 	add(!validName(ans.Team), QuestionTeam, ans.Team, needName)
-	add(!within(ans.ResubmissionWindow, MinResubmissionWindow, rgmodel.DefaultResubmissionWindow), QuestionWindow, ans.ResubmissionWindow,
-		fmt.Sprintf("need %s to %s", MinResubmissionWindow, rgmodel.DefaultResubmissionWindow))
+	add(!within(ans.ResubmissionWindow, MinResubmissionWindow, rgmodel.MaxResubmissionWindow), QuestionWindow, ans.ResubmissionWindow,
+		fmt.Sprintf("need %s to %s", MinResubmissionWindow, rgmodel.MaxResubmissionWindow))
 	add(!positive(ans.Quota.Sustained), QuestionSustained, ans.Quota.Sustained, "need more than 0 tasks per second")
 	add(!positive(ans.Quota.Burst), QuestionBurst, ans.Quota.Burst, "need more than 0 tasks")
 	add(len(ans.Kinds) == 0 || len(ans.Kinds) > MaxKinds, QuestionKinds, len(ans.Kinds), fmt.Sprintf("need 1 to %d kinds", MaxKinds))
--- a/core/rgfleet/command_member.go
+++ b/core/rgfleet/command_member.go
@@ -70,21 +70,25 @@
 	return lost
 }
 
-// Learn adds what another entry knows: sidecars that have not announced themselves here yet, and departures.
-func Learn(sta *State, scs []rgmodel.Sidecar, deps []rgmodel.Departure, now time.Time) {
+// Learn adds what another entry knows: departures, and sidecars that are not known here, which it returns.
+// A sidecar that has departed here and not there is known again.
+func Learn(sta *State, scs []rgmodel.Sidecar, deps []rgmodel.Departure, now time.Time) []rgmodel.SidecarKey {
 	if sta.Members == nil {
 		sta.Members = map[string]*Member{}
 	}
+	var added []rgmodel.SidecarKey
 	for _, sc := range scs {
 		if sta.Members[sc.Name] == nil {
 			sta.Members[sc.Name] = &Member{Sidecar: sc, Cut: now}
+			added = append(added, sc.Key())
 		}
 	}
 	for _, dep := range deps {
-		if !slices.Contains(sta.Departed, dep) {
+		if !departed(sta, dep.Sidecar) {
 			sta.Departed = append(sta.Departed, dep)
 		}
 	}
+	return added
 }
 
 func depart(sta *State, mem *Member, now time.Time) {
--- a/core/rgmodel/verdict.go
+++ b/core/rgmodel/verdict.go
@@ -37,6 +37,7 @@
 	ReasonNotReady         Reason = "notReady"
 	ReasonSidecarLost      Reason = "sidecarLost"
 	ReasonDeadlineExceeded Reason = "deadlineExceeded"
+	ReasonHomeUncertain    Reason = "homeUncertain"
 	ReasonRetryBudget      Reason = "retryBudget"
 )
 
--- a/core/rgqueue/query_wait.go
+++ b/core/rgqueue/query_wait.go
@@ -53,13 +53,13 @@
 }
 
 // refusal returns why the batch must be refused, or an empty reason.
-func refusal(sta *State, bat rgmodel.Batch, tasks int) rgmodel.Reason {
+func refusal(sta *State, bat rgmodel.Batch, tasks int, now time.Time) rgmodel.Reason {
 	limit := sta.MaxQueued
 	if limit == 0 {
 		limit = DefaultMaxQueued
 	}
 	switch {
-	case !announcedToAll(sta):
+	case !InContact(sta, now):
 		return rgmodel.ReasonNotReady
 	case sta.Draining:
 		return rgmodel.ReasonDraining
@@ -74,11 +74,12 @@
 	}
 }
 
-// announcedToAll reports whether every entry of the ring knows this sidecar. Only then can any one of them name it
-// to a new entry that must seal all sidecars.
-func announcedToAll(sta *State) bool {
+// InContact reports whether every entry of the ring has answered this sidecar within IsolationLimit. Then any of them
+// can name it to a new entry, and none has given it up. An entry that has ended does not count as in contact, because
+// it may have named this sidecar before, to an entry that has given it up since.
+func InContact(sta *State, now time.Time) bool {
 	for _, ent := range sta.Ring.Entries {
-		if !sta.Announced[ent.Incarnation] {
+		if now.Sub(sta.Contacts[ent.Incarnation]) > rgmodel.IsolationLimit {
 			return false
 		}
 	}
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -10,10 +10,9 @@
 	"ragwortgap/core/rgadmission"
 	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rgfleet"
+	"ragwortgap/core/rghome"
 	"ragwortgap/core/rgmodel"
-	"ragwortgap/core/rgplacement"
 	"ragwortgap/core/rgring"
-	"ragwortgap/core/rgsubmission"
 	"ragwortgap/io/rgwire"
 )
 
@@ -26,35 +25,32 @@
 type (
 	// state is owned by the control goroutine.
 	state struct {
-		ring        rgring.State
-		fleet       rgfleet.State
-		submissions rgsubmission.State
-		admission   rgadmission.State
-		teams       map[string]rgmodel.TeamConfig
-		config      rgmodel.ConfigVersion
-		history     rgconfig.History
+		home    rghome.State
+		config  rgmodel.ConfigVersion
+		history rgconfig.History
 		// near caches which sidecars this entry pushes changes to at once.
 		near map[rgmodel.SidecarKey]bool
 		// repaired is when a sidecar that lagged behind was last sent what it lacks.
 		repaired map[rgmodel.SidecarKey]time.Time
-		policy   rgplacement.Policy
 		random   *rand.Rand
 		peers    map[rgmodel.SidecarKey]*rgwire.Peer
 		// outstanding counts the parts for which a sidecar owes an answer.
 		outstanding map[rgmodel.SidecarKey]int
 		leaving     map[rgmodel.SidecarKey]chan<- struct{}
-		callers     map[rgmodel.SubmissionID][]chan rgmodel.Answer
-		awaiting    map[rgmodel.SidecarKey][]chan<- peerState
-		parked      []submitted
-		runs        map[uint64]*run
-		runCount    uint64
+		// learning is set while a goroutine asks other entries for their sidecars, since learnBegan.
+		learning   bool
+		learnBegan time.Time
+		callers    map[rgmodel.SubmissionID][]chan rgmodel.Answer
+		awaiting   map[rgmodel.SidecarKey][]chan<- peerState
+		parked     []submitted
+		runs       map[uint64]*run
+		runCount   uint64
 		// cancels holds the cancellations that wait to be sent together.
-		cancels  map[rgmodel.SidecarKey][]rgmodel.SubmissionID
-		flush    <-chan time.Time
-		draining bool
-		quiet    bool
-		drained  chan struct{}
-		expired  time.Time
+		cancels map[rgmodel.SidecarKey][]rgmodel.SubmissionID
+		flush   <-chan time.Time
+		quiet   bool
+		drained chan struct{}
+		expired time.Time
 		// told is when the other entries were last told the usage of quotas.
 		told time.Time
 	}
@@ -63,9 +59,7 @@
 // control is the control goroutine. It ends when the jobs in flight have ended after ctx, or at the drain bound.
 func (pro *Process) control(ctx, work context.Context) {
 	sta := &state{
-		ring:        rgring.State{Self: pro.self},
-		teams:       map[string]rgmodel.TeamConfig{},
-		policy:      rgplacement.LeastFinish{},
+		home:        rghome.State{Ring: rgring.State{Self: pro.self}, Teams: map[string]rgmodel.TeamConfig{}},
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		peers:       map[rgmodel.SidecarKey]*rgwire.Peer{},
 		outstanding: map[rgmodel.SidecarKey]int{},
@@ -73,9 +67,9 @@
 		callers:     map[rgmodel.SubmissionID][]chan rgmodel.Answer{},
 		awaiting:    map[rgmodel.SidecarKey][]chan<- peerState{},
 		runs:        map[uint64]*run{},
+		drained:     make(chan struct{}),
 		near:        map[rgmodel.SidecarKey]bool{},
 		repaired:    map[rgmodel.SidecarKey]time.Time{},
-		drained:     make(chan struct{}),
 		cancels:     map[rgmodel.SidecarKey][]rgmodel.SubmissionID{},
 	}
 	tic := time.NewTicker(tickInterval)
@@ -111,7 +105,8 @@
 	case disconnected:
 		pro.disconnect(sta, evt, now)
 	case reported:
-		rgfleet.Report(&sta.fleet, evt.report, now)
+		rgfleet.Report(&sta.home.Fleet, evt.report, now)
+		evt.reply <- newerRing(sta, evt.report.Generation)
 		pro.repair(work, sta, evt.report, now)
 	case sealAnswered:
 		pro.sealed(work, sta, evt)
@@ -122,23 +117,33 @@
 	case replanned:
 		evt.reply <- pro.replan(sta, evt, now)
 	case partEnded:
-		pro.endPart(sta, evt.part.sidecar)
+		pro.endPart(sta, evt.part.Sidecar)
 	case jobEnded:
 		pro.endJob(sta, evt)
 	case peerAwaited:
 		pro.awaitPeer(sta, evt)
 	case ringRead:
-		pro.adoptRing(work, sta, evt.ring)
+		pro.adoptRing(work, sta, evt.ring, now)
 	case teamsRead:
 		pro.adoptTeams(work, sta, evt.teams, now)
-	case membersLearned:
+	case ringOffered:
+		pro.adoptTeams(work, sta, evt.teams, now)
+		pro.adoptRing(work, sta, evt.ring, now)
+		evt.reply <- rgwire.ConfigureReply{Generation: sta.home.Ring.Ring.Generation}
+	case ringChecked:
+		pro.adoptRing(work, sta, evt.ring, now)
+		rgring.Checked(&sta.home.Ring, evt.ring.Generation, evt.sent)
+	case confirmed:
+		pro.confirm(work, sta, evt)
+	case learned:
 		pro.learn(work, sta, evt, now)
 	case usageHeard:
-		rgadmission.LearnUsage(&sta.admission, evt.usage.Incarnation, evt.usage.Teams, now)
-	case membersAsked:
-		evt.reply <- members(sta)
+		rgadmission.LearnUsage(&sta.home.Admission, evt.usage.Incarnation, evt.usage.Teams, now)
 	case configsAsked:
-		evt.reply <- rgfleet.Configs(&sta.fleet)
+		evt.reply <- rgfleet.Configs(&sta.home.Fleet)
+	case membersAsked:
+		pro.adoptRing(work, sta, evt.ring, now)
+		evt.reply <- rgwire.MembersReply{Knowledge: rghome.Tell(&sta.home)}
 	case stateAsked:
 		evt.reply <- jobState(sta, evt.id)
 	case cancelAsked:
@@ -146,27 +151,26 @@
 	case jobFailed:
 		cancelRun(sta, sta.runs[evt.run])
 	case drainAsked:
-		sta.draining = true
+		sta.home.Draining = true
 		pro.publish(sta)
 		pro.log.Info("draining", zap.Int("jobs", len(sta.runs)))
 	}
 }
 
 func (pro *Process) tick(work context.Context, sta *state, now time.Time) {
-	lost := rgfleet.Sweep(&sta.fleet, rgmodel.DefaultResubmissionWindow, now)
-	for _, key := range lost {
-		pro.loseSidecar(work, sta, key, now)
+	for _, key := range rghome.Sweep(&sta.home, now) {
+		pro.loseSidecar(work, sta, key)
 	}
+	pro.unpark(work, sta)
 	pro.expireParked(sta, now)
 	pro.tellUsage(work, sta, now)
 	if now.Sub(sta.expired) >= expireInterval {
 		sta.expired = now
-		rgsubmission.Expire(&sta.submissions, now)
-		rgring.Forget(&sta.ring, now.Add(-rgmodel.DefaultResubmissionWindow-rgmodel.ClockSkewLimit))
+		rghome.Expire(&sta.home, now)
 	}
-	pro.scope.Gauge("sidecars").Update(float64(len(sta.fleet.Members)))
+	pro.scope.Gauge("sidecars").Update(float64(len(sta.home.Fleet.Members)))
 	pro.scope.Gauge("jobsRunning").Update(float64(len(sta.runs)))
-	if sta.draining {
+	if sta.home.Draining {
 		pro.checkDrained(sta)
 	}
 }
@@ -185,27 +189,26 @@
 
 // publish makes a new view for the traffic goroutines.
 func (pro *Process) publish(sta *state) {
-	teams := make(map[string]rgmodel.TeamConfig, len(sta.teams))
-	for name, tc := range sta.teams {
+	teams := make(map[string]rgmodel.TeamConfig, len(sta.home.Teams))
+	for name, tc := range sta.home.Teams {
 		teams[name] = tc
 	}
 	pro.view.Store(&View{
-		Ring:     sta.ring.Ring,
+		Ring:     sta.home.Ring.Ring,
 		Teams:    teams,
 		Config:   sta.config,
-		Sidecars: rgfleet.Sidecars(&sta.fleet),
-		Ready:    len(rgfleet.Usable(&sta.fleet, time.Now())),
-		Draining: sta.draining,
+		Sidecars: rgfleet.Sidecars(&sta.home.Fleet),
+		Ready:    len(rgfleet.Usable(&sta.home.Fleet, time.Now())),
+		Draining: sta.home.Draining,
 	})
 }
 
-func members(sta *state) rgwire.MembersReply {
-	return rgwire.MembersReply{
-		Ring:     sta.ring.Ring,
-		Teams:    teamList(sta.teams),
-		Sidecars: rgfleet.Sidecars(&sta.fleet),
-		Departed: sta.fleet.Departed,
+// newerRing makes sure that a sidecar in contact with this entry learns of a ring that this entry has adopted.
+func newerRing(sta *state, known uint64) rgwire.ReportReply {
+	if known >= sta.home.Ring.Ring.Generation {
+		return rgwire.ReportReply{}
 	}
+	return rgwire.ReportReply{Ring: sta.home.Ring.Ring}
 }
 
 func teamList(teams map[string]rgmodel.TeamConfig) []rgmodel.TeamConfig {
--- a/io/rgentry/entries.go
+++ b/io/rgentry/entries.go
@@ -75,10 +75,10 @@
 		return
 	}
 	sta.told = now
-	ents := sta.ring.Ring.Entries
+	ents := sta.home.Ring.Ring.Entries
 	msg := rgwire.Usage{
 		Incarnation: pro.self.Incarnation,
-		Teams:       rgadmission.TellUsage(&sta.admission, sta.teams, len(ents), now),
+		Teams:       rgadmission.TellUsage(&sta.home.Admission, sta.home.Teams, len(ents), now),
 	}
 	for _, ent := range ents {
 		if ent.Incarnation == pro.self.Incarnation {
--- a/io/rgentry/event.go
+++ b/io/rgentry/event.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"ragwortgap/core/rghome"
+	"ragwortgap/core/rgjob"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgsubmission"
 	"ragwortgap/io/rgwire"
@@ -24,7 +26,10 @@
 		peer *rgwire.Peer
 	}
 
-	reported struct{ report rgmodel.Report }
+	reported struct {
+		report rgmodel.Report
+		reply  chan<- rgwire.ReportReply
+	}
 
 	sealAnswered struct {
 		key        rgmodel.SidecarKey
@@ -53,11 +58,11 @@
 		job   rgmodel.Job
 		tasks []rgmodel.Task
 		tried map[rgmodel.SidecarKey]bool
-		reply chan<- []part
+		reply chan<- []rgjob.Part
 	}
 
 	// partEnded says that no call for the part is outstanding any more.
-	partEnded struct{ part part }
+	partEnded struct{ part rgjob.Part }
 
 	jobEnded struct {
 		run    uint64
@@ -74,22 +79,47 @@
 
 	teamsRead struct{ teams []rgmodel.TeamConfig }
 
-	membersLearned struct {
-		members rgwire.MembersReply
-		// alone says that a ring exists and no other member of it could be asked.
-		alone bool
+	// learned is what other entries know, and which of those asked have neither answered nor ended.
+	learned struct {
+		known       []rghome.Knowledge
+		unaccounted []rgmodel.Entry
+		// round says that this is the answer to a round of learning, not to a poll while the store is down.
+		round bool
 	}
 
-	// usageHeard says what another entry has admitted of the teams' quotas.
-	usageHeard struct{ usage rgwire.Usage }
+	membersAsked struct {
+		ring  rgmodel.Ring
+		reply chan<- rgwire.MembersReply
+	}
+
+	// ringOffered is a ring that another entry passes on.
+	ringOffered struct {
+		ring  rgmodel.Ring
+		teams []rgmodel.TeamConfig
+		reply chan<- rgwire.ConfigureReply
+	}
+
+	// ringChecked is the ring that the store returned to a read sent at the time given.
+	ringChecked struct {
+		ring rgmodel.Ring
+		sent time.Time
+	}
 
-	membersAsked struct{ reply chan<- rgwire.MembersReply }
+	// confirmed says that another entry has a ring of the generation given, or that its process has ended.
+	confirmed struct {
+		incarnation string
+		generation  uint64
+		ended       bool
+	}
 
 	// configsAsked asks for the configurations in force at the sidecars.
 	configsAsked struct {
 		reply chan<- map[rgmodel.SidecarKey]rgmodel.ConfigVersion
 	}
 
+	// usageHeard says what another entry has admitted of the teams' quotas.
+	usageHeard struct{ usage rgwire.Usage }
+
 	stateAsked struct {
 		id    rgmodel.SubmissionID
 		reply chan<- rgwire.JobStateReply
@@ -106,26 +136,29 @@
 	drainAsked struct{}
 )
 
-func (announced) isEvent()      {}
-func (disconnected) isEvent()   {}
-func (reported) isEvent()       {}
-func (sealAnswered) isEvent()   {}
-func (leaveAsked) isEvent()     {}
-func (submitted) isEvent()      {}
-func (replanned) isEvent()      {}
-func (partEnded) isEvent()      {}
-func (jobEnded) isEvent()       {}
-func (peerAwaited) isEvent()    {}
-func (ringRead) isEvent()       {}
-func (teamsRead) isEvent()      {}
-func (membersLearned) isEvent() {}
-func (usageHeard) isEvent()     {}
-func (membersAsked) isEvent()   {}
-func (configsAsked) isEvent()   {}
-func (stateAsked) isEvent()     {}
-func (jobFailed) isEvent()      {}
-func (cancelAsked) isEvent()    {}
-func (drainAsked) isEvent()     {}
+func (announced) isEvent()    {}
+func (disconnected) isEvent() {}
+func (reported) isEvent()     {}
+func (sealAnswered) isEvent() {}
+func (leaveAsked) isEvent()   {}
+func (submitted) isEvent()    {}
+func (replanned) isEvent()    {}
+func (partEnded) isEvent()    {}
+func (jobEnded) isEvent()     {}
+func (peerAwaited) isEvent()  {}
+func (ringRead) isEvent()     {}
+func (teamsRead) isEvent()    {}
+func (learned) isEvent()      {}
+func (ringOffered) isEvent()  {}
+func (ringChecked) isEvent()  {}
+func (confirmed) isEvent()    {}
+func (membersAsked) isEvent() {}
+func (configsAsked) isEvent() {}
+func (usageHeard) isEvent()   {}
+func (stateAsked) isEvent()   {}
+func (jobFailed) isEvent()    {}
+func (cancelAsked) isEvent()  {}
+func (drainAsked) isEvent()   {}
 
 type (
 	// run is a job in flight, as the control goroutine sees it.
@@ -155,13 +188,6 @@
 		retryAfter time.Duration
 	}
 
-	// part is a set of tasks at one sidecar: to be started there, or recorded there and to be collected.
-	part struct {
-		sidecar  rgmodel.SidecarKey
-		tasks    []rgmodel.Task
-		recorded bool
-	}
-
 	// peerState is what became of a sidecar whose connection was awaited.
 	peerState struct {
 		peer *rgwire.Peer
--- a/io/rgentry/serve.go
+++ b/io/rgentry/serve.go
@@ -17,14 +17,17 @@
 		rep := make(chan rgwire.AnnounceReply, 1)
 		return ask(ctx, pro, announced{sidecar: msg.Sidecar, peer: per, reply: rep}, rep)
 	case rgwire.Report:
-		pro.tell(ctx, reported{report: msg.Report})
-		return struct{}{}, nil
+		rep := make(chan rgwire.ReportReply, 1)
+		return ask(ctx, pro, reported{report: msg.Report, reply: rep}, rep)
+	case rgwire.Configure:
+		rep := make(chan rgwire.ConfigureReply, 1)
+		return ask(ctx, pro, ringOffered{ring: msg.Ring, teams: msg.Teams, reply: rep}, rep)
 	case rgwire.Leave:
 		rep := make(chan struct{}, 1)
 		return ask(ctx, pro, leaveAsked{key: msg.Sidecar, reply: rep}, rep)
 	case rgwire.Members:
 		rep := make(chan rgwire.MembersReply, 1)
-		return ask(ctx, pro, membersAsked{reply: rep}, rep)
+		return ask(ctx, pro, membersAsked{ring: msg.Ring, reply: rep}, rep)
 	case rgwire.ConfigsSince:
 		vie := pro.View()
 		return rgwire.ConfigsReply{Ring: vie.Ring, Teams: rgconfig.Newer(vie.Teams, msg.Revisions)}, nil
@@ -53,7 +56,7 @@
 }
 
 func jobState(sta *state, id rgmodel.SubmissionID) rgwire.JobStateReply {
-	sub := sta.submissions.Submissions[id]
+	sub := sta.home.Submissions.Submissions[id]
 	if sub == nil {
 		return rgwire.JobStateReply{}
 	}
--- a/io/rgentry/store.go
+++ b/io/rgentry/store.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgconfig"
+	"ragwortgap/core/rghome"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgstore"
 	"ragwortgap/io/rgwire"
@@ -29,11 +30,11 @@
 
 	// watchWait bounds a waiting watch; it is also the longest time until a lost watch is noticed.
 	watchWait = 10 * time.Second
+	// peerInterval is how often another entry is asked for news while the store does not answer. The question of an
+	// entry that has a ring has some 20 bytes for each team: 2.7 KB/s for 270 teams.
+	peerInterval = 2 * time.Second
 	// storeRetry is the pause after a failed call to the store.
 	storeRetry = 250 * time.Millisecond
-	// peerInterval is how often an entry that the store does not answer asks another entry for newer configurations.
-	// The question has some 20 bytes for each team: 2.7 KB/s for 270 teams.
-	peerInterval = 2 * time.Second
 )
 
 // follower is the traffic goroutine that watches the store.
@@ -48,7 +49,10 @@
 func (pro *Process) followStore(ctx, work context.Context) {
 	fol := follower{process: pro}
 	fol.read(work)
-	fol.learn(work)
+	// The ring that is in force before this entry joins tells whom to ask for sidecars.
+	fol.adopt(work)
+	// The store may answer with an older state than the one that is in force.
+	fol.syncPeer(work)
 	pro.traffic.Go(func() { pro.keepLease(ctx, work) })
 	for work.Err() == nil {
 		fol.adopt(work)
@@ -63,8 +67,7 @@
 
 // read takes the whole state from the store, or from another entry while the store is down.
 func (fol *follower) read(ctx context.Context) {
-	asked := false
-	var synced time.Time
+	var asked time.Time
 	for ctx.Err() == nil {
 		lis, err := fol.process.store.List(ctx, KeyPrefix)
 		if err == nil {
@@ -74,12 +77,13 @@
 			return
 		}
 		fol.process.scope.Counter("storeErrors").Inc(1)
-		if !asked && fol.process.View().Ring.Generation == 0 {
-			asked = fol.learnFrom(ctx, fol.process.settings.Peers)
-		}
-		if now := time.Now(); now.Sub(synced) >= peerInterval {
-			synced = now
-			fol.syncPeer(ctx)
+		if time.Since(asked) >= peerInterval {
+			asked = time.Now()
+			if fol.process.View().Ring.Generation == 0 {
+				fol.askPeer(ctx)
+			} else {
+				fol.syncPeer(ctx)
+			}
 		}
 		pause(ctx, storeRetry)
 	}
@@ -108,11 +112,11 @@
 	}
 }
 
-// learn asks the members of the ring for sidecars and departures, before this entry joins.
-func (fol *follower) learn(ctx context.Context) {
-	rng, ok := fol.ring()
-	if !ok {
-		return
+// peers returns the addresses of other entries: those of the ring, or those of the settings before a ring is known.
+func (fol *follower) peers() []string {
+	rng := fol.process.View().Ring
+	if rng.Generation == 0 {
+		return fol.process.settings.Peers
 	}
 	var adrs []string
 	for _, ent := range rng.Entries {
@@ -120,36 +124,28 @@
 			adrs = append(adrs, ent.Address)
 		}
 	}
-	if !fol.learnFrom(ctx, adrs) {
-		fol.process.tell(ctx, membersLearned{alone: true})
-	}
+	return adrs
 }
 
-// learnFrom returns whether one of the addresses has answered.
-func (fol *follower) learnFrom(ctx context.Context, adrs []string) bool {
-	for _, adr := range adrs {
-		ask, stop := context.WithTimeout(ctx, callTimeout)
+// askPeer passes on what one other entry knows.
+func (fol *follower) askPeer(ctx context.Context) {
+	for _, adr := range fol.peers() {
+		call, stop := context.WithTimeout(ctx, callTimeout)
 		var rep rgwire.MembersReply
-		err := fol.process.entries.ask(ask, fol.process, rgmodel.Entry{Address: adr}, rgwire.Members{}, &rep)
+		err := fol.process.entries.ask(call, fol.process, rgmodel.Entry{Address: adr}, rgwire.Members{}, &rep)
 		stop()
 		if err == nil && rep.Ring.Generation > 0 {
-			return fol.process.tell(ctx, membersLearned{members: rep})
+			fol.process.tell(ctx, learned{known: []rghome.Knowledge{rep.Knowledge}})
+			return
 		}
 	}
-	return false
 }
 
 // syncPeer asks one other entry, chosen at random, for what this one has missed while only it is cut off from the store.
 func (fol *follower) syncPeer(ctx context.Context) {
 	pro := fol.process
 	vie := pro.View()
-	var adrs []string
-	for _, ent := range vie.Ring.Entries {
-		if ent.Address != pro.self.Address {
-			adrs = append(adrs, ent.Address)
-		}
-	}
-	// A new entry gets its first ring from learnFrom, together with the sidecars that it has to seal.
+	adrs := fol.peers()
 	if len(adrs) == 0 {
 		return
 	}
@@ -252,6 +248,7 @@
 			lease = ""
 			continue
 		}
+		pro.checkRing(ctx)
 		pause(ctx, ttl/3)
 	}
 	if lease != "" {
@@ -263,6 +260,21 @@
 	}
 }
 
+// checkRing reads the ring from the store, so that this entry can be certain for a while to be the home of its ids.
+func (pro *Process) checkRing(ctx context.Context) {
+	sent := time.Now()
+	itm, err := pro.store.Get(ctx, KeyRing)
+	if err != nil {
+		return
+	}
+	var rng rgmodel.Ring
+	if err := json.Unmarshal(itm.Value, &rng); err != nil {
+		pro.log.Error("ring not readable", zap.Error(err))
+		return
+	}
+	pro.tell(ctx, ringChecked{ring: rng, sent: sent})
+}
+
 // takeLease writes the entry's key under a new lease and returns the lease, or nothing if the store did not answer.
 func (pro *Process) takeLease(ctx context.Context) string {
 	raw, err := json.Marshal(pro.self)
--- a/io/rgsidecar/event.go
+++ b/io/rgsidecar/event.go
@@ -15,6 +15,8 @@
 	batchArrived struct {
 		batch rgmodel.Batch
 		reply chan<- rgwire.BatchReply
+		// arrived is set when the batch has to wait for contact with a new entry.
+		arrived time.Time
 	}
 
 	collectArrived struct {
@@ -38,12 +40,19 @@
 	linked struct {
 		entry rgmodel.Entry
 		peer  *rgwire.Peer
+		sent  time.Time
 	}
 
 	unlinked struct{ entry rgmodel.Entry }
 
 	bootstrapped struct{}
 
+	// contacted says that an entry has answered a message that was sent at the time given.
+	contacted struct {
+		entry rgmodel.Entry
+		sent  time.Time
+	}
+
 	finished struct {
 		start   rgqueue.Start
 		outcome rgmodel.Outcome
@@ -61,5 +70,6 @@
 func (linked) isEvent()         {}
 func (unlinked) isEvent()       {}
 func (bootstrapped) isEvent()   {}
+func (contacted) isEvent()      {}
 func (finished) isEvent()       {}
 func (drainAsked) isEvent()     {}
--- a/io/rgwire/message.go
+++ b/io/rgwire/message.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"ragwortgap/core/rgadmission"
+	"ragwortgap/core/rghome"
 	"ragwortgap/core/rgmodel"
 )
 
@@ -26,11 +27,16 @@
 		Teams []rgmodel.TeamConfig `json:"teams"`
 	}
 
-	// Report is a notification of a sidecar's load.
+	// Report tells an entry a sidecar's load.
 	Report struct {
 		rgmodel.Report
 	}
 
+	// ReportReply carries the ring if the sidecar's is older.
+	ReportReply struct {
+		Ring rgmodel.Ring `json:"ring"`
+	}
+
 	// StartBatch asks a sidecar to run tasks; it is answered once all of them are final.
 	StartBatch struct {
 		rgmodel.Batch
@@ -64,7 +70,7 @@
 		IDs []rgmodel.SubmissionID `json:"submissionIds"`
 	}
 
-	// Configure is a notification of a changed ring or changed team configurations.
+	// Configure carries a changed ring or changed team configurations; sidecars do not answer it.
 	Configure struct {
 		Ring  rgmodel.Ring         `json:"ring"`
 		Teams []rgmodel.TeamConfig `json:"teams,omitempty"`
@@ -75,6 +81,11 @@
 		Sidecar rgmodel.SidecarKey `json:"sidecar"`
 	}
 
+	// ConfigureReply names the generation of the ring that the receiver now has.
+	ConfigureReply struct {
+		Generation uint64 `json:"generation"`
+	}
+
 	// Forward passes a job to the entry that is its home.
 	// Hops counts how often it has been passed on.
 	Forward struct {
@@ -127,15 +138,14 @@
 		Teams       []rgadmission.TeamUsage `json:"teams,omitempty"`
 	}
 
-	// Members asks an entry for what it knows of the system.
-	Members struct{}
+	// Members asks an entry for what it knows of the system, after it has adopted the ring if that is newer.
+	Members struct {
+		Ring rgmodel.Ring `json:"ring"`
+	}
 
 	// MembersReply is the answer to Members.
 	MembersReply struct {
-		Ring     rgmodel.Ring         `json:"ring"`
-		Teams    []rgmodel.TeamConfig `json:"teams"`
-		Sidecars []rgmodel.Sidecar    `json:"sidecars"`
-		Departed []rgmodel.Departure  `json:"departed"`
+		rghome.Knowledge
 	}
 )
 
@@ -218,7 +228,7 @@
 	case "usage":
 		return decodeAs[Usage](raw)
 	case "members":
-		return Members{}, nil
+		return decodeAs[Members](raw)
 	default:
 		return nil, errors.NotSupportedf("method %q", name)
 	}
