--- a/core/rghome/command_submit.go
+++ b/core/rghome/command_submit.go
@@ -94,7 +94,9 @@
 		if rfs := rgadmission.CheckWait(loads(sta, jb, now), sta.Teams, jb); rfs.Reason != "" {
 			return rfs
 		}
-		return rgadmission.TakeQuota(&sta.Admission, sta.Teams[jb.Flow.Team], len(jb.Tasks), len(sta.Ring.Ring.Entries), now)
+		return rgadmission.TakeQuota(&sta.Admission, rgadmission.Quota{
+			Team: sta.Teams[jb.Flow.Team], Tasks: len(jb.Tasks), Ring: sta.Ring.Ring, Self: sta.Ring.Self,
+		}, now)
 	}
 }
 
--- a/core/rgring/ring_test.go
+++ b/core/rgring/ring_test.go
@@ -70,7 +70,11 @@
 		"confirmed an older ring":      {steps: func(sta *State) { Sealed(sta, one, 2, nil); Confirmed(sta, "other-1", 1) }},
 		"sealed and confirmed":         {steps: func(sta *State) { Sealed(sta, one, 2, nil); confirm(sta) }, ready: true},
 		"sidecar lost, rest confirmed": {steps: func(sta *State) { Lost(sta, one, began); confirm(sta) }, ready: true},
-		"entries ended":                {steps: func(sta *State) { Sealed(sta, one, 2, nil); Ended(sta, "other-1"); Ended(sta, "third-1") }, ready: true},
+		"entries ended": {ready: true, steps: func(sta *State) {
+			Sealed(sta, one, 2, nil)
+			Ended(sta, "other-1")
+			Ended(sta, "third-1")
+		}},
 		"time has passed": {ready: true, steps: func(sta *State) {
 			Sealed(sta, one, 2, nil)
 			Elapse(sta, began.Add(rgmodel.CertainTime+time.Millisecond))
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -7,6 +7,8 @@
 
 	"go.uber.org/zap"
 
+	"ragwortgap/core/rgadmission"
+	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rgfleet"
 	"ragwortgap/core/rghome"
 	"ragwortgap/core/rgmodel"
@@ -23,9 +25,15 @@
 type (
 	// state is owned by the control goroutine.
 	state struct {
-		home   rghome.State
-		random *rand.Rand
-		peers  map[rgmodel.SidecarKey]*rgwire.Peer
+		home    rghome.State
+		config  rgmodel.ConfigVersion
+		history rgconfig.History
+		// near caches which sidecars this entry pushes changes to at once.
+		near map[rgmodel.SidecarKey]bool
+		// repaired is when a sidecar that lagged behind was last sent what it lacks.
+		repaired map[rgmodel.SidecarKey]time.Time
+		random   *rand.Rand
+		peers    map[rgmodel.SidecarKey]*rgwire.Peer
 		// outstanding counts the parts for which a sidecar owes an answer.
 		outstanding map[rgmodel.SidecarKey]int
 		leaving     map[rgmodel.SidecarKey]chan<- struct{}
@@ -43,6 +51,8 @@
 		quiet   bool
 		drained chan struct{}
 		expired time.Time
+		// told is when the other entries were last told the usage of quotas.
+		told time.Time
 	}
 )
 
@@ -58,6 +68,8 @@
 		awaiting:    map[rgmodel.SidecarKey][]chan<- peerState{},
 		runs:        map[uint64]*run{},
 		drained:     make(chan struct{}),
+		near:        map[rgmodel.SidecarKey]bool{},
+		repaired:    map[rgmodel.SidecarKey]time.Time{},
 		cancels:     map[rgmodel.SidecarKey][]rgmodel.SubmissionID{},
 	}
 	tic := time.NewTicker(tickInterval)
@@ -95,6 +107,7 @@
 	case reported:
 		rgfleet.Report(&sta.home.Fleet, evt.report, now)
 		evt.reply <- newerRing(sta, evt.report.Generation)
+		pro.repair(work, sta, evt.report, now)
 	case sealAnswered:
 		pro.sealed(work, sta, evt)
 	case leaveAsked:
@@ -112,9 +125,9 @@
 	case ringRead:
 		pro.adoptRing(work, sta, evt.ring, now)
 	case teamsRead:
-		pro.adoptTeams(work, sta, evt.teams)
+		pro.adoptTeams(work, sta, evt.teams, now)
 	case ringOffered:
-		pro.adoptTeams(work, sta, evt.teams)
+		pro.adoptTeams(work, sta, evt.teams, now)
 		pro.adoptRing(work, sta, evt.ring, now)
 		evt.reply <- rgwire.ConfigureReply{Generation: sta.home.Ring.Ring.Generation}
 	case ringChecked:
@@ -124,6 +137,10 @@
 		pro.confirm(work, sta, evt)
 	case learned:
 		pro.learn(work, sta, evt, now)
+	case usageHeard:
+		rgadmission.LearnUsage(&sta.home.Admission, evt.usage.Incarnation, evt.usage.Teams, now)
+	case configsAsked:
+		evt.reply <- rgfleet.Configs(&sta.home.Fleet)
 	case membersAsked:
 		pro.adoptRing(work, sta, evt.ring, now)
 		evt.reply <- rgwire.MembersReply{Knowledge: rghome.Tell(&sta.home)}
@@ -146,6 +163,7 @@
 	}
 	pro.unpark(work, sta)
 	pro.expireParked(sta, now)
+	pro.tellUsage(work, sta, now)
 	if now.Sub(sta.expired) >= expireInterval {
 		sta.expired = now
 		rghome.Expire(&sta.home, now)
@@ -178,6 +196,7 @@
 	pro.view.Store(&View{
 		Ring:     sta.home.Ring.Ring,
 		Teams:    teams,
+		Config:   sta.config,
 		Sidecars: rgfleet.Sidecars(&sta.home.Fleet),
 		Ready:    len(rgfleet.Usable(&sta.home.Fleet, time.Now())),
 		Draining: sta.home.Draining,
--- a/io/rgentry/event.go
+++ b/io/rgentry/event.go
@@ -112,6 +112,14 @@
 		ended       bool
 	}
 
+	// configsAsked asks for the configurations in force at the sidecars.
+	configsAsked struct {
+		reply chan<- map[rgmodel.SidecarKey]rgmodel.ConfigVersion
+	}
+
+	// usageHeard says what another entry has admitted of the teams' quotas.
+	usageHeard struct{ usage rgwire.Usage }
+
 	stateAsked struct {
 		id    rgmodel.SubmissionID
 		reply chan<- rgwire.JobStateReply
@@ -145,6 +153,8 @@
 func (ringChecked) isEvent()  {}
 func (confirmed) isEvent()    {}
 func (membersAsked) isEvent() {}
+func (configsAsked) isEvent() {}
+func (usageHeard) isEvent()   {}
 func (stateAsked) isEvent()   {}
 func (jobFailed) isEvent()    {}
 func (cancelAsked) isEvent()  {}
--- a/io/rgentry/ring.go
+++ b/io/rgentry/ring.go
@@ -9,6 +9,8 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"ragwortgap/core/rgadmission"
+	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rghome"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgring"
@@ -31,6 +33,8 @@
 	if !ok {
 		return
 	}
+	clear(sta.near)
+	rgadmission.ForgetUsage(&sta.home.Admission, rng)
 	pro.log.Info("ring changed", zap.Uint64("generation", rng.Generation), zap.Int("entries", len(rng.Entries)))
 	pro.scope.Gauge("ringGeneration").Update(float64(rng.Generation))
 	for _, id := range moved {
@@ -40,7 +44,7 @@
 		pro.seal(work, sta, key)
 	}
 	pro.publish(sta)
-	pro.push(work, sta, nil)
+	pro.pushRing(work, sta)
 	pro.tellEntries(work, sta, old)
 	pro.traffic.Go(func() { pro.checkRing(work) })
 	pro.startLearning(work, sta, old)
@@ -145,7 +149,7 @@
 func (pro *Process) learn(work context.Context, sta *state, evt learned, now time.Time) {
 	for _, kno := range evt.known {
 		rghome.Learn(&sta.home, kno, now)
-		pro.adoptTeams(work, sta, kno.Teams)
+		pro.adoptTeams(work, sta, kno.Teams, now)
 		pro.adoptRing(work, sta, kno.Ring, now)
 		evt.unaccounted = append(evt.unaccounted, kno.Unaccounted...)
 	}
@@ -182,17 +186,15 @@
 }
 
 // adoptTeams takes in newer configurations and pushes them on.
-func (pro *Process) adoptTeams(work context.Context, sta *state, teams []rgmodel.TeamConfig) {
-	var newer []rgmodel.TeamConfig
-	for _, tc := range teams {
-		if tc.Revision > sta.home.Teams[tc.Team].Revision {
-			sta.home.Teams[tc.Team] = tc
-			newer = append(newer, tc)
-		}
-	}
+func (pro *Process) adoptTeams(work context.Context, sta *state, teams []rgmodel.TeamConfig, now time.Time) {
+	// Operators read the sources of settings in the store; here they would only make messages longer.
+	newer := rgconfig.Merge(sta.home.Teams, rgconfig.Compact(teams))
 	if len(newer) == 0 {
 		return
 	}
+	before := sta.config.Revisions
+	sta.config = rgconfig.VersionOf(sta.home.Teams)
+	rgconfig.Note(&sta.history, newer, before, sta.config.Revisions, now)
 	pro.publish(sta)
-	pro.push(work, sta, newer)
+	pro.pushTeams(work, sta, newer)
 }
--- a/io/rgentry/store.go
+++ b/io/rgentry/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rghome"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgstore"
@@ -28,7 +30,8 @@
 
 	// watchWait bounds a waiting watch; it is also the longest time until a lost watch is noticed.
 	watchWait = 10 * time.Second
-	// peerInterval is how often another entry is asked for news while the store does not answer.
+	// peerInterval is how often another entry is asked for news while the store does not answer. The question of an
+	// entry that has a ring has some 20 bytes for each team: 2.7 KB/s for 270 teams.
 	peerInterval = 2 * time.Second
 	// storeRetry is the pause after a failed call to the store.
 	storeRetry = 250 * time.Millisecond
@@ -48,6 +51,8 @@
 	fol.read(work)
 	// The ring that is in force before this entry joins tells whom to ask for sidecars.
 	fol.adopt(work)
+	// The store may answer with an older state than the one that is in force.
+	fol.syncPeer(work)
 	pro.traffic.Go(func() { pro.keepLease(ctx, work) })
 	for work.Err() == nil {
 		fol.adopt(work)
@@ -74,7 +79,11 @@
 		fol.process.scope.Counter("storeErrors").Inc(1)
 		if time.Since(asked) >= peerInterval {
 			asked = time.Now()
-			fol.askPeer(ctx)
+			if fol.process.View().Ring.Generation == 0 {
+				fol.askPeer(ctx)
+			} else {
+				fol.syncPeer(ctx)
+			}
 		}
 		pause(ctx, storeRetry)
 	}
@@ -132,6 +141,26 @@
 	}
 }
 
+// syncPeer asks one other entry, chosen at random, for what this one has missed while only it is cut off from the store.
+func (fol *follower) syncPeer(ctx context.Context) {
+	pro := fol.process
+	vie := pro.View()
+	adrs := fol.peers()
+	if len(adrs) == 0 {
+		return
+	}
+	call, stop := context.WithTimeout(ctx, peerInterval)
+	defer stop()
+	var rep rgwire.ConfigsReply
+	ent := rgmodel.Entry{Address: adrs[rand.IntN(len(adrs))]}
+	if pro.entries.ask(call, pro, ent, rgwire.ConfigsSince{Revisions: rgconfig.Revisions(vie.Teams)}, &rep) != nil {
+		pro.scope.Counter("peerSyncErrors").Inc(1)
+		return
+	}
+	pro.tell(ctx, teamsRead{teams: rep.Teams})
+	pro.tell(ctx, ringRead{ring: rep.Ring})
+}
+
 // adopt passes the ring and the configurations on to the control goroutine, which ignores what is not newer.
 func (fol *follower) adopt(ctx context.Context) {
 	var teams []rgmodel.TeamConfig
--- a/io/rgwire/message.go
+++ b/io/rgwire/message.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"ragwortgap/core/rgadmission"
 	"ragwortgap/core/rghome"
 	"ragwortgap/core/rgmodel"
 )
@@ -119,6 +120,24 @@
 		Found bool `json:"found"`
 	}
 
+	// ConfigsSince asks an entry for configurations of higher revisions than those given, while the store does not
+	// answer the asker.
+	ConfigsSince struct {
+		Revisions map[string]uint64 `json:"revisions"`
+	}
+
+	// ConfigsReply is the answer to ConfigsSince.
+	ConfigsReply struct {
+		Ring  rgmodel.Ring         `json:"ring"`
+		Teams []rgmodel.TeamConfig `json:"teams,omitempty"`
+	}
+
+	// Usage is a notification of what an entry has admitted of the teams' quotas.
+	Usage struct {
+		Incarnation string                  `json:"incarnation"`
+		Teams       []rgadmission.TeamUsage `json:"teams,omitempty"`
+	}
+
 	// Members asks an entry for what it knows of the system, after it has adopted the ring if that is newer.
 	Members struct {
 		Ring rgmodel.Ring `json:"ring"`
@@ -130,18 +149,20 @@
 	}
 )
 
-func (Announce) isMessage()   {}
-func (Report) isMessage()     {}
-func (StartBatch) isMessage() {}
-func (Collect) isMessage()    {}
-func (Seal) isMessage()       {}
-func (Cancel) isMessage()     {}
-func (Configure) isMessage()  {}
-func (Leave) isMessage()      {}
-func (Forward) isMessage()    {}
-func (JobState) isMessage()   {}
-func (CancelJob) isMessage()  {}
-func (Members) isMessage()    {}
+func (Announce) isMessage()     {}
+func (Report) isMessage()       {}
+func (StartBatch) isMessage()   {}
+func (Collect) isMessage()      {}
+func (Seal) isMessage()         {}
+func (Cancel) isMessage()       {}
+func (Configure) isMessage()    {}
+func (Leave) isMessage()        {}
+func (Forward) isMessage()      {}
+func (JobState) isMessage()     {}
+func (CancelJob) isMessage()    {}
+func (ConfigsSince) isMessage() {}
+func (Usage) isMessage()        {}
+func (Members) isMessage()      {}
 
 func method(msg Message) string {
 	switch msg.(type) {
@@ -167,6 +188,10 @@
 		return "jobState"
 	case CancelJob:
 		return "cancelJob"
+	case ConfigsSince:
+		return "configsSince"
+	case Usage:
+		return "usage"
 	case Members:
 		return "members"
 	default:
@@ -198,6 +223,10 @@
 		return decodeAs[JobState](raw)
 	case "cancelJob":
 		return decodeAs[CancelJob](raw)
+	case "configsSince":
+		return decodeAs[ConfigsSince](raw)
+	case "usage":
+		return decodeAs[Usage](raw)
 	case "members":
 		return decodeAs[Members](raw)
 	default:
