Add service-level burn per flow, with routes and a command

Operators could see totals of jobs, but not which flow misses its objective nor why.

core/rgburn counts the jobs of each flow in a ring buffer of 120 slots of 30 s and reports the burn rate over 5 min and 1 h, the budget left and the causes (late, refused, failed, mayHaveRun). The entry's control goroutine feeds it where a job ends or is refused, and publishes a report in the view every 5 s. GET /v1/burn serves it as JSON, GET /burn as a page with an inline SVG plot by gonum/plot, and `ragwortgap burn` adds up several entries.

Ruled out: counting by wall-clock buckets of 1 min (the short window would be off by a fifth), labels per flow in the metrics (callers choose the names of flows), go-chart (gonum/plot was in the module cache already).

Refused with no effect on the budget: malformed requests, an id used with another body, jobs that no upstream can ever run, and jobs that only their caller cancelled. Refusals over quota count as refused.

The test of the page found control characters of a kind's name in the plot; they are replaced now. No browser is installed, so that the plot was checked by its structure only.

--- /dev/null
+++ b/core/rgburn/query_report.go
@@ -0,0 +1,129 @@
+package rgburn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// Report returns the error budgets of all flows, ordered by team and kind. Objectives come from the teams'
+// configurations.
+func Report(sta *State, teams map[string]rgmodel.TeamConfig, now time.Time) []FlowReport {
+	reps := make([]FlowReport, 0, len(sta.Flows))
+	for key, flo := range sta.Flows {
+		kc, _ := teams[key.Team].Kind(key.Kind)
+		reps = append(reps, report(key, flo, Objective(kc), slotNumber(now)))
+	}
+	sortReports(reps)
+	return reps
+}
+
+// Objective returns the fraction of good jobs that the kind promises.
+func Objective(kc rgmodel.KindConfig) float64 {
+	if kc.Objective <= 0 {
+		return DefaultObjective
+	}
+	return min(kc.Objective, MaxObjective)
+}
+
+// Sum adds up the reports of several entries. Where entries differ about an objective, the stricter one applies.
+func Sum(lists ...[]FlowReport) []FlowReport {
+	sums := map[rgmodel.Flow]FlowReport{}
+	for _, lis := range lists {
+		for _, rep := range lis {
+			sum := sums[rep.Flow]
+			sum.Flow = rep.Flow
+			sum.Objective = max(sum.Objective, rep.Objective)
+			sum.Short.Counts = add(sum.Short.Counts, rep.Short.Counts)
+			sum.Long.Counts = add(sum.Long.Counts, rep.Long.Counts)
+			sum.Steps = sumSteps(sum.Steps, rep.Steps)
+			sums[rep.Flow] = sum
+		}
+	}
+	reps := make([]FlowReport, 0, len(sums))
+	for _, sum := range sums {
+		reps = append(reps, rate(sum))
+	}
+	sortReports(reps)
+	return reps
+}
+
+// Bad returns the number of jobs that were not good.
+func (cnt Counts) Bad() uint32 {
+	return cnt.Late + cnt.Refused + cnt.Failed + cnt.MayHaveRun
+}
+
+func report(key rgmodel.Flow, flo *Flow, objective float64, newest int64) FlowReport {
+	rep := FlowReport{Flow: key, Objective: objective, Steps: make([]Step, int64(slotCount)/shortSlots)}
+	for i := range rep.Steps {
+		back := int64(len(rep.Steps)-1-i) * shortSlots
+		rep.Steps[i].End = time.Unix(0, (newest-back+1)*int64(SlotTime)).UTC()
+	}
+	for _, slo := range flo.Slots {
+		age := newest - slo.Number
+		if age < 0 || age >= int64(slotCount) {
+			continue
+		}
+		rep.Long.Counts = add(rep.Long.Counts, slo.Counts)
+		if age < shortSlots {
+			rep.Short.Counts = add(rep.Short.Counts, slo.Counts)
+		}
+		stp := &rep.Steps[len(rep.Steps)-1-int(age/shortSlots)]
+		stp.Counts = add(stp.Counts, slo.Counts)
+	}
+	return rate(rep)
+}
+
+// rate fills in what follows from the counts and the objective.
+func rate(rep FlowReport) FlowReport {
+	rep.Short.BurnRate = burnRate(rep.Short.Counts, rep.Objective)
+	rep.Long.BurnRate = burnRate(rep.Long.Counts, rep.Objective)
+	rep.BudgetLeft = 1 - rep.Long.BurnRate
+	for i := range rep.Steps {
+		rep.Steps[i].BurnRate = burnRate(rep.Steps[i].Counts, rep.Objective)
+	}
+	return rep
+}
+
+func burnRate(cnt Counts, objective float64) float64 {
+	bad := float64(cnt.Bad())
+	if bad == 0 {
+		return 0
+	}
+	return bad / (bad + float64(cnt.Good)) / (1 - objective)
+}
+
+// sumSteps adds steps by position from the newest, because the entries' slots end within one SlotTime of each other.
+func sumSteps(sum, more []Step) []Step {
+	if len(more) > len(sum) {
+		sum, more = more, sum
+	}
+	sum = slices.Clone(sum)
+	for i := range more {
+		stp := &sum[len(sum)-1-i]
+		oth := more[len(more)-1-i]
+		stp.Counts = add(stp.Counts, oth.Counts)
+		if oth.End.After(stp.End) {
+			stp.End = oth.End
+		}
+	}
+	return sum
+}
+
+func add(fst, snd Counts) Counts {
+	return Counts{
+		Good:       fst.Good + snd.Good,
+		Late:       fst.Late + snd.Late,
+		Refused:    fst.Refused + snd.Refused,
+		Failed:     fst.Failed + snd.Failed,
+		MayHaveRun: fst.MayHaveRun + snd.MayHaveRun,
+	}
+}
+
+func sortReports(reps []FlowReport) {
+	slices.SortFunc(reps, func(fst, snd FlowReport) int {
+		return cmp.Or(cmp.Compare(fst.Flow.Team, snd.Flow.Team), cmp.Compare(fst.Flow.Kind, snd.Flow.Kind))
+	})
+}
--- a/io/rgcli/cli.go
+++ b/io/rgcli/cli.go
@@ -27,6 +27,7 @@
 		Entry   *entryCommand   `arg:"subcommand:entry" help:"run an entry"`
 		Sidecar *sidecarCommand `arg:"subcommand:sidecar" help:"run the sidecar of an upstream"`
 		Demo    *demoCommand    `arg:"subcommand:demo" help:"run the whole system with stand-ins in one process"`
+		Burn    *burnQuery      `arg:"subcommand:burn" help:"print the error budgets of the flows, summed over entries"`
 		Version *versionQuery   `arg:"subcommand:version" help:"print the version"`
 	}
 )
@@ -60,6 +61,8 @@
 		return cmd.run(ctx)
 	case *demoCommand:
 		return cmd.run(ctx, out)
+	case *burnQuery:
+		return cmd.run(ctx, out)
 	case *versionQuery:
 		return cmd.run(out)
 	default:
--- /dev/null
+++ b/io/rgcli/query_burn.go
@@ -0,0 +1,84 @@
+package rgcli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/juju/errors"
+
+	"ragwortgap/core/rgburn"
+	"ragwortgap/io/rgqueryapi"
+)
+
+const (
+	queryTimeout = 5 * time.Second
+	// maxBurnBytes bounds an entry's reply: about 3 KB a flow.
+	maxBurnBytes = 16 << 20
+)
+
+type burnQuery struct {
+	Entries []string `arg:"positional,required" placeholder:"ADDRESS" help:"HTTP addresses of entries, such as 127.0.0.1:8080"`
+}
+
+// run prints the budgets of the entries that answer, and fails if one of them does not, because the sums lack its jobs.
+func (qry *burnQuery) run(ctx context.Context, out io.Writer) error {
+	var lists [][]rgburn.FlowReport
+	var missing []string
+	for _, adr := range qry.Entries {
+		bod, err := askBurn(ctx, http.DefaultClient, adr)
+		if err != nil {
+			missing = append(missing, err.Error())
+			continue
+		}
+		lists = append(lists, bod.Flows)
+	}
+	if err := printBurn(out, rgburn.Sum(lists...)); err != nil {
+		return err
+	}
+	if len(missing) > 0 {
+		return errors.Errorf("%d of %d entries did not answer: %s", len(missing), len(qry.Entries), strings.Join(missing, "; "))
+	}
+	return nil
+}
+
+func askBurn(ctx context.Context, cli *http.Client, adr string) (rgqueryapi.Burn, error) {
+	var bod rgqueryapi.Burn
+	if !strings.Contains(adr, "://") {
+		adr = "http://" + adr
+	}
+	ctx, stop := context.WithTimeout(ctx, queryTimeout)
+	defer stop()
+	loc := strings.TrimSuffix(adr, "/") + "/v1/burn"
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, loc, nil)
+	if err != nil {
+		return bod, errors.NotValidf("address %q", adr)
+	}
+	rsp, err := cli.Do(req)
+	if err != nil {
+		return bod, errors.Trace(err)
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	if rsp.StatusCode != http.StatusOK {
+		return bod, errors.Errorf("GET %s: status %d", loc, rsp.StatusCode)
+	}
+	err = json.UnmarshalRead(io.LimitReader(rsp.Body, maxBurnBytes), &bod)
+	return bod, errors.Annotatef(err, "GET %s", loc)
+}
+
+func printBurn(out io.Writer, reps []rgburn.FlowReport) error {
+	tab := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(tab, "team\tkind\tobjective\tburn 5m\tburn 1h\tbudget left\tgood\tlate\trefused\tfailed\tmayHaveRun\t")
+	for _, rep := range reps {
+		cnt := rep.Long.Counts
+		_, _ = fmt.Fprintf(tab, "%s\t%s\t%.2f%%\t%.2f\t%.2f\t%.1f%%\t%d\t%d\t%d\t%d\t%d\t\n", rep.Flow.Team, rep.Flow.Kind,
+			100*rep.Objective, rep.Short.BurnRate, rep.Long.BurnRate, 100*rep.BudgetLeft,
+			cnt.Good, cnt.Late, cnt.Refused, cnt.Failed, cnt.MayHaveRun)
+	}
+	return errors.Annotate(tab.Flush(), "print burn rates")
+}
--- a/io/rgcommandapi/routes.go
+++ b/io/rgcommandapi/routes.go
@@ -28,6 +28,7 @@
 func (rts Routes) submit(rsp http.ResponseWriter, req *http.Request, _ httprouter.Params) {
 	jb, prb := rgapi.ReadJob(req.Body, time.Now())
 	if prb != nil {
+		rts.Entry.CountMalformed()
 		rgapi.Write(rsp, http.StatusBadRequest, prb)
 		return
 	}
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgadmission"
+	"ragwortgap/core/rgburn"
 	"ragwortgap/core/rgfleet"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgplacement"
@@ -48,6 +49,10 @@
 		quiet    bool
 		drained  chan struct{}
 		expired  time.Time
+		burn     rgburn.State
+		// burnReport was made at the time burned.
+		burnReport []rgburn.FlowReport
+		burned     time.Time
 	}
 )
 
@@ -147,8 +152,7 @@
 		rgsubmission.Expire(&sta.submissions, now)
 		rgring.Forget(&sta.ring, now.Add(-rgmodel.DefaultResubmissionWindow-rgmodel.ClockSkewLimit))
 	}
-	pro.scope.Gauge("sidecars").Update(float64(len(sta.fleet.Members)))
-	pro.scope.Gauge("jobsRunning").Update(float64(len(sta.runs)))
+	pro.observe(sta, now)
 	if sta.draining {
 		pro.checkDrained(sta)
 	}
@@ -178,6 +182,7 @@
 		Sidecars: rgfleet.Sidecars(&sta.fleet),
 		Ready:    len(rgfleet.Usable(&sta.fleet, time.Now())),
 		Draining: sta.draining,
+		Burn:     sta.burnReport,
 	})
 }
 
--- a/io/rgentry/event.go
+++ b/io/rgentry/event.go
@@ -120,9 +120,11 @@
 type (
 	// run is a job in flight, as the control goroutine sees it.
 	run struct {
-		id       rgmodel.SubmissionID
-		flow     rgmodel.Flow
-		began    time.Time
+		id    rgmodel.SubmissionID
+		flow  rgmodel.Flow
+		began time.Time
+		// again is set when the job was counted before, and only its answer is collected again.
+		again    bool
 		sidecars map[rgmodel.SidecarKey]bool
 		// stop ends the traffic goroutine of a job whose home has moved.
 		stop      context.CancelFunc
--- /dev/null
+++ b/io/rgentry/observe.go
@@ -0,0 +1,87 @@
+package rgentry
+
+import (
+	"time"
+
+	"ragwortgap/core/rgburn"
+	"ragwortgap/core/rgfleet"
+	"ragwortgap/core/rgmodel"
+)
+
+// burnInterval is how often the error budgets are summed up and published.
+const burnInterval = 5 * time.Second
+
+// CountMalformed counts a request that was refused before it became a job. Such requests use no error budget.
+func (pro *Process) CountMalformed() {
+	pro.scope.Counter("requestsMalformed").Inc(1)
+}
+
+// countAnswer enters a job's final answer in the metrics and in the error budget of its flow.
+func (pro *Process) countAnswer(sta *state, flow rgmodel.Flow, ans rgmodel.Answer, began, now time.Time) {
+	pro.scope.Tagged(map[string]string{"verdict": jobVerdict(ans).String()}).Counter("jobs").Inc(1)
+	pro.scope.Timer("jobTime").Record(now.Sub(began))
+	kc, _ := sta.teams[flow.Team].Kind(flow.Kind)
+	rgburn.Count(&sta.burn, flow, rgburn.Classify(ans, now.Sub(began), kc.CallerWait.Duration), now)
+}
+
+// refuse answers a job that has not been started by this request, and counts the refusal.
+func (pro *Process) refuse(sta *state, evt submitted, vd rgmodel.Verdict, rsn rgmodel.Reason, detail string, now time.Time) settled {
+	pro.scope.Tagged(map[string]string{"reason": string(rsn)}).Counter("refusals").Inc(1)
+	dec := settled{answer: rgmodel.RefuseAll(evt.job, vd, rsn, detail)}
+	pro.countAnswer(sta, evt.job.Flow, dec.answer, evt.since(now), now)
+	return dec
+}
+
+// observe updates the gauges, and the burn report at its own slower interval.
+func (pro *Process) observe(sta *state, now time.Time) {
+	pro.scope.Gauge("ringGeneration").Update(float64(sta.ring.Ring.Generation))
+	pro.scope.Gauge("ringEntries").Update(float64(len(sta.ring.Ring.Entries)))
+	pro.scope.Gauge("sidecarsKnown").Update(float64(len(sta.fleet.Members)))
+	pro.scope.Gauge("sidecarsUsable").Update(float64(len(rgfleet.Usable(&sta.fleet, now))))
+	pro.scope.Gauge("sidecarsDeparted").Update(float64(len(sta.fleet.Departed)))
+	pro.scope.Gauge("jobsRunning").Update(float64(len(sta.runs)))
+	pro.scope.Gauge("jobsParked").Update(float64(len(sta.parked)))
+	pro.scope.Gauge("submissionsKept").Update(float64(len(sta.submissions.Submissions)))
+	pro.scope.Gauge("teams").Update(float64(len(sta.teams)))
+	pro.scope.Gauge("callersWaiting").Update(float64(pro.callers.Load()))
+	pro.scope.Gauge("draining").Update(flag(sta.draining))
+	if now.Sub(sta.burned) < burnInterval {
+		return
+	}
+	sta.burned = now
+	rgburn.Expire(&sta.burn, now)
+	sta.burnReport = rgburn.Report(&sta.burn, sta.teams, now)
+	pro.publish(sta)
+}
+
+// since is when the submission arrived, for one that has waited for sidecars, or else now.
+func (evt submitted) since(now time.Time) time.Time {
+	if evt.arrived.IsZero() {
+		return now
+	}
+	return evt.arrived
+}
+
+// jobVerdict is the verdict of the task that leaves the caller with the least knowledge.
+func jobVerdict(ans rgmodel.Answer) rgmodel.Verdict {
+	if ans.Complete() {
+		return rgmodel.RanOK
+	}
+	vd := rgmodel.NotRun
+	for _, out := range ans.Outcomes {
+		switch out.Verdict {
+		case rgmodel.MayHaveRun:
+			return rgmodel.MayHaveRun
+		case rgmodel.RanFailed:
+			vd = rgmodel.RanFailed
+		}
+	}
+	return vd
+}
+
+func flag(val bool) float64 {
+	if val {
+		return 1
+	}
+	return 0
+}
--- a/io/rgentry/process.go
+++ b/io/rgentry/process.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"ragwortgap/core/rgburn"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgsettings"
 	"ragwortgap/io/rgstore"
@@ -53,6 +54,8 @@
 		// Ready is the number of sidecars that may get work.
 		Ready    int
 		Draining bool
+		// Burn holds the error budgets, and is some seconds old.
+		Burn []rgburn.FlowReport
 	}
 )
 
--- a/io/rgentry/submit.go
+++ b/io/rgentry/submit.go
@@ -25,6 +25,8 @@
 type plan struct {
 	parts []part
 	known []rgmodel.Outcome
+	// again is set when the job was answered before and its answer is only collected again.
+	again bool
 }
 
 // submit decides what happens to a submission.
@@ -32,13 +34,13 @@
 	jb := evt.job
 	switch std := rgsubmission.Find(&sta.submissions, jb.ID, jb.Digest).(type) {
 	case rgsubmission.Conflict:
-		evt.reply <- refuse(jb, rgmodel.NotRun, rgmodel.ReasonDigestMismatch, "the id was used with another body")
+		evt.reply <- pro.refuse(sta, evt, rgmodel.NotRun, rgmodel.ReasonDigestMismatch, "the id was used with another body", now)
 	case rgsubmission.Answered:
 		evt.reply <- settled{answer: std.Answer}
 	case rgsubmission.Running:
 		evt.reply <- sta.attach(jb.ID)
 	case rgsubmission.Dropped:
-		pro.startJob(work, sta, evt, plan{parts: recordedParts(jb, std.Places)}, now)
+		pro.startJob(work, sta, evt, plan{parts: recordedParts(jb, std.Places), again: true}, now)
 	case rgsubmission.Unknown:
 		pro.submitUnknown(work, sta, evt, now)
 	}
@@ -58,7 +60,7 @@
 		evt.arrived = now
 		sta.parked = append(sta.parked, evt)
 	case rgring.Uncertain:
-		evt.reply <- refuse(jb, rgmodel.MayHaveRun, rgmodel.ReasonRecordLost, "records that may concern the id are lost")
+		evt.reply <- pro.refuse(sta, evt, rgmodel.MayHaveRun, rgmodel.ReasonRecordLost, "records that may concern the id are lost", now)
 	case rgring.Recorded:
 		pro.resume(work, sta, evt, std.Sightings, created.Before(sta.ring.Horizon), now)
 	case rgring.Fresh:
@@ -69,8 +71,7 @@
 func (pro *Process) submitFresh(work context.Context, sta *state, evt submitted, now time.Time) {
 	jb := evt.job
 	if rfs := pro.admit(sta, jb, now); rfs.Reason != "" {
-		pro.scope.Tagged(map[string]string{"reason": string(rfs.Reason)}).Counter("refusals").Inc(1)
-		dec := refuse(jb, rgmodel.NotRun, rfs.Reason, rfs.Detail)
+		dec := pro.refuse(sta, evt, rgmodel.NotRun, rfs.Reason, rfs.Detail, now)
 		dec.retryAfter = rfs.RetryAfter
 		evt.reply <- dec
 		return
@@ -101,7 +102,7 @@
 	jb := evt.job
 	for _, sig := range sigs {
 		if sig.Record.Digest != jb.Digest {
-			evt.reply <- refuse(jb, rgmodel.NotRun, rgmodel.ReasonDigestMismatch, "the id was used with another body")
+			evt.reply <- pro.refuse(sta, evt, rgmodel.NotRun, rgmodel.ReasonDigestMismatch, "the id was used with another body", now)
 			return
 		}
 	}
@@ -173,7 +174,7 @@
 	rgsubmission.Register(&sta.submissions, jb, window(sta, jb.Flow.Team), now)
 	sta.runCount++
 	ctx, stop := context.WithTimeout(work, jb.Deadline.Duration+answerGrace)
-	rn := &run{id: jb.ID, flow: jb.Flow, began: now, sidecars: map[rgmodel.SidecarKey]bool{}, stop: stop}
+	rn := &run{id: jb.ID, flow: jb.Flow, began: evt.since(now), again: pln.again, sidecars: map[rgmodel.SidecarKey]bool{}, stop: stop}
 	sta.runs[sta.runCount] = rn
 	countParts(sta, rn, pln.parts)
 	for range pln.parts {
@@ -229,8 +230,9 @@
 		cal <- evt.answer
 	}
 	delete(sta.callers, rn.id)
-	pro.scope.Counter("jobs").Inc(1)
-	pro.scope.Timer("jobTime").Record(time.Since(rn.began))
+	if !rn.again {
+		pro.countAnswer(sta, rn.flow, evt.answer, rn.began, time.Now())
+	}
 }
 
 // attach adds a caller to those who get the answer of a running job.
@@ -256,7 +258,7 @@
 			kept = append(kept, evt)
 			continue
 		}
-		evt.reply <- refuse(evt.job, rgmodel.MayHaveRun, rgmodel.ReasonNotReady, "sidecars have not answered for earlier work")
+		evt.reply <- pro.refuse(sta, evt, rgmodel.MayHaveRun, rgmodel.ReasonNotReady, "sidecars have not answered for earlier work", now)
 	}
 	sta.parked = kept
 }
--- a/io/rgqueryapi/routes.go
+++ b/io/rgqueryapi/routes.go
@@ -32,6 +32,8 @@
 func (rts Routes) Register(rtr *httprouter.Router) {
 	rtr.GET("/v1/jobs/:id", rts.job)
 	rtr.GET("/v1/status", rts.status)
+	rtr.GET("/v1/burn", rts.burn)
+	rtr.GET("/burn", rts.burnPage)
 	if rts.Metrics != nil {
 		rtr.Handler(http.MethodGet, "/metrics", rts.Metrics)
 	}
