--- a/core/rgburn/burn.go
+++ b/core/rgburn/burn.go
@@ -100,5 +100,5 @@
 	}
 )
 
-// Overflow is the flow of the jobs that do not fit in MaxFlows. No team can have its name.
-var Overflow = rgmodel.Flow{Team: "(other)", Kind: "(other)"}
+// Overflow is the flow of the jobs that do not fit in MaxFlows. The space keeps its name apart from those of teams.
+var Overflow = rgmodel.Flow{Team: "all other", Kind: "all other"}
--- a/io/rgapi/job.go
+++ b/io/rgapi/job.go
@@ -5,12 +5,13 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
+	"unicode"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
-	"github.com/juju/errors"
 
 	"ragwortgap/core/rgmodel"
 )
@@ -26,6 +27,9 @@
 	// planned stop cuts off nothing.
 	MaxDeadline = 30 * time.Second
 
+	nameRule = "need 1 to 64 bytes without spaces, slashes and control characters"
+	idRule   = "need a UUIDv7 in lower case"
+
 	statusComplete = "complete"
 	statusFailed   = "failed"
 	statusRunning  = "running"
@@ -81,14 +85,14 @@
 func ReadJob(src io.Reader, now time.Time) (rgmodel.Job, *Problem) {
 	raw, err := io.ReadAll(io.LimitReader(src, MaxBodyBytes+1))
 	if err != nil {
-		return rgmodel.Job{}, &Problem{Reason: "body not readable: " + err.Error(), Verdict: rgmodel.NotRun}
+		return rgmodel.Job{}, wrong("body", strconv.Itoa(len(raw))+" bytes", "not readable: "+err.Error())
 	}
 	if len(raw) > MaxBodyBytes {
 		return rgmodel.Job{}, wrong("body", strconv.Itoa(len(raw))+" bytes or more", "limit is "+strconv.Itoa(MaxBodyBytes)+" bytes")
 	}
 	var req JobRequest
 	if err := json.Unmarshal(raw, &req, json.RejectUnknownMembers(true)); err != nil {
-		return rgmodel.Job{}, decodeProblem(err)
+		return rgmodel.Job{}, decodeProblem(raw, err)
 	}
 	if prb := check(req, now); prb != nil {
 		return rgmodel.Job{}, prb
@@ -121,16 +125,20 @@
 
 func check(req JobRequest, now time.Time) *Problem {
 	switch {
-	case req.Team == "" || len(req.Team) > MaxNameBytes:
-		return wrong("team", req.Team, "need 1 to 64 bytes")
-	case req.Kind == "" || len(req.Kind) > MaxNameBytes:
-		return wrong("kind", req.Kind, "need 1 to 64 bytes")
+	case !validName(req.Team):
+		return wrong("team", req.Team, nameRule)
+	case !validName(req.Kind):
+		return wrong("kind", req.Kind, nameRule)
 	case req.Deadline.Duration <= 0 || req.Deadline.Duration > MaxDeadline:
 		return wrong("deadline", req.Deadline.String(), "need more than 0s and at most "+MaxDeadline.String())
 	case len(req.Tasks) < 1 || len(req.Tasks) > rgmodel.MaxTasks:
 		return wrong("tasks", strconv.Itoa(len(req.Tasks))+" tasks", "need 1 to "+strconv.Itoa(rgmodel.MaxTasks))
-	case req.Requires.Cores < 0 || req.Requires.MemoryBytes < 0 || req.Requires.Accelerators < 0:
-		return wrong("requires", "negative", "need zero or more")
+	case req.Requires.Cores < 0:
+		return wrong("requires/cores", strconv.FormatFloat(req.Requires.Cores, 'g', -1, 64), "need zero or more")
+	case req.Requires.MemoryBytes < 0:
+		return wrong("requires/memoryBytes", strconv.FormatInt(req.Requires.MemoryBytes, 10), "need zero or more")
+	case req.Requires.Accelerators < 0:
+		return wrong("requires/accelerators", strconv.Itoa(req.Requires.Accelerators), "need zero or more")
 	}
 	if _, ok := urgencies[req.Urgency]; !ok {
 		return wrong("urgency", req.Urgency, "need low, normal or high")
@@ -146,11 +154,26 @@
 	return checkID(rgmodel.SubmissionID(req.SubmissionID), now)
 }
 
+// validName reports whether the text can name a team or a kind in settings, store keys, headers and logs.
+func validName(txt string) bool {
+	return txt != "" && len(txt) <= MaxNameBytes && strings.IndexFunc(txt, func(chr rune) bool {
+		return chr == '/' || unicode.IsSpace(chr) || !unicode.IsPrint(chr)
+	}) < 0
+}
+
+// CheckPathID checks the form of a submission id in a path. The problem is nil if it names a job that may exist.
+func CheckPathID(id rgmodel.SubmissionID) *Problem {
+	if _, err := id.Created(); err != nil {
+		return wrong("id", string(id), idRule)
+	}
+	return nil
+}
+
 func checkID(id rgmodel.SubmissionID, now time.Time) *Problem {
 	crt, err := id.Created()
 	switch {
 	case err != nil:
-		return wrong("submissionId", string(id), "need a UUIDv7 in lower case")
+		return wrong("submissionId", string(id), idRule)
 	case crt.After(now.Add(rgmodel.ClockSkewLimit)):
 		return wrong("submissionId", string(id), "its time is more than "+rgmodel.ClockSkewLimit.String()+" ahead")
 	case crt.Before(now.Add(-rgmodel.DefaultResubmissionWindow)):
@@ -162,27 +185,6 @@
 	}
 }
 
-func decodeProblem(err error) *Problem {
-	var sem *json.SemanticError
-	var syn *jsontext.SyntacticError
-	switch {
-	case errors.As(err, &sem):
-		prb := &Problem{Field: string(sem.JSONPointer), Value: string(sem.JSONValue), Reason: "wrong value", Verdict: rgmodel.NotRun}
-		if sem.Err != nil {
-			prb.Reason = sem.Err.Error()
-		}
-		return prb
-	case errors.As(err, &syn):
-		return &Problem{Field: string(syn.JSONPointer), Reason: syn.Err.Error(), Verdict: rgmodel.NotRun}
-	default:
-		return &Problem{Reason: err.Error(), Verdict: rgmodel.NotRun}
-	}
-}
-
-func wrong(fld, val, rsn string) *Problem {
-	return &Problem{Field: fld, Value: val, Reason: rsn, Verdict: rgmodel.NotRun}
-}
-
 // Running is the body for a job without a final answer.
 func Running(id rgmodel.SubmissionID) JobAnswer {
 	return JobAnswer{SubmissionID: id, Status: statusRunning}
--- /dev/null
+++ b/io/rgapi/job_test.go
@@ -0,0 +1,124 @@
+package rgapi
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+var noon = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+// idAt returns a UUIDv7 with the time given.
+func idAt(at time.Time) string {
+	const digits = "0123456789abcdef"
+	ms := at.UnixMilli()
+	hex := make([]byte, 12)
+	for i := range hex {
+		hex[i] = digits[ms>>(44-4*i)&15]
+	}
+	return string(hex[:8]) + "-" + string(hex[8:]) + "-7000-8000-000000000001"
+}
+
+func body(tasks string, more string) string {
+	return `{"team":"kitapDostu","kind":"signUps","deadline":"2s","tasks":` + tasks + more + `}`
+}
+
+// TestReadJobRefuses guards against requests that are taken although a part of them is wrong or was not understood.
+func TestReadJobRefuses(t *testing.T) {
+	withID := func(id string) string { return body("[1]", `,"submissionId":"`+id+`"`) }
+	tests := map[string]struct {
+		body                 string
+		field, value, reason string
+	}{
+		"empty":                   {"", "body", "", "unexpected EOF"},
+		"not closed":              {`{"team":"a"`, "body", "", "unexpected EOF"},
+		"an array":                {"[]", "body", "[]", "need an object"},
+		"null":                    {"null", "team", "", nameRule},
+		"text after the object":   {body("[1]", "") + " {}", "body", "{}", "after top-level value"},
+		"comma too many":          {body("[1,]", ""), "tasks", "]}", "invalid character"},
+		"not UTF-8":               {"{\"team\":\"\xff\"}", "team", "\uFFFD", "invalid UTF-8"},
+		"oversized":               {strings.Repeat(" ", MaxBodyBytes+1), "body", "8388609 bytes or more", "limit is 8388608 bytes"},
+		"duplicate field":         {body("[1]", `,"team":"other"`), "team", `"other"`, "duplicate"},
+		"duplicate in a task":     {body(`[{"a":1,"a":2}]`, ""), "tasks/0/a", "2", "duplicate"},
+		"unknown field":           {body("[1]", `,"prio":3`), "prio", "3", "unknown"},
+		"unknown nested field":    {body("[1]", `,"requires":{"disks":1}`), "requires/disks", "1", "unknown"},
+		"name in another case":    {`{"Team":"a"}`, "Team", `"a"`, "unknown"},
+		"number for a string":     {`{"team":5}`, "team", "5", "need a string"},
+		"object for an array":     {body("{}", ""), "tasks", "{}", "need an array"},
+		"string for a number":     {body("[1]", `,"requires":{"cores":"x"}`), "requires/cores", `"x"`, "need a number"},
+		"fraction for an integer": {body("[1]", `,"requires":{"accelerators":1.5}`), "requires/accelerators", "1.5", ""},
+		"no team":                 {`{"kind":"signUps","deadline":"2s","tasks":[1]}`, "team", "", nameRule},
+		"long team":               {`{"team":"` + strings.Repeat("a", 65) + `"}`, "team", strings.Repeat("a", 64) + "...", nameRule},
+		"team with a slash":       {`{"team":"a/b"}`, "team", "a/b", nameRule},
+		"team with a line feed":   {`{"team":"a\nb"}`, "team", "a\nb", nameRule},
+		"no kind":                 {`{"team":"a","deadline":"2s","tasks":[1]}`, "kind", "", nameRule},
+		"wrong urgency":           {body("[1]", `,"urgency":"highest"`), "urgency", "highest", "need low, normal or high"},
+		"no deadline":             {`{"team":"a","kind":"b","tasks":[1]}`, "deadline", "0s", "at most 30s"},
+		"deadline of zero":        {`{"team":"a","kind":"b","deadline":"0s","tasks":[1]}`, "deadline", "0s", "more than 0s"},
+		"deadline over the limit": {`{"team":"a","kind":"b","deadline":"30.001s","tasks":[1]}`, "deadline", "30.001s", "at most 30s"},
+		"negative deadline":       {`{"deadline":"-1s"}`, "deadline", `"-1s"`, "negative duration"},
+		"deadline without a unit": {`{"deadline":"2"}`, "deadline", `"2"`, "duration"},
+		"deadline as a number":    {`{"deadline":2}`, "deadline", "2", "string"},
+		"negative run time":       {body("[1]", `,"runTime":"-1ms"`), "runTime", `"-1ms"`, "negative duration"},
+		"0 tasks":                 {body("[]", ""), "tasks", "0 tasks", "need 1 to 360"},
+		"361 tasks":               {body("[1"+strings.Repeat(",1", 360)+"]", ""), "tasks", "361 tasks", "need 1 to 360"},
+		"large payload": {
+			body(`["`+strings.Repeat("a", MaxPayloadBytes)+`"]`, ""), "tasks/0", "65538 bytes", "limit is 65536 bytes",
+		},
+		"negative cores":        {body("[1]", `,"requires":{"cores":-0.5}`), "requires/cores", "-0.5", "zero or more"},
+		"negative memory":       {body("[1]", `,"requires":{"memoryBytes":-1}`), "requires/memoryBytes", "-1", "zero or more"},
+		"negative accelerators": {body("[1]", `,"requires":{"accelerators":-2}`), "requires/accelerators", "-2", "zero or more"},
+		"id that is no UUID":    {withID("seat-12"), "submissionId", "seat-12", "need a UUIDv7"},
+		"id of version 4":       {withID("0b9b2d5e-7c3a-4f7e-9d5a-3f1f6a7b8c9d"), "submissionId", "0b9b2d5e", "need a UUIDv7"},
+		"id in upper case":      {withID(strings.ToUpper(idAt(noon))), "submissionId", strings.ToUpper(idAt(noon)), "need a UUIDv7"},
+		"id too far ahead": {
+			withID(idAt(noon.Add(rgmodel.ClockSkewLimit + time.Millisecond))), "submissionId",
+			idAt(noon.Add(rgmodel.ClockSkewLimit + time.Millisecond)), "more than 2s ahead",
+		},
+		"id too old": {
+			withID(idAt(noon.Add(-rgmodel.DefaultResubmissionWindow - time.Millisecond))), "submissionId",
+			idAt(noon.Add(-rgmodel.DefaultResubmissionWindow - time.Millisecond)), "older than the resubmission window of 10m0s",
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			jb, prb := ReadJob(strings.NewReader(tc.body), noon)
+			if prb == nil {
+				t.Fatalf("taken as %+v", jb)
+			}
+			named := prb.Field == tc.field && strings.HasPrefix(prb.Value, tc.value)
+			if !named || prb.Reason == "" || !strings.Contains(prb.Reason, tc.reason) {
+				t.Errorf("got %+v, want field %q, value %q, reason %q", *prb, tc.field, tc.value, tc.reason)
+			}
+			if prb.Verdict != rgmodel.NotRun {
+				t.Errorf("verdict %v, want notRun", prb.Verdict)
+			}
+		})
+	}
+}
+
+// TestReadJobTakes guards against limits that exclude their last value, and against digests that miss a resubmission.
+func TestReadJobTakes(t *testing.T) {
+	tests := map[string]string{
+		"1 task":           body("[null]", ""),
+		"360 tasks":        body("[1"+strings.Repeat(",1", 359)+"]", ""),
+		"longest deadline": `{"team":"a","kind":"b","deadline":"30s","tasks":[1]}`,
+		"id at the limit":  body("[1]", `,"submissionId":"`+idAt(noon.Add(rgmodel.ClockSkewLimit))+`"`),
+		"oldest id":        body("[1]", `,"submissionId":"`+idAt(noon.Add(-rgmodel.DefaultResubmissionWindow))+`"`),
+		"high urgency":     body("[1]", `,"urgency":"high"`),
+	}
+	for name, txt := range tests {
+		t.Run(name, func(t *testing.T) {
+			jb, prb := ReadJob(strings.NewReader(txt), noon)
+			if prb != nil {
+				t.Fatalf("refused: %+v", *prb)
+			}
+			again, _ := ReadJob(strings.NewReader(strings.Replace(txt, "{", `{"requires":{},`, 1)), noon)
+			if jb.Digest == 0 || again.Digest != jb.Digest {
+				t.Errorf("digest %x at first and %x of the same job in another text", jb.Digest, again.Digest)
+			}
+		})
+	}
+}
--- a/io/rgcommandapi/routes.go
+++ b/io/rgcommandapi/routes.go
@@ -51,6 +51,11 @@
 
 func (rts Routes) cancel(rsp http.ResponseWriter, req *http.Request, par httprouter.Params) {
 	id := rgmodel.SubmissionID(par.ByName("id"))
+	if prb := rgapi.CheckPathID(id); prb != nil {
+		rts.Entry.CountMalformed()
+		rgapi.Write(rsp, http.StatusBadRequest, prb)
+		return
+	}
 	found, err := rts.Entry.CancelJob(req.Context(), id)
 	switch {
 	case err != nil:
--- a/io/rgqueryapi/routes.go
+++ b/io/rgqueryapi/routes.go
@@ -41,6 +41,11 @@
 
 func (rts Routes) job(rsp http.ResponseWriter, req *http.Request, par httprouter.Params) {
 	id := rgmodel.SubmissionID(par.ByName("id"))
+	if prb := rgapi.CheckPathID(id); prb != nil {
+		rts.Entry.CountMalformed()
+		rgapi.Write(rsp, http.StatusBadRequest, prb)
+		return
+	}
 	rep, err := rts.Entry.JobState(req.Context(), id)
 	switch {
 	case err != nil:
