Add TLS between own processes and towards callers, team keys, and the sidecar's status address

Connections were plain TCP and HTTP, a sidecar that could not reach an entry said nothing, and the sidecar had no metrics route.

A refused peer is counted and logged, at most 10 lines a minute. Keys are in no log line and no error. Settings are checked field by field.

The sidecar serves /metrics and /health at statusAddress. Timers are histograms, whose buckets add up over instances. Metrics gain ring generation, sidecars known and usable, callers and jobs waiting, refusals of peers and requests, slots, records, refused batches and task times; store errors are counted in every call, and logged when the store stops or begins to answer.

Ruled out: verifying addresses in certificates (they change), resumed sessions (they outlive an authority), file notifications (they miss files replaced through links), operator keys (left open).

`go test -race` passes for rgtls, rgcommandapi, rgqueryapi, rgcli, rgapi and rgburn. Not tested yet: TLS between running processes, and the new settings.

--- /dev/null
+++ b/io/rgapi/admit.go
@@ -0,0 +1,26 @@
+package rgapi
+
+import (
+	"net/http"
+
+	"github.com/juju/errors"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgtls"
+)
+
+// Admit reports whether the request carries a key of the team, and else answers it with 401 or 403 and the verdict.
+func Admit(rsp http.ResponseWriter, req *http.Request, keys *rgtls.TeamKeys, team string, vd rgmodel.Verdict) bool {
+	err := keys.Check(req.Header.Get("Authorization"), team)
+	if err == nil {
+		return true
+	}
+	status := http.StatusForbidden
+	if errors.Is(err, errors.Unauthorized) {
+		status = http.StatusUnauthorized
+		rsp.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	// The value is left out, because it may hold a key.
+	Write(rsp, status, Problem{Field: "Authorization", Reason: err.Error(), Verdict: vd})
+	return false
+}
--- a/io/rgcli/command_run.go
+++ b/io/rgcli/command_run.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/julienschmidt/httprouter"
+	"go.uber.org/zap"
 
 	"ragwortgap/io/rgcommandapi"
 	"ragwortgap/io/rgentry"
@@ -15,6 +17,7 @@
 	"ragwortgap/io/rgqueryapi"
 	"ragwortgap/io/rgsettings"
 	"ragwortgap/io/rgsidecar"
+	"ragwortgap/io/rgtls"
 )
 
 // headerTimeout bounds how long a caller may take to send the header of a request.
@@ -41,33 +44,67 @@
 	}
 	met := rgmetrics.Open()
 	defer func() { _ = met.Closer.Close() }()
+	// What can fail comes before the start, so that an entry that cannot serve callers does not join the ring.
+	keys, err := openKeys(ctx, set.TeamKeys, log)
+	if err != nil {
+		return err
+	}
+	lis, err := listenCallers(ctx, set, log)
+	if err != nil {
+		return err
+	}
 	pro, err := rgentry.Start(ctx, set, log, met.Scope)
 	if err != nil {
 		return err
 	}
 	rtr := httprouter.New()
-	rgcommandapi.Routes{Entry: pro}.Register(rtr)
-	rgqueryapi.Routes{Entry: pro, Metrics: met.Handler}.Register(rtr)
-	return serve(ctx, set, rtr, pro.Done)
+	rgcommandapi.Routes{Entry: pro, Keys: keys}.Register(rtr)
+	rgqueryapi.Routes{Entry: pro, Keys: keys, Metrics: met.Handler}.Register(rtr)
+	return serve(ctx, lis, rtr, set.DrainBound.Duration, pro.Done)
+}
+
+// openKeys returns nil if no file is set.
+func openKeys(ctx context.Context, file string, log *zap.Logger) (*rgtls.TeamKeys, error) {
+	if file == "" {
+		return nil, nil
+	}
+	keys, err := rgtls.OpenKeys(file, nil)
+	if err != nil {
+		return nil, errors.Annotate(err, "setting teamKeys")
+	}
+	go rgtls.Watch(ctx, keys, file, log)
+	return keys, nil
 }
 
-// serve answers callers until ctx ends, and then until the requests in flight are answered.
-func serve(ctx context.Context, set rgsettings.Entry, hdl http.Handler, done <-chan struct{}) error {
+func listenCallers(ctx context.Context, set rgsettings.Entry, log *zap.Logger) (net.Listener, error) {
 	lis, err := net.Listen("tcp", set.CallerAddress)
 	if err != nil {
-		return errors.Annotatef(err, "listen on %s", set.CallerAddress)
+		return nil, errors.Annotatef(err, "setting callerAddress: listen on %s", set.CallerAddress)
+	}
+	if set.CallerTLS == nil {
+		return lis, nil
+	}
+	ide, err := rgtls.Open(*set.CallerTLS, nil)
+	if err != nil {
+		return nil, errors.Annotate(err, "setting callerTLS")
 	}
+	go rgtls.Watch(ctx, ide, ide.Files.Certificate, log)
+	return tls.NewListener(lis, ide.Server()), nil
+}
+
+// serve answers requests until ctx ends, and then until the requests in flight are answered and the process is done.
+func serve(ctx context.Context, lis net.Listener, hdl http.Handler, bound time.Duration, done <-chan struct{}) error {
 	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(lis) }()
 	select {
 	case err := <-failed:
-		return errors.Annotate(err, "serve callers")
+		return errors.Annotatef(err, "serve HTTP on %s", lis.Addr())
 	case <-ctx.Done():
 	}
-	bound, stop := context.WithTimeout(context.WithoutCancel(ctx), set.DrainBound.Duration)
+	drain, stop := context.WithTimeout(context.WithoutCancel(ctx), bound)
 	defer stop()
-	err = srv.Shutdown(bound)
+	err := srv.Shutdown(drain)
 	<-done
 	return errors.Annotate(err, "drain callers")
 }
@@ -83,7 +120,37 @@
 	}
 	met := rgmetrics.Open()
 	defer func() { _ = met.Closer.Close() }()
-	pro := rgsidecar.Start(ctx, set, log, met.Scope)
-	<-pro.Done
-	return nil
+	var lis net.Listener
+	if set.StatusAddress != "" {
+		if lis, err = net.Listen("tcp", set.StatusAddress); err != nil {
+			return errors.Annotatef(err, "setting statusAddress: listen on %s", set.StatusAddress)
+		}
+	}
+	pro, err := rgsidecar.Start(ctx, set, log, met.Scope)
+	if err != nil {
+		return err
+	}
+	if lis == nil {
+		<-pro.Done
+		return nil
+	}
+	rtr := httprouter.New()
+	rgqueryapi.SidecarRoutes{Sidecar: pro, Metrics: met.Handler}.Register(rtr)
+	return serveStatus(lis, rtr, pro.Done)
+}
+
+// serveStatus answers operators until the sidecar is done, so that they can follow its drain.
+func serveStatus(lis net.Listener, hdl http.Handler, done <-chan struct{}) error {
+	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout}
+	go func() {
+		<-done
+		// Nothing is in flight that a closed connection could lose.
+		_ = srv.Close()
+	}()
+	err := srv.Serve(lis)
+	<-done
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Annotatef(err, "serve HTTP on %s", lis.Addr())
 }
--- a/io/rgcli/query_burn.go
+++ b/io/rgcli/query_burn.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -23,15 +26,20 @@
 )
 
 type burnQuery struct {
-	Entries []string `arg:"positional,required" placeholder:"ADDRESS" help:"HTTP addresses of entries, such as 127.0.0.1:8080"`
+	Entries []string `arg:"positional,required" placeholder:"ADDRESS" help:"entries, such as 127.0.0.1:8080 or https://10.1.0.5:8443"`
+	CA      string   `arg:"--ca" placeholder:"FILE" help:"authorities of the entries, PEM; default: the system's"`
 }
 
 // run prints the budgets of the entries that answer, and fails if one of them does not, because the sums lack its jobs.
 func (qry *burnQuery) run(ctx context.Context, out io.Writer) error {
+	cli, err := queryClient(qry.CA)
+	if err != nil {
+		return err
+	}
 	var lists [][]rgburn.FlowReport
 	var missing []string
 	for _, adr := range qry.Entries {
-		bod, err := askBurn(ctx, http.DefaultClient, adr)
+		bod, err := askBurn(ctx, cli, adr)
 		if err != nil {
 			missing = append(missing, err.Error())
 			continue
@@ -47,6 +55,21 @@
 	return nil
 }
 
+func queryClient(authorities string) (*http.Client, error) {
+	if authorities == "" {
+		return http.DefaultClient, nil
+	}
+	raw, err := os.ReadFile(authorities)
+	if err != nil {
+		return nil, errors.NewNotValid(err, "--ca")
+	}
+	pol := x509.NewCertPool()
+	if !pol.AppendCertsFromPEM(raw) {
+		return nil, errors.NotValidf("--ca %s: no certificate in the file", authorities)
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pol}}}, nil
+}
+
 func askBurn(ctx context.Context, cli *http.Client, adr string) (rgqueryapi.Burn, error) {
 	var bod rgqueryapi.Burn
 	if !strings.Contains(adr, "://") {
--- a/io/rgcommandapi/routes.go
+++ b/io/rgcommandapi/routes.go
@@ -12,11 +12,13 @@
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgapi"
 	"ragwortgap/io/rgentry"
+	"ragwortgap/io/rgtls"
 )
 
-// Routes answers commands with the help of an entry.
+// Routes answers commands with the help of an entry. Keys may be nil, and then callers need no key.
 type Routes struct {
 	Entry *rgentry.Process
+	Keys  *rgtls.TeamKeys
 }
 
 // Register adds the routes to a router.
@@ -32,6 +34,10 @@
 		rgapi.Write(rsp, http.StatusBadRequest, prb)
 		return
 	}
+	if !rgapi.Admit(rsp, req, rts.Keys, jb.Flow.Team, rgmodel.NotRun) {
+		rts.Entry.CountUnauthorized()
+		return
+	}
 	own := jb.ID == ""
 	if own {
 		id, err := rts.Entry.NewID()
@@ -56,6 +62,9 @@
 		rgapi.Write(rsp, http.StatusBadRequest, prb)
 		return
 	}
+	if rts.Keys != nil && !rts.mayCancel(rsp, req, id) {
+		return
+	}
 	found, err := rts.Entry.CancelJob(req.Context(), id)
 	switch {
 	case err != nil:
@@ -66,3 +75,21 @@
 		rgapi.Write(rsp, http.StatusAccepted, rgapi.Running(id))
 	}
 }
+
+// mayCancel checks the caller's key against the team of the job, and answers the request if it may not go on.
+func (rts Routes) mayCancel(rsp http.ResponseWriter, req *http.Request, id rgmodel.SubmissionID) bool {
+	rep, err := rts.Entry.JobState(req.Context(), id)
+	switch {
+	case err != nil:
+		rgapi.Write(rsp, http.StatusServiceUnavailable, rgapi.Problem{Field: "id", Value: string(id), Reason: err.Error()})
+		return false
+	case !rep.Found:
+		rgapi.Write(rsp, http.StatusNotFound, rgapi.Problem{Field: "id", Value: string(id), Reason: "no running job"})
+		return false
+	case !rgapi.Admit(rsp, req, rts.Keys, rep.Team, rgmodel.MayHaveRun):
+		rts.Entry.CountUnauthorized()
+		return false
+	default:
+		return true
+	}
+}
--- a/io/rgcommandapi/routes_test.go
+++ b/io/rgcommandapi/routes_test.go
@@ -56,7 +56,10 @@
 	if err := rgsettings.CheckSidecar(&sid); err != nil {
 		t.Fatal(err)
 	}
-	pro := rgsidecar.Start(ctx, sid, zap.NewNop(), sys.metrics)
+	pro, err := rgsidecar.Start(ctx, sid, zap.NewNop(), sys.metrics)
+	if err != nil {
+		t.Fatal(err)
+	}
 	rtr := httprouter.New()
 	Routes{Entry: ent}.Register(rtr)
 	srv := httptest.NewServer(rtr)
--- a/io/rgdemo/demo.go
+++ b/io/rgdemo/demo.go
@@ -156,8 +156,12 @@
 	if err := rgsettings.CheckSidecar(&set); err != nil {
 		return err
 	}
+	pro, err := rgsidecar.Start(ctx, set, log, sys.metrics)
+	if err != nil {
+		return err
+	}
 	sys.upstreams = append(sys.upstreams, ups)
-	sys.sidecars = append(sys.sidecars, rgsidecar.Start(ctx, set, log, sys.metrics))
+	sys.sidecars = append(sys.sidecars, pro)
 	return nil
 }
 
--- a/io/rgentry/caller.go
+++ b/io/rgentry/caller.go
@@ -98,6 +98,7 @@
 		// After a first decision, another entry may have seen the id.
 		own = false
 	}
+	pro.scope.Counter("callersUnanswered").Inc(1)
 	return Reply{Answer: rgmodel.RefuseAll(jb, rgmodel.MayHaveRun, rgmodel.ReasonDeadlineExceeded, "no answer before the deadline")}
 }
 
--- a/io/rgentry/entries.go
+++ b/io/rgentry/entries.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"sync"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -12,8 +10,6 @@
 	"ragwortgap/io/rgwire"
 )
 
-const dialTimeout = 2 * time.Second
-
 // entryPeers keeps one connection to each other entry. It holds no decision state.
 type entryPeers struct {
 	mutex sync.Mutex
@@ -40,10 +36,9 @@
 			return stale, nil
 		}
 	}
-	dlr := net.Dialer{Timeout: dialTimeout}
-	con, err := dlr.DialContext(ctx, "tcp", adr)
+	con, err := rgwire.Dial(ctx, adr, pro.identity)
 	if err != nil {
-		return nil, errors.Annotatef(err, "dial entry %s", adr)
+		return nil, errors.Trace(err)
 	}
 	per := rgwire.Serve(context.WithoutCancel(ctx), con, pro.serve)
 	ep.mutex.Lock()
--- a/io/rgentry/observe.go
+++ b/io/rgentry/observe.go
@@ -16,6 +16,11 @@
 	pro.scope.Counter("requestsMalformed").Inc(1)
 }
 
+// CountUnauthorized counts a request that was refused for want of a key of its team.
+func (pro *Process) CountUnauthorized() {
+	pro.scope.Counter("requestsUnauthorized").Inc(1)
+}
+
 // countAnswer enters a job's final answer in the metrics and in the error budget of its flow.
 func (pro *Process) countAnswer(sta *state, flow rgmodel.Flow, ans rgmodel.Answer, began, now time.Time) {
 	pro.scope.Tagged(map[string]string{"verdict": jobVerdict(ans).String()}).Counter("jobs").Inc(1)
--- a/io/rgentry/process.go
+++ b/io/rgentry/process.go
@@ -6,23 +6,29 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"ragwortgap/core/rgburn"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgsettings"
 	"ragwortgap/io/rgstore"
+	"ragwortgap/io/rgtls"
 	"ragwortgap/io/rgwire"
 )
 
 // eventBuffer lets traffic goroutines go on while the control goroutine handles a burst.
 const eventBuffer = 1024
 
+// refusalLines bounds the log lines a minute about refused peers, because all sidecars dial again every second.
+const refusalLines = 10
+
 type (
 	// Process is a running entry.
 	Process struct {
@@ -35,6 +41,7 @@
 		scope    tally.Scope
 		store    rgstore.Client
 		listener net.Listener
+		identity *rgtls.Identity
 		events   chan event
 		view     atomic.Pointer[View]
 		// stopped is closed when the control goroutine has ended.
@@ -60,11 +67,15 @@
 )
 
 // Start runs an entry until ctx ends; then it drains within the bound of its settings and closes Done.
-// It fails when the peer address cannot be listened on.
+// It fails when the peer address cannot be listened on, or when a file of peerTLS is not valid.
 func Start(ctx context.Context, set rgsettings.Entry, log *zap.Logger, sco tally.Scope) (*Process, error) {
-	lis, err := net.Listen("tcp", set.PeerAddress)
+	ide, err := rgtls.OpenPeer(set.PeerTLS)
+	if err != nil {
+		return nil, errors.Annotate(err, "setting peerTLS")
+	}
+	lis, err := rgwire.Listen(set.PeerAddress, ide)
 	if err != nil {
-		return nil, errors.Annotatef(err, "listen on %s", set.PeerAddress)
+		return nil, errors.Trace(err)
 	}
 	pro := &Process{
 		Done:     make(chan struct{}),
@@ -79,6 +90,7 @@
 		scope:    sco,
 		store:    rgstore.Client{Base: set.Store},
 		listener: lis,
+		identity: ide,
 		events:   make(chan event, eventBuffer),
 		stopped:  make(chan struct{}),
 	}
@@ -103,6 +115,9 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	pro.traffic.Go(func() { pro.acceptPeers(work) })
 	pro.traffic.Go(func() { pro.followStore(ctx, work) })
+	if pro.identity != nil {
+		pro.traffic.Go(func() { rgtls.Watch(work, pro.identity, pro.identity.Files.Certificate, pro.log) })
+	}
 	pro.control(ctx, work)
 	close(pro.stopped)
 	stop()
@@ -113,16 +128,24 @@
 }
 
 func (pro *Process) acceptPeers(work context.Context) {
+	refusals := pro.log.WithOptions(zap.WrapCore(func(cor zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(cor, time.Minute, refusalLines, 0)
+	}))
 	for {
 		con, err := pro.listener.Accept()
 		if err != nil {
 			if work.Err() == nil {
-				pro.log.Error("accept", zap.Error(err))
+				pro.log.Error("accept failed", zap.Error(err))
 			}
 			return
 		}
-		per := rgwire.Serve(work, con, pro.serve)
 		pro.traffic.Go(func() {
+			if err := rgwire.Handshake(work, con); err != nil {
+				pro.scope.Counter("peersRefused").Inc(1)
+				refusals.Warn("peer refused", zap.Stringer("address", con.RemoteAddr()), zap.Error(err))
+				return
+			}
+			per := rgwire.Serve(work, con, pro.serve)
 			select {
 			case <-per.Done:
 			case <-work.Done():
--- a/io/rgentry/serve.go
+++ b/io/rgentry/serve.go
@@ -50,5 +50,5 @@
 	if sub == nil {
 		return rgwire.JobStateReply{}
 	}
-	return rgwire.JobStateReply{Found: true, Final: sub.Final, Answer: sub.Answer}
+	return rgwire.JobStateReply{Found: true, Team: sub.Flow.Team, Final: sub.Final, Answer: sub.Answer}
 }
--- a/io/rgentry/sidecars.go
+++ b/io/rgentry/sidecars.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"ragwortgap/core/rgfleet"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgring"
@@ -25,7 +23,7 @@
 	rgring.Await(&sta.ring, key)
 	evt.reply <- rgwire.AnnounceReply{Entry: pro.self, Ring: sta.ring.Ring, Teams: teamList(sta.teams)}
 	pro.publish(sta)
-	pro.log.Info("sidecar connected", zap.String("sidecar", key.Name))
+	pro.log.Info("sidecar connected", logSidecar(key))
 	pro.seal(work, sta, key)
 	pro.traffic.Go(func() {
 		<-evt.peer.Done
@@ -73,7 +71,7 @@
 	}
 	delete(sta.peers, evt.key)
 	rgfleet.Disconnect(&sta.fleet, evt.key, now)
-	pro.log.Info("sidecar disconnected", zap.String("sidecar", evt.key.Name))
+	pro.log.Info("sidecar disconnected", logSidecar(evt.key))
 }
 
 // loseSidecar gives up on an incarnation for good.
@@ -91,7 +89,7 @@
 	delete(sta.outstanding, key)
 	pro.publish(sta)
 	pro.unpark(work, sta)
-	pro.log.Info("sidecar lost", zap.String("sidecar", key.Name))
+	pro.log.Info("sidecar lost", logSidecar(key))
 }
 
 // awaitPeer answers when the sidecar is connected and sealed, or lost.
--- a/io/rgentry/store.go
+++ b/io/rgentry/store.go
@@ -36,6 +36,8 @@
 	process *Process
 	items   map[string]rgstore.Item
 	version uint64
+	// down is set while the store does not answer.
+	down bool
 }
 
 // followStore joins the ring and follows the store. When ctx ends, the entry gives its lease back, so that other
@@ -48,8 +50,11 @@
 	for work.Err() == nil {
 		fol.adopt(work)
 		fol.proposeRing(work)
-		if err := fol.watch(work); err != nil && work.Err() == nil {
-			pro.scope.Counter("storeErrors").Inc(1)
+		err := fol.watch(work)
+		if work.Err() == nil {
+			fol.noteCall(err)
+		}
+		if err != nil && work.Err() == nil {
 			pause(work, storeRetry)
 			fol.read(work)
 		}
@@ -61,13 +66,15 @@
 	asked := false
 	for ctx.Err() == nil {
 		lis, err := fol.process.store.List(ctx, KeyPrefix)
+		if ctx.Err() == nil {
+			fol.noteCall(err)
+		}
 		if err == nil {
 			fol.items = map[string]rgstore.Item{}
 			fol.version = lis.Version
 			fol.merge(lis.Items)
 			return
 		}
-		fol.process.scope.Counter("storeErrors").Inc(1)
 		if !asked && fol.process.View().Ring.Generation == 0 {
 			asked = fol.learnFrom(ctx, fol.process.settings.Peers)
 		}
@@ -88,6 +95,21 @@
 	return nil
 }
 
+// noteCall counts a failed call, and logs when the store stops or begins to answer.
+func (fol *follower) noteCall(err error) {
+	if err != nil {
+		fol.process.scope.Counter("storeErrors").Inc(1)
+	}
+	switch {
+	case err != nil && !fol.down:
+		fol.process.log.Warn("store unavailable", zap.Error(err))
+	case err == nil && fol.down:
+		fol.process.log.Info("store available")
+	}
+	fol.down = err != nil
+	fol.process.scope.Gauge("storeAvailable").Update(flag(err == nil))
+}
+
 func (fol *follower) merge(itms []rgstore.Item) {
 	for _, itm := range itms {
 		if itm.Deleted {
@@ -182,6 +204,7 @@
 		fol.process.log.Info("ring written", zap.Uint64("generation", gen))
 	case rgstore.Conflicted:
 	case rgstore.Unknown:
+		fol.process.scope.Counter("storeErrors").Inc(1)
 		fol.process.log.Warn("ring write not answered", zap.Error(res.Err))
 	}
 }
@@ -212,9 +235,11 @@
 		if lease == "" {
 			lease = pro.takeLease(ctx)
 		} else if err := pro.store.Renew(ctx, lease); errors.Is(err, errors.NotFound) {
-			pro.log.Warn("lease lapsed")
+			pro.log.Warn("lease expired")
 			lease = ""
 			continue
+		} else if err != nil {
+			pro.scope.Counter("storeErrors").Inc(1)
 		}
 		pause(ctx, ttl/3)
 	}
@@ -222,7 +247,7 @@
 		giveBack, stop := context.WithTimeout(work, callTimeout)
 		defer stop()
 		if err := pro.store.Revoke(giveBack, lease); err != nil {
-			pro.log.Warn("lease not given back", zap.Error(err))
+			pro.log.Warn("lease not released", zap.Error(err))
 		}
 	}
 }
@@ -248,6 +273,7 @@
 		res = pro.store.Put(ctx, key, wri)
 	}
 	if _, ok := res.(rgstore.Written); !ok {
+		pro.scope.Counter("storeErrors").Inc(1)
 		return ""
 	}
 	return lea.ID
--- a/io/rgmetrics/metrics.go
+++ b/io/rgmetrics/metrics.go
@@ -8,14 +8,19 @@
 
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	tallyprom "github.com/uber-go/tally/v4/prometheus"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
 // flushInterval is how often tally passes counters on to the reporter.
 const flushInterval = time.Second
 
+// secondBuckets covers tasks from some milliseconds to the longest deadline of a job.
+var secondBuckets = []float64{0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30}
+
 // Metrics is a scope whose values are served in the Prometheus text format.
 type Metrics struct {
 	Scope   tally.Scope
@@ -26,7 +31,14 @@
 // Open returns metrics with their own registry.
 func Open() Metrics {
 	reg := prometheus.NewRegistry()
-	rep := tallyprom.NewReporter(tallyprom.Options{Registerer: reg, Gatherer: reg})
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	rep := tallyprom.NewReporter(tallyprom.Options{
+		Registerer: reg,
+		Gatherer:   reg,
+		// Unlike the quantiles of summaries, the buckets of several instances can be added up.
+		DefaultTimerType:        tallyprom.HistogramTimerType,
+		DefaultHistogramBuckets: secondBuckets,
+	})
 	sco, clo := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "ragwortgap",
 		CachedReporter: rep,
@@ -40,6 +52,9 @@
 	cfg := zap.NewProductionConfig()
 	cfg.Sampling = nil
 	cfg.DisableStacktrace = true
+	cfg.EncoderConfig.TimeKey = "time"
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.EncoderConfig.MessageKey = "message"
 	log, err := cfg.Build()
 	return log, errors.Annotate(err, "open log")
 }
--- a/io/rgqueryapi/routes.go
+++ b/io/rgqueryapi/routes.go
@@ -9,12 +9,14 @@
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgapi"
 	"ragwortgap/io/rgentry"
+	"ragwortgap/io/rgtls"
 )
 
 type (
-	// Routes answers queries with the help of an entry. Metrics may be nil.
+	// Routes answers queries with the help of an entry. Metrics may be nil. Without Keys, callers need no key.
 	Routes struct {
 		Entry   *rgentry.Process
+		Keys    *rgtls.TeamKeys
 		Metrics http.Handler
 	}
 
@@ -52,6 +54,8 @@
 		rgapi.Write(rsp, http.StatusServiceUnavailable, rgapi.Problem{Field: "id", Value: string(id), Reason: err.Error()})
 	case !rep.Found:
 		rgapi.Write(rsp, http.StatusNotFound, rgapi.Problem{Field: "id", Value: string(id), Reason: "no such job"})
+	case !rgapi.Admit(rsp, req, rts.Keys, rep.Team, rgmodel.MayHaveRun):
+		rts.Entry.CountUnauthorized()
 	case !rep.Final:
 		rgapi.Write(rsp, http.StatusOK, rgapi.Running(id))
 	default:
--- a/io/rgsettings/settings.go
+++ b/io/rgsettings/settings.go
@@ -14,6 +14,7 @@
 	"github.com/tailscale/hujson"
 
 	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgtls"
 )
 
 const (
@@ -36,6 +37,12 @@
 		Peers            []string         `json:"peers"`
 		DrainBound       rgmodel.Duration `json:"drainBound"`
 		LeaseTime        rgmodel.Duration `json:"leaseTime"`
+		// PeerTLS is for connections of own processes; nil means plain TCP.
+		PeerTLS *rgtls.Files `json:"peerTLS"`
+		// CallerTLS is for callers and operators; nil means plain HTTP.
+		CallerTLS *rgtls.Files `json:"callerTLS"`
+		// TeamKeys is a file of key digests; empty means that callers need no key.
+		TeamKeys string `json:"teamKeys"`
 	}
 
 	// Sidecar holds the settings of a sidecar process.
@@ -50,6 +57,10 @@
 		Resources        rgmodel.Resources `json:"resources"`
 		DrainBound       rgmodel.Duration  `json:"drainBound"`
 		MaxAnswerBytes   int64             `json:"maxAnswerBytes"`
+		// StatusAddress serves operators; empty means that the sidecar serves no HTTP.
+		StatusAddress string `json:"statusAddress"`
+		// PeerTLS is for connections to entries; nil means plain TCP.
+		PeerTLS *rgtls.Files `json:"peerTLS"`
 	}
 
 	// FieldError names the setting that is wrong, its value and the reason.
@@ -96,6 +107,9 @@
 		checkAddresses("peers", set.Peers),
 		checkAtLeast("leaseTime", set.LeaseTime, time.Second),
 		checkAtLeast("drainBound", set.DrainBound, time.Second),
+		checkTLS("peerTLS", set.PeerTLS, true),
+		checkTLS("callerTLS", set.CallerTLS, false),
+		checkTeamKeys(set),
 	)
 }
 
@@ -117,6 +131,8 @@
 		checkRange("connections", set.Connections, set.Slots, 4096),
 		checkAtLeast("drainBound", set.DrainBound, time.Second),
 		checkRange("maxAnswerBytes", int(set.MaxAnswerBytes), 1, 8<<20),
+		checkOptionalAddress("statusAddress", set.StatusAddress),
+		checkTLS("peerTLS", set.PeerTLS, true),
 	)
 }
 
@@ -162,6 +178,54 @@
 	return nil
 }
 
+func checkOptionalAddress(fld, val string) error {
+	if val == "" {
+		return nil
+	}
+	return checkAddress(fld, val)
+}
+
+// checkTLS checks that all files are named and readable. Mutual TLS needs authorities; callers show no certificate.
+func checkTLS(fld string, fls *rgtls.Files, mutual bool) error {
+	if fls == nil {
+		return nil
+	}
+	if !mutual && fls.Authorities != "" {
+		rsn := "callers show no certificate; use teamKeys"
+		return FieldError{Field: fld + ".authorities", Value: fmt.Sprintf("%q", fls.Authorities), Reason: rsn}
+	}
+	err := first(checkFile(fld+".certificate", fls.Certificate), checkFile(fld+".key", fls.Key))
+	if err != nil || !mutual {
+		return err
+	}
+	return checkFile(fld+".authorities", fls.Authorities)
+}
+
+// checkTeamKeys refuses keys without TLS, because they would cross the network in plain text.
+func checkTeamKeys(set *Entry) error {
+	if set.TeamKeys == "" {
+		return nil
+	}
+	if set.CallerTLS == nil {
+		rsn := "needs callerTLS, so that keys are not sent in plain text"
+		return FieldError{Field: "teamKeys", Value: fmt.Sprintf("%q", set.TeamKeys), Reason: rsn}
+	}
+	return checkFile("teamKeys", set.TeamKeys)
+}
+
+func checkFile(fld, val string) error {
+	if val == "" {
+		return FieldError{Field: fld, Value: fmt.Sprintf("%q", val), Reason: "name a file"}
+	}
+	hdl, err := os.Open(val)
+	if err != nil {
+		return FieldError{Field: fld, Value: fmt.Sprintf("%q", val), Reason: err.Error()}
+	}
+	// Nothing was written that closing could lose.
+	_ = hdl.Close()
+	return nil
+}
+
 func checkAddresses(fld string, vals []string) error {
 	for _, val := range vals {
 		if err := checkAddress(fld, val); err != nil {
--- a/io/rgsidecar/control.go
+++ b/io/rgsidecar/control.go
@@ -33,9 +33,11 @@
 		changed  bool
 		// bootstrapping is set while a goroutine asks the configured addresses for the ring.
 		bootstrapping bool
-		reported      time.Time
-		swept         time.Time
-		left          chan struct{}
+		// unreachable is set while none of the configured addresses answers.
+		unreachable bool
+		reported    time.Time
+		swept       time.Time
+		left        chan struct{}
 	}
 
 	link struct {
@@ -111,7 +113,7 @@
 	case unlinked:
 		pro.unlink(sta, evt.entry)
 	case bootstrapped:
-		sta.bootstrapping = false
+		pro.endBootstrap(sta, evt)
 	case finished:
 		pro.finish(sta, evt)
 	case drainAsked:
@@ -125,6 +127,7 @@
 func (pro *Process) acceptBatch(sta *state, evt batchArrived, now time.Time) {
 	pro.scope.Counter("batches").Inc(1)
 	if rsn := rgqueue.Accept(&sta.queue, evt.batch, now); rsn != "" {
+		pro.scope.Tagged(map[string]string{"reason": string(rsn)}).Counter("batchesRefused").Inc(1)
 		evt.reply <- rgwire.BatchReply{Refused: rsn}
 		return
 	}
@@ -177,6 +180,7 @@
 	delete(sta.running, key)
 	rgqueue.Finish(&sta.queue, evt.start, evt.outcome, evt.took)
 	pro.scope.Tagged(map[string]string{"verdict": evt.outcome.Verdict.String()}).Counter("tasks").Inc(1)
+	pro.scope.Timer("taskTime").Record(evt.took)
 	sta.changed = true
 	pro.answer(sta, []rgmodel.SubmissionID{evt.start.ID})
 }
@@ -235,8 +239,7 @@
 	for _, lnk := range sta.links {
 		replaceReport(lnk.reports, rep)
 	}
-	pro.scope.Gauge("queued").Update(float64(sta.queue.Queued))
-	pro.scope.Gauge("running").Update(float64(sta.queue.Running))
+	pro.observe(sta)
 }
 
 // replaceReport puts a report into a channel of capacity one, in place of an older one that nobody has taken.
--- a/io/rgsidecar/event.go
+++ b/io/rgsidecar/event.go
@@ -42,7 +42,8 @@
 
 	unlinked struct{ entry rgmodel.Entry }
 
-	bootstrapped struct{}
+	// bootstrapped says that all configured addresses were asked; err is set if none has answered with a ring.
+	bootstrapped struct{ err error }
 
 	finished struct {
 		start   rgqueue.Start
--- a/io/rgsidecar/link.go
+++ b/io/rgsidecar/link.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"time"
 
@@ -16,7 +15,6 @@
 )
 
 const (
-	dialTimeout   = 2 * time.Second
 	callTimeout   = 5 * time.Second
 	redialShort   = 50 * time.Millisecond
 	redialLong    = time.Second
@@ -39,15 +37,29 @@
 
 // bootstrap asks the configured addresses for the ring until one answers.
 func (pro *Process) bootstrap(work context.Context) {
+	var failure error
 	for _, adr := range pro.settings.Entries {
 		rep, err := pro.askMembers(work, adr)
+		if err != nil {
+			failure = err
+		}
 		if err == nil && len(rep.Ring.Entries) > 0 {
 			pro.tell(work, configured{ring: rep.Ring, teams: rep.Teams})
+			failure = nil
 			break
 		}
 	}
 	pause(work, bootstrapWait)
-	pro.tell(work, bootstrapped{})
+	pro.tell(work, bootstrapped{err: failure})
+}
+
+// endBootstrap logs the first of a series of failures, which a wrong address or certificate makes endless.
+func (pro *Process) endBootstrap(sta *state, evt bootstrapped) {
+	sta.bootstrapping = false
+	if evt.err != nil && !sta.unreachable {
+		pro.log.Warn("no entry answers", zap.Strings("addresses", pro.settings.Entries), zap.Error(evt.err))
+	}
+	sta.unreachable = evt.err != nil
 }
 
 func (pro *Process) askMembers(work context.Context, adr string) (rgwire.MembersReply, error) {
@@ -64,10 +76,9 @@
 }
 
 func (pro *Process) dial(work context.Context, adr string) (*rgwire.Peer, error) {
-	dlr := net.Dialer{Timeout: dialTimeout}
-	con, err := dlr.DialContext(work, "tcp", adr)
+	con, err := rgwire.Dial(work, adr, pro.identity)
 	if err != nil {
-		return nil, errors.Annotatef(err, "dial entry %s", adr)
+		return nil, errors.Trace(err)
 	}
 	return rgwire.Serve(work, con, pro.serve), nil
 }
@@ -105,6 +116,9 @@
 	for ctx.Err() == nil {
 		per, err := pro.announce(work, ent)
 		if err != nil {
+			if wait == redialShort {
+				pro.log.Warn("entry unreachable", zap.String("entry", ent.Name), zap.String("address", ent.Address), zap.Error(err))
+			}
 			pro.tell(work, unlinked{entry: ent})
 			pause(ctx, wait/2+rand.N(wait/2+1))
 			wait = min(2*wait, redialLong)
--- /dev/null
+++ b/io/rgsidecar/observe.go
@@ -0,0 +1,54 @@
+package rgsidecar
+
+import "ragwortgap/core/rgmodel"
+
+// Health is the state of a sidecar at its newest report; it is never changed after it was published.
+type Health struct {
+	Sidecar rgmodel.Sidecar `json:"sidecar"`
+	// Entries is the number of entries of the ring that are connected.
+	Entries    int    `json:"entries"`
+	RingSize   int    `json:"ringSize"`
+	Generation uint64 `json:"generation"`
+	Queued     int    `json:"queued"`
+	Running    int    `json:"running"`
+	Draining   bool   `json:"draining"`
+}
+
+// Health returns the newest published state, which is at most about a second old.
+func (pro *Process) Health() *Health {
+	return pro.health.Load()
+}
+
+// Usable reports whether the sidecar can get work: it does not drain, and an entry is connected.
+func (hlt *Health) Usable() bool {
+	return hlt.Entries > 0 && !hlt.Draining
+}
+
+// observe updates the gauges and publishes the state for operators.
+func (pro *Process) observe(sta *state) {
+	hlt := &Health{
+		Sidecar:    pro.self,
+		RingSize:   len(sta.queue.Ring.Entries),
+		Generation: sta.queue.Fence,
+		Queued:     sta.queue.Queued,
+		Running:    sta.queue.Running,
+		Draining:   sta.queue.Draining,
+	}
+	for _, lnk := range sta.links {
+		if lnk.peer != nil {
+			hlt.Entries++
+		}
+	}
+	pro.health.Store(hlt)
+	pro.scope.Gauge("tasksQueued").Update(float64(hlt.Queued))
+	pro.scope.Gauge("slotsInUse").Update(float64(hlt.Running))
+	pro.scope.Gauge("slots").Update(float64(pro.self.Capacity.Slots))
+	pro.scope.Gauge("records").Update(float64(len(sta.queue.Records)))
+	pro.scope.Gauge("entriesConnected").Update(float64(hlt.Entries))
+	pro.scope.Gauge("ringGeneration").Update(float64(hlt.Generation))
+	draining := 0.0
+	if hlt.Draining {
+		draining = 1
+	}
+	pro.scope.Gauge("draining").Update(draining)
+}
--- a/io/rgsidecar/process.go
+++ b/io/rgsidecar/process.go
@@ -5,14 +5,17 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/google/uuid"
+	"github.com/juju/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgsettings"
+	"ragwortgap/io/rgtls"
 )
 
 // eventBuffer lets traffic goroutines go on while the control goroutine handles a burst.
@@ -28,7 +31,9 @@
 	log      *zap.Logger
 	scope    tally.Scope
 	upstream *http.Client
+	identity *rgtls.Identity
 	events   chan event
+	health   atomic.Pointer[Health]
 	// links counts the goroutines that keep connections to entries.
 	links conc.WaitGroup
 	// runners counts the goroutines that wait for the upstream.
@@ -36,7 +41,12 @@
 }
 
 // Start runs a sidecar until ctx ends; then it drains within the bound of its settings and closes Done.
-func Start(ctx context.Context, set rgsettings.Sidecar, log *zap.Logger, sco tally.Scope) *Process {
+// It fails when a file of peerTLS is not valid.
+func Start(ctx context.Context, set rgsettings.Sidecar, log *zap.Logger, sco tally.Scope) (*Process, error) {
+	ide, err := rgtls.OpenPeer(set.PeerTLS)
+	if err != nil {
+		return nil, errors.Annotate(err, "setting peerTLS")
+	}
 	pro := &Process{
 		Done:     make(chan struct{}),
 		settings: set,
@@ -58,16 +68,21 @@
 			MaxIdleConnsPerHost: set.Slots,
 			DisableCompression:  true,
 		}},
-		events: make(chan event, eventBuffer),
+		events:   make(chan event, eventBuffer),
+		identity: ide,
 	}
+	pro.health.Store(&Health{Sidecar: pro.self})
 	go pro.run(ctx)
-	return pro
+	return pro, nil
 }
 
 func (pro *Process) run(ctx context.Context) {
 	defer close(pro.Done)
 	// The connections outlive ctx, because the drain needs them.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	if pro.identity != nil {
+		pro.links.Go(func() { rgtls.Watch(work, pro.identity, pro.identity.Files.Certificate, pro.log) })
+	}
 	pro.control(ctx, work)
 	stop()
 	pro.links.Wait()
--- /dev/null
+++ b/io/rgtls/keys.go
@@ -0,0 +1,102 @@
+package rgtls
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"os"
+	"strings"
+	"sync/atomic"
+
+	"github.com/go-json-experiment/json"
+	"github.com/juju/errors"
+	"github.com/tailscale/hujson"
+)
+
+const (
+	digestPrefix = "sha256:"
+	bearer       = "Bearer "
+)
+
+type (
+	// TeamKeys checks the keys of teams against a file of digests: JSON with comments, an object with the names of the
+	// teams and lists such as ["sha256:<64 hexadecimal digits>"]. Two keys of a team are valid at once while callers
+	// change over. A nil TeamKeys admits every request.
+	TeamKeys struct {
+		File    string
+		Read    ReadFile
+		current atomic.Pointer[keyFile]
+	}
+
+	keyFile struct {
+		raw     []byte
+		digests map[string][][sha256.Size]byte
+	}
+)
+
+// OpenKeys reads the file. It fails with errors.NotValid, the file's name and the team if the file is not as described.
+// A nil read means os.ReadFile.
+func OpenKeys(file string, read ReadFile) (*TeamKeys, error) {
+	if read == nil {
+		read = os.ReadFile
+	}
+	tk := &TeamKeys{File: file, Read: read}
+	_, err := tk.Reload()
+	return tk, err
+}
+
+// Reload reads the file and returns whether it has changed. After an error the earlier contents stay in force.
+func (tk *TeamKeys) Reload() (bool, error) {
+	raw, err := tk.Read(tk.File)
+	if err != nil {
+		return false, errors.NewNotValid(err, "read "+tk.File)
+	}
+	if old := tk.current.Load(); old != nil && bytes.Equal(old.raw, raw) {
+		return false, nil
+	}
+	std, err := hujson.Standardize(bytes.Clone(raw))
+	if err != nil {
+		return false, errors.NewNotValid(err, "team keys "+tk.File)
+	}
+	var txts map[string][]string
+	if err := json.Unmarshal(std, &txts); err != nil {
+		return false, errors.NewNotValid(err, "team keys "+tk.File)
+	}
+	kf := &keyFile{raw: raw, digests: map[string][][sha256.Size]byte{}}
+	for team, lis := range txts {
+		for i, txt := range lis {
+			dig, err := hex.DecodeString(strings.TrimPrefix(txt, digestPrefix))
+			if err != nil || len(dig) != sha256.Size || !strings.HasPrefix(txt, digestPrefix) {
+				// The text is left out, because it may be a key that was entered by mistake.
+				return false, errors.NotValidf("team keys %s: team %q, digest %d (need sha256: and 64 hexadecimal digits)",
+					tk.File, team, i)
+			}
+			kf.digests[team] = append(kf.digests[team], [sha256.Size]byte(dig))
+		}
+	}
+	tk.current.Store(kf)
+	return true, nil
+}
+
+// Check returns nil if the value of the Authorization header holds a key of the team. It fails with
+// errors.Unauthorized without a key, and with errors.Forbidden with a key that is not the team's. No error holds the key.
+// The time does not depend on the digests: the key's own digest is compared in constant time.
+func (tk *TeamKeys) Check(header, team string) error {
+	if tk == nil {
+		return nil
+	}
+	key, found := strings.CutPrefix(header, bearer)
+	if !found || key == "" {
+		return errors.Unauthorizedf("need the header Authorization: Bearer <team key>")
+	}
+	dig := sha256.Sum256([]byte(key))
+	valid := 0
+	for _, known := range tk.current.Load().digests[team] {
+		valid |= subtle.ConstantTimeCompare(dig[:], known[:])
+	}
+	if valid == 0 {
+		return errors.Forbiddenf("the key is not a key of team %q", team)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/rgtls/keys_test.go
@@ -0,0 +1,77 @@
+package rgtls
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+)
+
+func digest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return `"sha256:` + hex.EncodeToString(sum[:]) + `"`
+}
+
+// TestCheck guards against a team's jobs being reached with no key, another team's key or a withdrawn one, and against
+// errors that show a key.
+func TestCheck(t *testing.T) {
+	dsk := disk{"keys": []byte("{// digests\n" + `"kitapDostu": [` + digest("old") + "," + digest("new") + `],
+		"zelenaSkola": [` + digest("other") + "]}")}
+	keys, err := OpenKeys("keys", dsk.read)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := map[string]struct {
+		header, team string
+		is           error
+	}{
+		"first key":          {"Bearer old", "kitapDostu", nil},
+		"second key":         {"Bearer new", "kitapDostu", nil},
+		"no header":          {"", "kitapDostu", errors.Unauthorized},
+		"no key":             {"Bearer ", "kitapDostu", errors.Unauthorized},
+		"another scheme":     {"Basic old", "kitapDostu", errors.Unauthorized},
+		"another team's key": {"Bearer other", "kitapDostu", errors.Forbidden},
+		"unknown team":       {"Bearer old", "nobody", errors.Forbidden},
+		"digest as a key":    {"Bearer " + strings.Trim(digest("old"), `"`), "kitapDostu", errors.Forbidden},
+		"part of a key":      {"Bearer ol", "kitapDostu", errors.Forbidden},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			err := keys.Check(tc.header, tc.team)
+			if (err == nil) != (tc.is == nil) || (tc.is != nil && !errors.Is(err, tc.is)) {
+				t.Fatalf("got %v, want %v", err, tc.is)
+			}
+			if _, key, ok := strings.Cut(tc.header, " "); err != nil && ok && key != "" && strings.Contains(err.Error(), key) {
+				t.Errorf("error %q shows the key", err)
+			}
+		})
+	}
+	dsk["keys"] = []byte(`{"kitapDostu": [` + digest("new") + `]}`)
+	if changed, err := keys.Reload(); !changed || err != nil {
+		t.Fatalf("reload: %v, %v", changed, err)
+	}
+	if keys.Check("Bearer old", "kitapDostu") == nil || keys.Check("Bearer new", "kitapDostu") != nil {
+		t.Error("a withdrawn key is valid, or the remaining one is not")
+	}
+}
+
+// TestOpenKeysRefuses guards against files that admit nobody or whose error shows a key that was entered as a digest.
+func TestOpenKeysRefuses(t *testing.T) {
+	tests := map[string]string{
+		"not JSON":        `{`,
+		"duplicate team":  `{"a": [], "a": []}`,
+		"key as a digest": `{"a": ["plain secret"]}`,
+		"short digest":    `{"a": ["sha256:00ff"]}`,
+		"no prefix":       `{"a": ["` + strings.Repeat("00", 32) + `"]}`,
+	}
+	for name, txt := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := OpenKeys("keys", disk{"keys": []byte(txt)}.read)
+			if !errors.Is(err, errors.NotValid) || strings.Contains(err.Error(), "plain secret") {
+				t.Errorf("got %v, want errors.NotValid without the text", err)
+			}
+		})
+	}
+}
--- a/io/rgwire/message.go
+++ b/io/rgwire/message.go
@@ -94,6 +94,7 @@
 	// JobStateReply is the answer to JobState.
 	JobStateReply struct {
 		Found  bool           `json:"found"`
+		Team   string         `json:"team,omitempty"`
 		Final  bool           `json:"final"`
 		Answer rgmodel.Answer `json:"answer"`
 	}
--- /dev/null
+++ b/io/rgwire/transport.go
@@ -0,0 +1,66 @@
+package rgwire
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+
+	"ragwortgap/io/rgtls"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// handshakeTimeout bounds how long a peer may hold a connection without showing who it is.
+	handshakeTimeout = 5 * time.Second
+)
+
+// Listen accepts connections of peers, with mutual TLS if an identity is given.
+func Listen(adr string, ide *rgtls.Identity) (net.Listener, error) {
+	lis, err := net.Listen("tcp", adr)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen on %s", adr)
+	}
+	if ide == nil {
+		return lis, nil
+	}
+	return tls.NewListener(lis, ide.Server()), nil
+}
+
+// Dial opens a connection to an entry, with mutual TLS if an identity is given.
+func Dial(ctx context.Context, adr string, ide *rgtls.Identity) (net.Conn, error) {
+	ctx, stop := context.WithTimeout(ctx, dialTimeout)
+	defer stop()
+	var dlr net.Dialer
+	con, err := dlr.DialContext(ctx, "tcp", adr)
+	if err != nil {
+		return nil, errors.Annotatef(err, "dial entry %s", adr)
+	}
+	if ide == nil {
+		return con, nil
+	}
+	sec := tls.Client(con, ide.Client())
+	if err := Handshake(ctx, sec); err != nil {
+		return nil, errors.Annotatef(err, "dial entry %s", adr)
+	}
+	return sec, nil
+}
+
+// Handshake completes the TLS handshake of an accepted connection, and closes the connection if that fails.
+// It returns at once for a connection without TLS.
+func Handshake(ctx context.Context, con net.Conn) error {
+	sec, ok := con.(*tls.Conn)
+	if !ok {
+		return nil
+	}
+	ctx, stop := context.WithTimeout(ctx, handshakeTimeout)
+	defer stop()
+	if err := sec.HandshakeContext(ctx); err != nil {
+		// The handshake's error says more than that of closing a connection that it has ended.
+		_ = con.Close()
+		return errors.Annotate(err, "handshake")
+	}
+	return nil
+}
