Add example settings, checks of the TLS settings, and the demo's addresses

Processes started by hand had no settings to begin with, and could not join the demo.

examples/ holds settings of an entry, a sidecar and team keys, which a test reads. TestCheckTLS covers the settings of TLS, team keys and the status address by field.

Seen: a refused sidecar itself logs "no entry answers ... connection is closed", because the reason is only in the entry's log; the demo serves no /metrics.

--- a/io/rgcli/command_run.go
+++ b/io/rgcli/command_run.go
@@ -45,11 +45,12 @@
 	met := rgmetrics.Open()
 	defer func() { _ = met.Closer.Close() }()
 	// What can fail comes before the start, so that an entry that cannot serve callers does not join the ring.
-	keys, err := openKeys(ctx, set.TeamKeys, log)
+	named := log.With(zap.String("entry", set.Name))
+	keys, err := openKeys(ctx, set.TeamKeys, named)
 	if err != nil {
 		return err
 	}
-	lis, err := listenCallers(ctx, set, log)
+	lis, err := listenCallers(ctx, set, named)
 	if err != nil {
 		return err
 	}
--- a/io/rgdemo/demo.go
+++ b/io/rgdemo/demo.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -48,8 +49,10 @@
 		entries   []*rgentry.Process
 		sidecars  []*rgsidecar.Process
 		callers   []string
-		metrics   tally.TestScope
-		servers   []*http.Server
+		// storeAddress and upstreamAddress let processes that are started by hand join the demo.
+		storeAddress, upstreamAddress string
+		metrics                       tally.TestScope
+		servers                       []*http.Server
 	}
 )
 
@@ -82,6 +85,8 @@
 	}
 	rep.print(out)
 	if opt.Keep {
+		say(out, "entries: %s; peer addresses: %s; store: http://%s; an upstream: http://%s", strings.Join(sys.callers, " "),
+			strings.Join(sys.peers(), " "), sys.storeAddress, sys.upstreamAddress)
 		say(out, "serving on http://%s until interrupted; try:", sys.callers[0])
 		say(out, `curl -s http://%s/v1/jobs -d '%s'`, sys.callers[0], exampleJob)
 		<-ctx.Done()
@@ -95,6 +100,7 @@
 	if err != nil {
 		return err
 	}
+	sys.storeAddress = storeAddress
 	var peers []string
 	for i := range entryCount {
 		set := rgsettings.Entry{
@@ -143,6 +149,7 @@
 	if err != nil {
 		return err
 	}
+	sys.upstreamAddress = adr
 	set := rgsettings.Sidecar{
 		Name:             fmt.Sprintf("sidecar%d", num),
 		AvailabilityZone: zone(num),
@@ -165,6 +172,14 @@
 	return nil
 }
 
+func (sys *system) peers() []string {
+	var adrs []string
+	for _, ent := range sys.entries {
+		adrs = append(adrs, ent.Self().Address)
+	}
+	return adrs
+}
+
 func zone(num int) string {
 	return fmt.Sprintf("zone%d", num%3)
 }
--- /dev/null
+++ b/io/rgsettings/settings_test.go
@@ -0,0 +1,78 @@
+package rgsettings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/juju/errors"
+
+	"ragwortgap/io/rgtls"
+)
+
+// TestExamples guards against example files that the processes do not accept.
+func TestExamples(t *testing.T) {
+	if _, err := ReadEntry("../../examples/entry.json"); err != nil {
+		t.Error(err)
+	}
+	if _, err := ReadSidecar("../../examples/sidecar.json"); err != nil {
+		t.Error(err)
+	}
+	if _, err := rgtls.OpenKeys("../../examples/team-keys.json", nil); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestCheckTLS guards against processes that start without the protection that their settings ask for.
+func TestCheckTLS(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(file, []byte("x"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	all := &rgtls.Files{Certificate: file, Key: file, Authorities: file}
+	callers := &rgtls.Files{Certificate: file, Key: file}
+	tests := map[string]struct {
+		peer, caller *rgtls.Files
+		keys, status string
+		entry, side  string
+	}{
+		"nothing set":            {},
+		"all set":                {peer: all, caller: callers, keys: file, status: "127.0.0.1:1"},
+		"no certificate":         {peer: &rgtls.Files{Key: file, Authorities: file}, entry: "peerTLS.certificate", side: "peerTLS.certificate"},
+		"no peer key":            {peer: &rgtls.Files{Certificate: file, Authorities: file}, entry: "peerTLS.key", side: "peerTLS.key"},
+		"no authorities":         {peer: callers, entry: "peerTLS.authorities", side: "peerTLS.authorities"},
+		"missing file":           {caller: &rgtls.Files{Certificate: file + "x", Key: file}, entry: "callerTLS.certificate"},
+		"authorities of callers": {caller: all, entry: "callerTLS.authorities"},
+		"keys in plain text":     {keys: file, entry: "teamKeys"},
+		"missing keys":           {caller: callers, keys: file + "x", entry: "teamKeys"},
+		"status without a port":  {status: "127.0.0.1", side: "statusAddress"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			ent, err := ReadEntry("../../examples/entry.json")
+			if err != nil {
+				t.Fatal(err)
+			}
+			sid, err := ReadSidecar("../../examples/sidecar.json")
+			if err != nil {
+				t.Fatal(err)
+			}
+			ent.PeerTLS, ent.CallerTLS, ent.TeamKeys = tc.peer, tc.caller, tc.keys
+			sid.PeerTLS, sid.StatusAddress = tc.peer, tc.status
+			checkField(t, CheckEntry(&ent), tc.entry)
+			checkField(t, CheckSidecar(&sid), tc.side)
+		})
+	}
+}
+
+func checkField(t *testing.T, err error, want string) {
+	t.Helper()
+	var fld FieldError
+	errors.As(err, &fld)
+	if (err == nil) != (want == "") || fld.Field != want {
+		t.Errorf("got %v, want an error for %q", err, want)
+	}
+	if want != "" && (fld.Value == nil || fld.Reason == "") {
+		t.Errorf("got %+v, want a value and a reason", fld)
+	}
+}
