--- /dev/null
+++ b/io/rgqueryapi/routes_test.go
@@ -0,0 +1,81 @@
+package rgqueryapi
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/google/uuid"
+	"github.com/julienschmidt/httprouter"
+	"go.uber.org/zap"
+
+	"ragwortgap/io/rgentry"
+	"ragwortgap/io/rgmetrics"
+	"ragwortgap/io/rgsettings"
+	"ragwortgap/io/rgsidecar"
+)
+
+const (
+	anyPort = "127.0.0.1:0"
+	// nobody is an address that refuses connections.
+	nobody = "127.0.0.1:1"
+)
+
+// start runs an entry without a store and a sidecar without an entry, and returns a router with the routes of both.
+func start(t *testing.T) http.Handler {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	met := rgmetrics.Open()
+	alone := rgsettings.Entry{Name: "entry0", PeerAddress: anyPort, Store: "http://" + nobody}
+	ent, err := rgentry.Start(ctx, alone, zap.NewNop(), met.Scope)
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := rgsettings.Sidecar{Name: "sidecar0", Entries: []string{nobody}, Upstream: "http://" + nobody, Slots: 1, Connections: 1}
+	sid, err := rgsidecar.Start(ctx, set, zap.NewNop(), rgmetrics.Open().Scope)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		stop()
+		<-ent.Done
+		<-sid.Done
+		_ = met.Closer.Close()
+	})
+	rtr := httprouter.New()
+	Routes{Entry: ent, Metrics: met.Handler}.Register(rtr)
+	SidecarRoutes{Sidecar: sid}.Register(rtr)
+	return rtr
+}
+
+// TestRoutes guards against routes whose status or type differs from docs/api.md, and against a balancer or an operator
+// that takes an entry outside the ring, or a sidecar without an entry, for usable.
+func TestRoutes(t *testing.T) {
+	tests := map[string]struct {
+		path, kind, text string
+		status           int
+	}{
+		"status outside the ring": {"/v1/status", "application/json", `"generation":0`, 503},
+		"health without an entry": {"/health", "application/json", `"entries":0`, 503},
+		"burn":                    {"/v1/burn", "application/json", `{"entry":"entry0","flows":[]}`, 200},
+		"burn page":               {"/burn", "text/html", "<svg", 200},
+		"metrics":                 {"/metrics", "text/plain", "go_goroutines", 200},
+		"malformed id":            {"/v1/jobs/x", "application/json", `"field":"id","value":"x"`, 400},
+		"unknown id":              {"/v1/jobs/" + uuid.Must(uuid.NewV7()).String(), "application/json", "no such job", 404},
+	}
+	hdl := start(t)
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			rec := httptest.NewRecorder()
+			hdl.ServeHTTP(rec, httptest.NewRequestWithContext(t.Context(), http.MethodGet, tc.path, nil))
+			if rec.Code != tc.status || !strings.HasPrefix(rec.Header().Get("Content-Type"), tc.kind) {
+				t.Errorf("status %d, type %q; want %d, %q", rec.Code, rec.Header().Get("Content-Type"), tc.status, tc.kind)
+			}
+			if !strings.Contains(rec.Body.String(), tc.text) {
+				t.Errorf("body lacks %q: %.300s", tc.text, rec.Body.String())
+			}
+		})
+	}
+}
--- a/io/rgsettings/settings_test.go
+++ b/io/rgsettings/settings_test.go
@@ -36,9 +36,11 @@
 		keys, status string
 		entry, side  string
 	}{
-		"nothing set":            {},
-		"all set":                {peer: all, caller: callers, keys: file, status: "127.0.0.1:1"},
-		"no certificate":         {peer: &rgtls.Files{Key: file, Authorities: file}, entry: "peerTLS.certificate", side: "peerTLS.certificate"},
+		"nothing set": {},
+		"all set":     {peer: all, caller: callers, keys: file, status: "127.0.0.1:1"},
+		"no certificate": {
+			peer: &rgtls.Files{Key: file, Authorities: file}, entry: "peerTLS.certificate", side: "peerTLS.certificate",
+		},
 		"no peer key":            {peer: &rgtls.Files{Certificate: file, Authorities: file}, entry: "peerTLS.key", side: "peerTLS.key"},
 		"no authorities":         {peer: callers, entry: "peerTLS.authorities", side: "peerTLS.authorities"},
 		"missing file":           {caller: &rgtls.Files{Certificate: file + "x", Key: file}, entry: "callerTLS.certificate"},
