--- a/core/rgburn/burn.go
+++ b/core/rgburn/burn.go
@@ -17,7 +17,7 @@
 	LongWindow = time.Hour
 	// SlotTime is the resolution of the windows. A window that ends within a slot is shorter by up to one slot.
 	SlotTime = 30 * time.Second
-	// MaxFlows bounds the memory to about 7 MB, because callers choose the names of flows. Jobs of further flows are
+	// MaxFlows bounds the memory to about 8 MB, because callers choose the names of flows. Jobs of further flows are
 	// counted together under Overflow.
 	MaxFlows = 2048
 	// DefaultObjective applies to kinds without an objective of their own.
--- /dev/null
+++ b/io/rgentry/observe_test.go
@@ -0,0 +1,72 @@
+package rgentry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"ragwortgap/core/rgburn"
+	"ragwortgap/core/rgmodel"
+)
+
+// TestCountAnswer guards against error budgets that are charged for callers' faults, twice, or without regard to how
+// long the caller waits.
+func TestCountAnswer(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	flow := rgmodel.Flow{Team: "kitapDostu", Kind: "signUps"}
+	jb := rgmodel.Job{ID: "id", Flow: flow, Tasks: make([]rgmodel.Task, 2)}
+	complete := rgmodel.Answer{Outcomes: []rgmodel.Outcome{{Verdict: rgmodel.RanOK}}}
+	end := func(rn run) func(*Process, *state) {
+		return func(pro *Process, sta *state) {
+			sta.runs = map[uint64]*run{1: &rn}
+			pro.endJob(sta, jobEnded{run: 1, answer: complete})
+		}
+	}
+	refused := func(vd rgmodel.Verdict, rsn rgmodel.Reason) func(*Process, *state) {
+		return func(pro *Process, sta *state) { pro.refuse(sta, submitted{job: jb}, vd, rsn, "", now) }
+	}
+	tests := map[string]struct {
+		event func(*Process, *state)
+		want  rgburn.Counts
+		jobs  string
+	}{
+		"complete in time":   {end(run{flow: flow, began: time.Now()}), rgburn.Counts{Good: 1}, "ranOK"},
+		"complete too late":  {end(run{flow: flow, began: time.Now().Add(-time.Hour)}), rgburn.Counts{Late: 1}, "ranOK"},
+		"collected again":    {end(run{flow: flow, began: time.Now(), again: true}), rgburn.Counts{}, ""},
+		"moved to a home":    {end(run{flow: flow, began: time.Now(), moved: true}), rgburn.Counts{}, ""},
+		"over quota":         {refused(rgmodel.NotRun, rgmodel.ReasonQuota), rgburn.Counts{Refused: 1}, "notRun"},
+		"records lost":       {refused(rgmodel.MayHaveRun, rgmodel.ReasonRecordLost), rgburn.Counts{MayHaveRun: 1}, "mayHaveRun"},
+		"never runnable":     {refused(rgmodel.NotRun, rgmodel.ReasonNeverRunnable), rgburn.Counts{}, "notRun"},
+		"id of another body": {refused(rgmodel.NotRun, rgmodel.ReasonDigestMismatch), rgburn.Counts{}, "notRun"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			sco := tally.NewTestScope("", nil)
+			sta := &state{teams: map[string]rgmodel.TeamConfig{flow.Team: {Kinds: []rgmodel.KindConfig{
+				{Kind: flow.Kind, CallerWait: rgmodel.Duration{Duration: time.Minute}},
+			}}}}
+			tc.event(&Process{scope: sco}, sta)
+			var got rgburn.Counts
+			for _, flo := range sta.burn.Flows {
+				for _, slo := range flo.Slots {
+					if slo.Counts != (rgburn.Counts{}) {
+						got = slo.Counts
+					}
+				}
+			}
+			if got != tc.want {
+				t.Errorf("counted %+v, want %+v", got, tc.want)
+			}
+			verdict := ""
+			for _, cnt := range sco.Snapshot().Counters() {
+				if cnt.Name() == "jobs" {
+					verdict = cnt.Tags()["verdict"]
+				}
+			}
+			if verdict != tc.jobs {
+				t.Errorf("job counted as %q, want %q", verdict, tc.jobs)
+			}
+		})
+	}
+}
