Test mutual TLS between running processes, and refuse misspelt settings as usage errors

Mutual TLS between an entry and a sidecar had been tried by hand only, and a misspelt setting exited with 1 like a failure at run time.

rgstandin.Authority issues certificates in memory. TestPeerTLS runs an entry and a sidecar: with a certificate of the authority the sidecar becomes usable; with one of another authority, or over plain TCP, the entry logs "peer refused". Settings that cannot be decoded are errors.NotValid and exit with 2.

--- a/io/rgsettings/settings.go
+++ b/io/rgsettings/settings.go
@@ -143,10 +143,12 @@
 	}
 	std, err := hujson.Standardize(raw)
 	if err != nil {
-		return errors.Annotatef(err, "settings %s", path)
+		return errors.NewNotValid(err, "settings "+path)
 	}
-	err = json.Unmarshal(std, set, json.RejectUnknownMembers(true))
-	return errors.Annotatef(err, "settings %s", path)
+	if err := json.Unmarshal(std, set, json.RejectUnknownMembers(true)); err != nil {
+		return errors.NewNotValid(err, "settings "+path)
+	}
+	return nil
 }
 
 func first(errs ...error) error {
--- a/io/rgsettings/settings_test.go
+++ b/io/rgsettings/settings_test.go
@@ -23,6 +23,30 @@
 	}
 }
 
+// TestReadRefuses guards against misspelt settings that are ignored.
+func TestReadRefuses(t *testing.T) {
+	tests := map[string]string{
+		"empty":           "",
+		"not closed":      `{"name": "entry0"`,
+		"unknown setting": `{"nam": "entry0"}`,
+		"set twice":       `{"name": "entry0", "name": "entry1"}`,
+		"wrong type":      `{"name": 5}`,
+		"wrong duration":  `{"leaseTime": "3"}`,
+		"unknown in TLS":  `{"peerTLS": {"cert": "x"}}`,
+	}
+	for name, txt := range tests {
+		t.Run(name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "entry.json")
+			if err := os.WriteFile(file, []byte(txt), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if set, err := ReadEntry(file); !errors.Is(err, errors.NotValid) {
+				t.Errorf("got %+v and %v, want errors.NotValid", set, err)
+			}
+		})
+	}
+}
+
 // TestCheckTLS guards against processes that start without the protection that their settings ask for.
 func TestCheckTLS(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "file")
--- /dev/null
+++ b/io/rgsidecar/tls_test.go
@@ -0,0 +1,110 @@
+package rgsidecar
+
+import (
+	"context"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"ragwortgap/io/rgentry"
+	"ragwortgap/io/rgsettings"
+	"ragwortgap/io/rgstandin"
+	"ragwortgap/io/rgtls"
+)
+
+const bound = 20 * time.Second
+
+// write issues a certificate by signer and returns the settings of a process that trusts the authority.
+func write(t *testing.T, trusted, signer rgstandin.Authority, name string) *rgtls.Files {
+	t.Helper()
+	dir := t.TempDir()
+	crt, key, err := signer.Issue(name, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fls := &rgtls.Files{
+		Certificate: filepath.Join(dir, "tls.crt"), Key: filepath.Join(dir, "tls.key"), Authorities: filepath.Join(dir, "ca.crt"),
+	}
+	for file, raw := range map[string][]byte{fls.Certificate: crt, fls.Key: key, fls.Authorities: trusted.PEM} {
+		if err := os.WriteFile(file, raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return fls
+}
+
+func authority(t *testing.T, name string) rgstandin.Authority {
+	t.Helper()
+	aut, err := rgstandin.NewAuthority(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return aut
+}
+
+// TestPeerTLS guards against sidecars that join without a certificate of the authority, and against refusals that the
+// entry's log does not show.
+func TestPeerTLS(t *testing.T) {
+	own, other := authority(t, "own"), authority(t, "other")
+	tests := map[string]struct {
+		files *rgtls.Files
+		ready int
+		line  string
+	}{
+		"certificate of the authority": {write(t, own, own, "sidecar.ragwortgap"), 1, "sidecar connected"},
+		"another authority":            {write(t, own, other, "sidecar.ragwortgap"), 0, "peer refused"},
+		"plain TCP":                    {nil, 0, "peer refused"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, stop := context.WithCancel(context.Background())
+			store := httptest.NewServer(&rgstandin.Store{})
+			cor, logs := observer.New(zap.InfoLevel)
+			set := rgsettings.Entry{
+				Name: "entry0", AvailabilityZone: "zone0", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", Store: store.URL,
+				PeerTLS: write(t, own, own, rgtls.EntryName),
+			}
+			if err := rgsettings.CheckEntry(&set); err != nil {
+				t.Fatal(err)
+			}
+			ent, err := rgentry.Start(ctx, set, zap.New(cor), tally.NoopScope)
+			if err != nil {
+				t.Fatal(err)
+			}
+			sid, err := Start(ctx, rgsettings.Sidecar{
+				Name: "sidecar0", Entries: []string{ent.Self().Address}, Upstream: store.URL, Slots: 1, Connections: 1, PeerTLS: tc.files,
+			}, zap.NewNop(), tally.NoopScope)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() {
+				stop()
+				<-ent.Done
+				<-sid.Done
+				store.CloseClientConnections()
+				store.Close()
+			})
+			awaitCondition(t, func() bool { return logs.FilterMessage(tc.line).Len() > 0 && ent.View().Ready == tc.ready })
+		})
+	}
+}
+
+func awaitCondition(t *testing.T, met func() bool) {
+	t.Helper()
+	late := time.After(bound)
+	tic := time.NewTicker(10 * time.Millisecond)
+	defer tic.Stop()
+	for !met() {
+		select {
+		case <-tic.C:
+		case <-late:
+			t.Fatalf("not met within %s", bound)
+		}
+	}
+}
--- a/io/rgtls/certificates_test.go
+++ b/io/rgtls/certificates_test.go
@@ -1,24 +1,12 @@
 package rgtls
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"os"
 	"testing"
 	"time"
-)
 
-// authority signs certificates in memory.
-type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	pem         []byte
-}
+	"ragwortgap/io/rgstandin"
+)
 
 // disk is files in memory.
 type disk map[string][]byte
@@ -31,49 +19,20 @@
 	return raw, nil
 }
 
-func newAuthority(t *testing.T, name string) authority {
+func newAuthority(t *testing.T, name string) rgstandin.Authority {
 	t.Helper()
-	key := newKey(t)
-	tpl := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, tpl, tpl, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	crt, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return authority{certificate: crt, key: key, pem: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
-}
-
-// issue returns a certificate and its key as PEM.
-func (aut authority) issue(t *testing.T, name string, until time.Duration) (crt, key []byte) {
-	t.Helper()
-	prv := newKey(t)
-	tpl := &x509.Certificate{
-		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(until),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, tpl, aut.certificate, &prv.PublicKey, aut.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	raw, err := x509.MarshalPKCS8PrivateKey(prv)
+	aut, err := rgstandin.NewAuthority(name)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: raw})
+	return aut
 }
 
-func newKey(t *testing.T) *ecdsa.PrivateKey {
+func issue(t *testing.T, aut rgstandin.Authority, name string, lasting time.Duration) (crt, key []byte) {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	crt, key, err := aut.Issue(name, lasting)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return key
+	return crt, key
 }
--- a/io/rgtls/identity_test.go
+++ b/io/rgtls/identity_test.go
@@ -8,14 +8,16 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"ragwortgap/io/rgstandin"
 )
 
 var files = Files{Certificate: "tls.crt", Key: "tls.key", Authorities: "ca.crt"}
 
-func open(t *testing.T, trusted, signer authority, name string, until time.Duration) (*Identity, disk) {
+func open(t *testing.T, trusted, signer rgstandin.Authority, name string, until time.Duration) (*Identity, disk) {
 	t.Helper()
-	dsk := disk{"ca.crt": trusted.pem}
-	dsk["tls.crt"], dsk["tls.key"] = signer.issue(t, name, until)
+	dsk := disk{"ca.crt": trusted.PEM}
+	dsk["tls.crt"], dsk["tls.key"] = issue(t, signer, name, until)
 	ide, err := Open(files, dsk.read)
 	if err != nil {
 		t.Fatal(err)
@@ -61,7 +63,7 @@
 func TestMutual(t *testing.T) {
 	own, other := newAuthority(t, "own"), newAuthority(t, "other")
 	tests := map[string]struct {
-		server, client     authority
+		server, client     rgstandin.Authority
 		serverName         string
 		serverAge, lasting time.Duration
 		bare               bool
@@ -128,12 +130,12 @@
 	if changed, err := srv.Reload(); changed || err != nil {
 		t.Errorf("unchanged files: got %v, %v", changed, err)
 	}
-	dsk["tls.crt"], dsk["ca.crt"] = nil, next.pem
+	dsk["tls.crt"], dsk["ca.crt"] = nil, next.PEM
 	if changed, err := srv.Reload(); changed || !errors.Is(err, errors.NotValid) {
 		t.Errorf("half-written files: got %v, %v", changed, err)
 	}
 	check("old client after the failed reload", oldCli, true)
-	dsk["tls.crt"], dsk["tls.key"] = next.issue(t, EntryName, time.Hour)
+	dsk["tls.crt"], dsk["tls.key"] = issue(t, next, EntryName, time.Hour)
 	if changed, err := srv.Reload(); !changed || err != nil {
 		t.Errorf("changed files: got %v, %v", changed, err)
 	}
@@ -144,16 +146,16 @@
 // TestOpenRefuses guards against a process that starts with files that it cannot use.
 func TestOpenRefuses(t *testing.T) {
 	aut := newAuthority(t, "own")
-	crt, key := aut.issue(t, EntryName, time.Hour)
-	_, otherKey := aut.issue(t, EntryName, time.Hour)
+	crt, key := issue(t, aut, EntryName, time.Hour)
+	_, otherKey := issue(t, aut, EntryName, time.Hour)
 	tests := map[string]struct {
 		disk disk
 		name string
 	}{
-		"no certificate file": {disk{"tls.key": key, "ca.crt": aut.pem}, "tls.crt"},
+		"no certificate file": {disk{"tls.key": key, "ca.crt": aut.PEM}, "tls.crt"},
 		"no authorities file": {disk{"tls.crt": crt, "tls.key": key}, "ca.crt"},
-		"not PEM":             {disk{"tls.crt": []byte("x"), "tls.key": key, "ca.crt": aut.pem}, "tls.crt"},
-		"another key":         {disk{"tls.crt": crt, "tls.key": otherKey, "ca.crt": aut.pem}, "tls.key"},
+		"not PEM":             {disk{"tls.crt": []byte("x"), "tls.key": key, "ca.crt": aut.PEM}, "tls.crt"},
+		"another key":         {disk{"tls.crt": crt, "tls.key": otherKey, "ca.crt": aut.PEM}, "tls.key"},
 		"empty authorities":   {disk{"tls.crt": crt, "tls.key": key, "ca.crt": nil}, "ca.crt"},
 	}
 	for name, tc := range tests {
