--- a/core/rghome/command_submit.go
+++ b/core/rghome/command_submit.go
@@ -37,11 +37,13 @@
 	case rgsubmission.Conflict:
 		return refuse(jb, rgmodel.NotRun, rgmodel.ReasonDigestMismatch, "the id was used with another body")
 	case rgsubmission.Answered:
-		return Settled{Answer: std.Answer}
+		return Settled{Answer: std.Answer, Again: true}
 	case rgsubmission.Running:
 		return Attach{}
 	case rgsubmission.Dropped:
-		return begin(sta, jb, own, rgjob.Plan{Parts: recordedParts(jb, std.Places)}, now)
+		beg := begin(sta, jb, own, rgjob.Plan{Parts: recordedParts(jb, std.Places)}, now)
+		beg.Again = true
+		return beg
 	default:
 		return submitUnknown(sta, jb, own, now, rnd)
 	}
@@ -122,7 +124,7 @@
 	return begin(sta, jb, false, pln, now)
 }
 
-func begin(sta *State, jb rgmodel.Job, own bool, pln rgjob.Plan, now time.Time) Decision {
+func begin(sta *State, jb rgmodel.Job, own bool, pln rgjob.Plan, now time.Time) Begin {
 	rgsubmission.Register(&sta.Submissions, jb, own, rgmodel.RecordWindow, now)
 	for range pln.Parts {
 		rgadmission.CountBatch(&sta.Admission)
--- a/core/rghome/home.go
+++ b/core/rghome/home.go
@@ -59,10 +59,16 @@
 	Settled struct {
 		Answer     rgmodel.Answer
 		RetryAfter time.Duration
+		// Again is set if the answer was final before this submission.
+		Again bool
 	}
 
 	// Begin means that the job has been registered and the plan must be carried out.
-	Begin struct{ Plan rgjob.Plan }
+	// Again is set if its answer was final before and only has to be collected again.
+	Begin struct {
+		Plan  rgjob.Plan
+		Again bool
+	}
 )
 
 func (Forward) isDecision() {}
--- a/io/rgcli/cli.go
+++ b/io/rgcli/cli.go
@@ -28,6 +28,7 @@
 		Entry   *entryCommand   `arg:"subcommand:entry" help:"run an entry"`
 		Sidecar *sidecarCommand `arg:"subcommand:sidecar" help:"run the sidecar of an upstream"`
 		Demo    *demoCommand    `arg:"subcommand:demo" help:"run the whole system with stand-ins in one process"`
+		Burn    *burnQuery      `arg:"subcommand:burn" help:"print the error budgets of the flows, summed over entries"`
 		Version *versionQuery   `arg:"subcommand:version" help:"print the version"`
 
 		Questionnaire *questionnaireCommand `arg:"subcommand:questionnaire" help:"ask a team's questions, or check its answers"`
@@ -77,6 +78,8 @@
 		return cmd.run(ctx, out)
 	case *statusQuery:
 		return cmd.run(ctx, out)
+	case *burnQuery:
+		return cmd.run(ctx, out)
 	case *versionQuery:
 		return cmd.run(out)
 	default:
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgadmission"
+	"ragwortgap/core/rgburn"
 	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rgfleet"
 	"ragwortgap/core/rghome"
@@ -53,6 +54,10 @@
 		expired time.Time
 		// told is when the other entries were last told the usage of quotas.
 		told time.Time
+		burn rgburn.State
+		// burnReport was made at the time burned.
+		burnReport []rgburn.FlowReport
+		burned     time.Time
 	}
 )
 
@@ -168,8 +173,7 @@
 		sta.expired = now
 		rghome.Expire(&sta.home, now)
 	}
-	pro.scope.Gauge("sidecars").Update(float64(len(sta.home.Fleet.Members)))
-	pro.scope.Gauge("jobsRunning").Update(float64(len(sta.runs)))
+	pro.observe(sta, now)
 	if sta.home.Draining {
 		pro.checkDrained(sta)
 	}
@@ -200,6 +204,7 @@
 		Sidecars: rgfleet.Sidecars(&sta.home.Fleet),
 		Ready:    len(rgfleet.Usable(&sta.home.Fleet, time.Now())),
 		Draining: sta.home.Draining,
+		Burn:     sta.burnReport,
 	})
 }
 
--- a/io/rgentry/entries.go
+++ b/io/rgentry/entries.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -13,8 +12,6 @@
 	"ragwortgap/io/rgwire"
 )
 
-const dialTimeout = 2 * time.Second
-
 // entryPeers keeps one connection to each other entry. It holds no decision state.
 type entryPeers struct {
 	mutex sync.Mutex
@@ -41,10 +38,9 @@
 			return stale, nil
 		}
 	}
-	dlr := net.Dialer{Timeout: dialTimeout}
-	con, err := dlr.DialContext(ctx, "tcp", adr)
+	con, err := rgwire.Dial(ctx, adr, pro.identity)
 	if err != nil {
-		return nil, errors.Annotatef(err, "dial entry %s", adr)
+		return nil, errors.Trace(err)
 	}
 	per := rgwire.Serve(context.WithoutCancel(ctx), con, pro.serve)
 	ep.mutex.Lock()
--- a/io/rgentry/ring.go
+++ b/io/rgentry/ring.go
@@ -36,7 +36,6 @@
 	clear(sta.near)
 	rgadmission.ForgetUsage(&sta.home.Admission, rng)
 	pro.log.Info("ring changed", zap.Uint64("generation", rng.Generation), zap.Int("entries", len(rng.Entries)))
-	pro.scope.Gauge("ringGeneration").Update(float64(rng.Generation))
 	for _, id := range moved {
 		pro.moveAway(sta, id)
 	}
--- a/io/rgentry/sidecars.go
+++ b/io/rgentry/sidecars.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rgfleet"
 	"ragwortgap/core/rghome"
@@ -35,7 +33,7 @@
 	sta.repaired[key] = now
 	evt.reply <- rgwire.AnnounceReply{Entry: pro.self, Ring: sta.home.Ring.Ring, Teams: teamList(sta.home.Teams)}
 	pro.publish(sta)
-	pro.log.Info("sidecar connected", zap.String("sidecar", key.Name))
+	pro.log.Info("sidecar connected", logSidecar(key))
 	pro.seal(work, sta, key)
 	pro.traffic.Go(func() {
 		<-evt.peer.Done
@@ -83,7 +81,7 @@
 	delete(sta.near, evt.key)
 	delete(sta.repaired, evt.key)
 	rgfleet.Disconnect(&sta.home.Fleet, evt.key, now)
-	pro.log.Info("sidecar disconnected", zap.String("sidecar", evt.key.Name))
+	pro.log.Info("sidecar disconnected", logSidecar(evt.key))
 }
 
 // loseSidecar gives up on an incarnation for good.
@@ -102,7 +100,7 @@
 	delete(sta.outstanding, key)
 	pro.publish(sta)
 	pro.unpark(work, sta)
-	pro.log.Info("sidecar lost", zap.String("sidecar", key.Name))
+	pro.log.Info("sidecar lost", logSidecar(key))
 }
 
 // awaitPeer answers when the sidecar is connected and sealed, or lost.
--- a/io/rgentry/submit.go
+++ b/io/rgentry/submit.go
@@ -28,28 +28,23 @@
 	case rghome.Attach:
 		evt.reply <- sta.attach(evt.job.ID)
 	case rghome.Settled:
-		pro.countRefusal(dec.Answer)
+		if !dec.Again {
+			pro.countRefusal(sta, evt, dec.Answer, now)
+		}
 		evt.reply <- settled{answer: dec.Answer, retryAfter: dec.RetryAfter}
 	case rghome.Begin:
-		pro.startJob(work, sta, evt, dec.Plan, now)
-	}
-}
-
-func (pro *Process) countRefusal(ans rgmodel.Answer) {
-	if len(ans.Outcomes) > 0 && !ans.Complete() {
-		rsn := string(ans.Outcomes[0].Reason)
-		pro.scope.Tagged(map[string]string{"reason": rsn}).Counter("refusals").Inc(1)
+		pro.startJob(work, sta, evt, dec, now)
 	}
 }
 
 // startJob hands a registered job to a traffic goroutine.
-func (pro *Process) startJob(work context.Context, sta *state, evt submitted, pln rgjob.Plan, now time.Time) {
+func (pro *Process) startJob(work context.Context, sta *state, evt submitted, beg rghome.Begin, now time.Time) {
 	jb := evt.job
 	sta.runCount++
 	ctx, stop := context.WithTimeout(work, jb.Deadline.Duration+answerGrace)
-	rn := &run{id: jb.ID, flow: jb.Flow, began: now, sidecars: map[rgmodel.SidecarKey]bool{}, stop: stop}
+	rn := &run{id: jb.ID, flow: jb.Flow, began: evt.since(now), again: beg.Again, sidecars: map[rgmodel.SidecarKey]bool{}, stop: stop}
 	sta.runs[sta.runCount] = rn
-	countParts(sta, rn, pln.Parts)
+	countParts(sta, rn, beg.Plan.Parts)
 	evt.reply <- sta.attach(jb.ID)
 	drv := driver{
 		process: pro, job: jb, run: sta.runCount, generation: sta.home.Ring.Ring.Generation,
@@ -57,7 +52,7 @@
 	}
 	pro.traffic.Go(func() {
 		defer stop()
-		drv.drive(ctx, work, pln)
+		drv.drive(ctx, work, beg.Plan)
 	})
 }
 
@@ -93,8 +88,9 @@
 		cal <- ans
 	}
 	delete(sta.callers, rn.id)
-	pro.scope.Counter("jobs").Inc(1)
-	pro.scope.Timer("jobTime").Record(time.Since(rn.began))
+	if !rn.again {
+		pro.countAnswer(sta, rn.flow, ans, rn.began, time.Now())
+	}
 }
 
 // attach adds a caller to those who get the answer of a running job.
@@ -122,7 +118,9 @@
 			continue
 		}
 		detail := "sidecars have not answered for earlier work"
-		evt.reply <- settled{answer: rgmodel.RefuseAll(evt.job, rgmodel.MayHaveRun, rgmodel.ReasonNotReady, detail)}
+		ans := rgmodel.RefuseAll(evt.job, rgmodel.MayHaveRun, rgmodel.ReasonNotReady, detail)
+		pro.countRefusal(sta, evt, ans, now)
+		evt.reply <- settled{answer: ans}
 	}
 	sta.parked = kept
 }
@@ -165,6 +163,10 @@
 	ctx, stop := context.WithTimeout(work, callTimeout)
 	defer stop()
 	if err := per.Ask(ctx, rgwire.Cancel{IDs: ids}, nil); err != nil {
-		pro.log.Warn("cancel not sent", zap.String("sidecar", key.Name), zap.Int("jobs", len(ids)), zap.Error(err))
+		pro.log.Warn("cancel not sent", logSidecar(key), zap.Int("jobs", len(ids)), zap.Error(err))
 	}
 }
+
+func logSidecar(key rgmodel.SidecarKey) zap.Field {
+	return zap.String("sidecar", key.Name)
+}
--- a/io/rgqueryapi/routes.go
+++ b/io/rgqueryapi/routes.go
@@ -10,12 +10,14 @@
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgapi"
 	"ragwortgap/io/rgentry"
+	"ragwortgap/io/rgtls"
 )
 
 type (
-	// Routes answers queries with the help of an entry. Metrics may be nil.
+	// Routes answers queries with the help of an entry. Metrics may be nil. Without Keys, callers need no key.
 	Routes struct {
 		Entry   *rgentry.Process
+		Keys    *rgtls.TeamKeys
 		Metrics http.Handler
 	}
 
@@ -43,6 +45,8 @@
 func (rts Routes) Register(rtr *httprouter.Router) {
 	rtr.GET("/v1/jobs/:id", rts.job)
 	rtr.GET("/v1/status", rts.status)
+	rtr.GET("/v1/burn", rts.burn)
+	rtr.GET("/burn", rts.burnPage)
 	if rts.Metrics != nil {
 		rtr.Handler(http.MethodGet, "/metrics", rts.Metrics)
 	}
@@ -50,12 +54,19 @@
 
 func (rts Routes) job(rsp http.ResponseWriter, req *http.Request, par httprouter.Params) {
 	id := rgmodel.SubmissionID(par.ByName("id"))
+	if prb := rgapi.CheckPathID(id); prb != nil {
+		rts.Entry.CountMalformed()
+		rgapi.Write(rsp, http.StatusBadRequest, prb)
+		return
+	}
 	rep, err := rts.Entry.JobState(req.Context(), id)
 	switch {
 	case err != nil:
 		rgapi.Write(rsp, http.StatusServiceUnavailable, rgapi.Problem{Field: "id", Value: string(id), Reason: err.Error()})
 	case !rep.Found:
 		rgapi.Write(rsp, http.StatusNotFound, rgapi.Problem{Field: "id", Value: string(id), Reason: "no such job"})
+	case !rgapi.Admit(rsp, req, rts.Keys, rep.Team, rgmodel.MayHaveRun):
+		rts.Entry.CountUnauthorized()
 	case !rep.Final:
 		rgapi.Write(rsp, http.StatusOK, rgapi.Running(id))
 	default:
--- a/io/rgsidecar/event.go
+++ b/io/rgsidecar/event.go
@@ -45,7 +45,8 @@
 
 	unlinked struct{ entry rgmodel.Entry }
 
-	bootstrapped struct{}
+	// bootstrapped says that all configured addresses were asked; err is set if none has answered with a ring.
+	bootstrapped struct{ err error }
 
 	// contacted says that an entry has answered a message that was sent at the time given.
 	contacted struct {
