Count the slots that sidecars leave free in the expected wait

Cause: admission assumed that a flood of long tasks gets all slots that the other flows do not use. Sidecars leave some of them free, so that more jobs were admitted than could finish.

Ruled out: a larger margin for all kinds (1.5 was tried with an earlier rule; it refuses more jobs of short tasks, which need no such allowance).

Half of the slot time is still wasted in floods of 2 s tasks with a deadline of 5 s.

--- a/core/rgadmission/query_wait.go
+++ b/core/rgadmission/query_wait.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgqueue"
 )
 
 // margin allows for service times above the mean and for slots that sidecars leave free. From BenchmarkFlood: 1.25 instead
@@ -101,8 +102,11 @@
 	clms := make([]claim, 0, len(tot.demand))
 	free, mine := float64(tot.slots), weight(teams, own)
 	total := mine
+	// Sidecars leave slots free for other flows when the job's tasks are long. About half of these slots are assumed to be in
+	// use, and so in the demand already.
+	more := 1 + rgqueue.ReserveFactor(tot.learned)/2
 	for flo, tasks := range tot.demand {
-		clm := claim{demand: float64(tasks), weight: weight(teams, flo)}
+		clm := claim{demand: more * float64(tasks), weight: weight(teams, flo)}
 		clms = append(clms, clm)
 		total += clm.weight
 	}
--- a/core/rgadmission/query_wait_test.go
+++ b/core/rgadmission/query_wait_test.go
@@ -59,6 +59,10 @@
 	"a flow below its share leaves the rest": {
 		loads: []rgadmission.Load{load(map[rgmodel.Flow][2]int{own: {50, 7}, heavy: {0, 1}})}, tasks: 6, deadline: 1125 * time.Millisecond,
 	},
+	"sidecars leave slots free when tasks are long": {
+		loads: []rgadmission.Load{learned(load(map[rgmodel.Flow][2]int{own: {24, 6}, heavy: {0, 2}}), 400*time.Millisecond)},
+		tasks: 6, deadline: 3 * time.Second, want: rgmodel.ReasonExpectedWait, wantRetry: 500 * time.Millisecond,
+	},
 	"all sidecars count": {
 		loads: []rgadmission.Load{load(map[rgmodel.Flow][2]int{own: {80, 8}}), load(map[rgmodel.Flow][2]int{own: {0, 8}})},
 		tasks: 16, deadline: 875 * time.Millisecond,
@@ -91,6 +95,11 @@
 	return lod
 }
 
+func learned(lod rgadmission.Load, tim time.Duration) rgadmission.Load {
+	lod.Report.Times[0].Mean.Duration = tim
+	return lod
+}
+
 func unlearned(lod rgadmission.Load) rgadmission.Load {
 	lod.Report.Times = nil
 	return lod
--- a/core/rgqueue/query_reserve.go
+++ b/core/rgqueue/query_reserve.go
@@ -19,7 +19,7 @@
 		if len(flo.Waiting) == 0 {
 			continue
 		}
-		factor := reserveFactor(serviceTime(sta, key.Kind, flo.Waiting[0].RunTime))
+		factor := ReserveFactor(serviceTime(sta, key.Kind, flo.Waiting[0].RunTime))
 		if factor == 0 {
 			continue
 		}
@@ -54,8 +54,9 @@
 	return unit * float64(own), int(math.Ceil(need - rounding))
 }
 
-// reserveFactor is how much more than the recent use is left free when a task of the service time wants to start.
-func reserveFactor(tim time.Duration) float64 {
+// ReserveFactor returns how many slots a sidecar leaves free when a task of the service time wants to start, as a multiple
+// of what other flows have used recently.
+func ReserveFactor(tim time.Duration) float64 {
 	switch {
 	case tim > VeryLongTask:
 		return veryLongFactor
