Count the retry budget in whole batches and take retries all at once

Cause: the budget added 0.1 for each first batch. A job that needed more retries than were left spent those that were left and then failed all the same.

Ruled out: a tolerance in the comparison, which hides the rounding only for small sums.

Change: the budget is an integer number of first batches; TakeRetries takes all retries that a job needs or none.

Seen on a scratch copy: with the old functions (TakeRetry in a loop, as in replan) the cases "earned", "all or nothing", "bounded savings" and "negative" of TestRetryBudget fail. Without the check, the cap on savings, the reserve or the check of the sign, one case or more fails.

Conclusion: retries stay within a tenth of the first batches plus the reserve of 10 in any order of calls (TestRetryBound, 100,000 calls for each of three mixes).

--- a/core/rgadmission/admission.go
+++ b/core/rgadmission/admission.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// RetryRatio is the number of retried batches that one first batch allows.
-	RetryRatio = 0.1
+	// BatchesPerRetry is the number of first batches that allow one retried batch. It is an integer because ten
+	// times 0.1 adds up to less than 1, which would lose a retry.
+	BatchesPerRetry = 10
 	// RetryReserve is the number of retries that are allowed without any first batch.
 	RetryReserve = 10
 )
@@ -24,8 +25,8 @@
 	// State is what an entry remembers for admission; the zero value is empty.
 	State struct {
 		Buckets map[string]*Bucket
-		Retries float64
-		Primed  bool
+		// RetryCredit is zero when the reserve is full, and -1 for each first batch that is missing to fill it.
+		RetryCredit int
 	}
 
 	// Refusal is a job's refusal; the zero value admits.
--- /dev/null
+++ b/core/rgadmission/command_retry_test.go
@@ -0,0 +1,82 @@
+package rgadmission_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"ragwortgap/core/rgadmission"
+)
+
+func TestRetryBudget(t *testing.T) {
+	type step struct {
+		batches, retries int
+		want             bool
+	}
+	tests := map[string]struct {
+		guards string
+		steps  []step
+	}{
+		"reserve": {
+			guards: "an entry that has just started cannot retry at all",
+			steps:  []step{{retries: 10, want: true}, {retries: 1, want: false}},
+		},
+		"earned": {
+			guards: "a sum of tenths stays below one, so that ten first batches earn nothing",
+			steps:  []step{{retries: 10, want: true}, {batches: 9, retries: 1, want: false}, {batches: 1, retries: 1, want: true}},
+		},
+		"all or nothing": {
+			guards: "a job that cannot retry all its parts uses up the retries of other jobs",
+			steps:  []step{{retries: 11, want: false}, {retries: 10, want: true}},
+		},
+		"bounded savings": {
+			guards: "a long quiet period pays for a storm of retries",
+			steps:  []step{{batches: 1_000_000, retries: 11, want: false}, {retries: 10, want: true}, {retries: 1, want: false}},
+		},
+		"nothing to retry": {
+			guards: "an empty request is refused when the budget is used up",
+			steps:  []step{{retries: 10, want: true}, {retries: 0, want: true}},
+		},
+		"negative": {
+			guards: "a negative number of retries fills the budget",
+			steps:  []step{{retries: 10, want: true}, {retries: -5, want: false}, {retries: 1, want: false}},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var sta rgadmission.State
+			for i, stp := range tc.steps {
+				for range stp.batches {
+					rgadmission.CountBatch(&sta)
+				}
+				if got := rgadmission.TakeRetries(&sta, stp.retries); got != stp.want {
+					t.Fatalf("step %d: got %v, want %v; guards against: %s", i, got, stp.want, tc.guards)
+				}
+			}
+		})
+	}
+}
+
+// TestRetryBound guards against retries above a tenth of the first batches plus the reserve, in any order of calls.
+func TestRetryBound(t *testing.T) {
+	tests := map[string]struct{ batchChance float64 }{
+		"overload": {batchChance: 0.1}, "balanced": {batchChance: 0.5}, "few refusals": {batchChance: 0.95},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(20261204, 1))
+			var sta rgadmission.State
+			batches, retries := 0, 0
+			for range 100_000 {
+				if rnd.Float64() < tc.batchChance {
+					rgadmission.CountBatch(&sta)
+					batches++
+				} else if num := rnd.IntN(4); rgadmission.TakeRetries(&sta, num) {
+					retries += num
+				}
+				if bound := rgadmission.RetryReserve + batches/rgadmission.BatchesPerRetry; retries > bound {
+					t.Fatalf("%d retries after %d first batches, at most %d are allowed", retries, batches, bound)
+				}
+			}
+		})
+	}
+}
--- a/io/rgentry/submit.go
+++ b/io/rgentry/submit.go
@@ -207,11 +207,9 @@
 		return nil
 	}
 	pts := pro.place(sta, evt.job, evt.tasks, evt.tried, now)
-	for range pts {
-		if !rgadmission.TakeRetry(&sta.admission) {
-			pro.scope.Counter("retriesRefused").Inc(1)
-			return nil
-		}
+	if !rgadmission.TakeRetries(&sta.admission, len(pts)) {
+		pro.scope.Counter("retriesRefused").Inc(1)
+		return nil
 	}
 	pro.scope.Counter("retries").Inc(int64(len(pts)))
 	countParts(sta, rn, pts)
