Place by work and fair share, sample the fleet, eject bad upstreams

Cause: LeastFinish counted tasks, so that ten long ones looked shorter than twenty short ones; it let the queue of another flow count in full, though fair queueing serves the job's own flow in between; each entry saw only its own messages since the report; and a plan sorted and weighed the whole fleet. An upstream that fails every task in milliseconds always looked idle, and nothing set EjectedUntil. A declared time that is too long kept work from all sidecars that had not run the kind yet.

Change: the policies random, power of choices, least finish and late binding are sealed types in one switch. LeastFinish bisects the finish time of the whole job and fills the fewest sidecars up to it. rgfleet judges each report: 10 failures or 3 failed reports without a success, or no completion for 10 learned times (1 s at least), eject for 1 s to 30 s, at most half of the members. The weight falls with failures and rises over 10 s after a return. Unlearned members use the fleet's average time. Cancelled tasks no longer count as failures of the upstream.

--- a/core/rgfleet/command_member.go
+++ b/core/rgfleet/command_member.go
@@ -17,7 +17,7 @@
 		old.Connected, old.Sealed, old.Reported = true, false, now
 		return rgmodel.SidecarKey{}, false
 	}
-	sta.Members[sc.Name] = &Member{Sidecar: sc, Connected: true, Reported: now}
+	add(sta, &Member{Sidecar: sc, Connected: true, Reported: now})
 	if old == nil {
 		return rgmodel.SidecarKey{}, false
 	}
@@ -33,19 +33,31 @@
 }
 
 // Report takes in a load report and ignores one that is older than the newest.
-func Report(sta *State, rep rgmodel.Report, now time.Time) {
+// It returns whether the report has led to an ejection.
+func Report(sta *State, rep rgmodel.Report, now time.Time) bool {
 	mem := member(sta, rgmodel.SidecarKey{Name: rep.Sidecar, Incarnation: rep.Incarnation})
 	if mem == nil || rep.Sequence <= mem.Report.Sequence {
-		return
+		return false
 	}
-	mem.Report, mem.Reported, mem.SentSince = rep, now, 0
+	old := mem.Report
+	mem.Report, mem.Reported, mem.SentSince = rep, now, mem.SentSince[:0]
+	learnTimes(sta, rep)
+	return judge(sta, mem, old, now)
 }
 
-// Sent counts tasks that go to a sidecar.
-func Sent(sta *State, key rgmodel.SidecarKey, tasks int) {
-	if mem := member(sta, key); mem != nil {
-		mem.SentSince += tasks
+// Sent counts tasks of a flow that go to a sidecar.
+func Sent(sta *State, key rgmodel.SidecarKey, flo rgmodel.Flow, tasks int) {
+	mem := member(sta, key)
+	if mem == nil {
+		return
+	}
+	for i := range mem.SentSince {
+		if mem.SentSince[i].Flow == flo {
+			mem.SentSince[i].Queued += tasks
+			return
+		}
 	}
+	mem.SentSince = append(mem.SentSince, rgmodel.FlowLoad{Flow: flo, Queued: tasks})
 }
 
 // Disconnect marks the connection of a sidecar as lost.
@@ -62,7 +74,7 @@
 	for name, mem := range sta.Members {
 		if !mem.Connected && now.Sub(mem.Cut) >= LostAfter {
 			depart(sta, mem, now)
-			delete(sta.Members, name)
+			remove(sta, name)
 			lost = append(lost, mem.Sidecar.Key())
 		}
 	}
@@ -77,7 +89,7 @@
 	}
 	for _, sc := range scs {
 		if sta.Members[sc.Name] == nil {
-			sta.Members[sc.Name] = &Member{Sidecar: sc, Cut: now}
+			add(sta, &Member{Sidecar: sc, Cut: now})
 		}
 	}
 	for _, dep := range deps {
@@ -87,6 +99,20 @@
 	}
 }
 
+// add puts a member in the place of an earlier incarnation.
+func add(sta *State, mem *Member) {
+	remove(sta, mem.Sidecar.Name)
+	sta.Members[mem.Sidecar.Name] = mem
+	sta.Order = append(sta.Order, mem)
+}
+
+func remove(sta *State, name string) {
+	if old := sta.Members[name]; old != nil {
+		sta.Order = slices.DeleteFunc(sta.Order, func(mem *Member) bool { return mem == old })
+		delete(sta.Members, name)
+	}
+}
+
 func depart(sta *State, mem *Member, now time.Time) {
 	sta.Departed = append(sta.Departed, rgmodel.Departure{Sidecar: mem.Sidecar.Key(), At: now})
 }
--- a/core/rgfleet/fleet.go
+++ b/core/rgfleet/fleet.go
@@ -14,6 +14,23 @@
 	MissLimit = 3
 	// LostAfter is how long a disconnected sidecar may take to come back before it counts as lost.
 	LostAfter = 5 * time.Second
+	// FailedReportLimit is the number of consecutive reports with failures and no success that eject a sidecar.
+	FailedReportLimit = 3
+	// FailedTaskLimit is the number of failures since the last success that eject a sidecar. An upstream that fails
+	// in a few milliseconds reaches it with its first report.
+	FailedTaskLimit = 10
+	// HangFactor is how many times the learned service time may pass without a completion while tasks are running.
+	HangFactor = 10
+	// HangFloor is the least time without a completion that ejects: one second is the length of common tasks.
+	HangFloor = time.Second
+	// MinEjection is the duration of a first ejection; each repetition doubles it up to MaxEjection.
+	MinEjection = time.Second
+	// MaxEjection bounds the duration of an ejection.
+	MaxEjection = 30 * time.Second
+	// SlowStart is how long the weight of a sidecar takes to rise from MinWeight to 1 after an ejection.
+	SlowStart = 10 * time.Second
+	// MinWeight is the weight at the return from an ejection, and the least weight of a sidecar whose tasks fail.
+	MinWeight = 0.1
 )
 
 type (
@@ -27,23 +44,39 @@
 		Sealed bool
 		// Cut is when the connection was lost.
 		Cut time.Time
-		// SentSince counts the tasks this entry has sent and that the newest report cannot include.
-		SentSince int
+		// SentSince holds the tasks this entry has sent and that the newest report cannot include.
+		SentSince []rgmodel.FlowLoad
 		Health    Health
 	}
 
 	// Health is the state of a member's ejection.
 	Health struct {
-		Succeeded    uint64
-		Failed       uint64
-		Consecutive  int
+		// FailedTasks and FailedReports count failures and reports with failures since the last success or ejection.
+		FailedTasks   uint64
+		FailedReports int
+		// Progress is when a report last showed a completed task, or the first running one.
+		Progress time.Time
+		// Ejections counts the ejections without a recovery between them.
 		Ejections    int
 		EjectedUntil time.Time
 	}
 
 	// State is the view; the zero value is empty.
 	State struct {
-		Members  map[string]*Member
+		Members map[string]*Member
+		// Order holds the members in the order in which they became known, for drawing samples.
+		Order    []*Member
 		Departed []rgmodel.Departure
+		// Times is a moving average of all members' learned service times of each kind.
+		Times map[string]time.Duration
+	}
+
+	// Want describes the members that a job can use.
+	Want struct {
+		Requires rgmodel.Resources
+		// Except names members that must not be drawn.
+		Except map[rgmodel.SidecarKey]bool
+		// Limit is the largest number of members that are needed.
+		Limit int
 	}
 )
--- a/core/rgfleet/query_member.go
+++ b/core/rgfleet/query_member.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -20,6 +21,45 @@
 	return mems
 }
 
+// Sample returns up to want.Limit members that may get the work, in random order and drawn at random, so that
+// entries with the same view do not all prefer the same members. Its cost grows with the limit and not with the
+// fleet, unless few members are usable.
+func Sample(sta *State, want Want, rnd *rand.Rand, now time.Time) []*Member {
+	if want.Limit < len(sta.Order)/2 {
+		if mems := drawSome(sta, want, rnd, now); len(mems) == want.Limit {
+			return mems
+		}
+	}
+	var mems []*Member
+	for _, mem := range sta.Order {
+		if wanted(mem, want, now) {
+			mems = append(mems, mem)
+		}
+	}
+	rnd.Shuffle(len(mems), func(fst, snd int) { mems[fst], mems[snd] = mems[snd], mems[fst] })
+	return mems[:min(want.Limit, len(mems))]
+}
+
+// drawSome gives up after four draws for each member that is needed.
+func drawSome(sta *State, want Want, rnd *rand.Rand, now time.Time) []*Member {
+	mems := make([]*Member, 0, want.Limit)
+	seen := make(map[int]bool, 2*want.Limit)
+	for range 4 * want.Limit {
+		idx := rnd.IntN(len(sta.Order))
+		if seen[idx] {
+			continue
+		}
+		seen[idx] = true
+		if mem := sta.Order[idx]; wanted(mem, want, now) {
+			mems = append(mems, mem)
+			if len(mems) == want.Limit {
+				break
+			}
+		}
+	}
+	return mems
+}
+
 // Keys returns all known sidecars, connected or not, ordered by name.
 func Keys(sta *State) []rgmodel.SidecarKey {
 	scs := Sidecars(sta)
@@ -50,9 +90,13 @@
 	return len(sta.Members) == 0
 }
 
+func wanted(mem *Member, want Want, now time.Time) bool {
+	return usable(mem, now) && !want.Except[mem.Sidecar.Key()] && want.Requires.Fits(mem.Sidecar.Capacity.Resources)
+}
+
 func usable(mem *Member, now time.Time) bool {
 	return mem.Connected && mem.Sealed && !mem.Report.Draining &&
-		now.Sub(mem.Reported) <= MissLimit*ReportInterval && !now.Before(mem.Health.EjectedUntil)
+		now.Sub(mem.Reported) <= MissLimit*ReportInterval && !ejected(mem, now)
 }
 
 func member(sta *State, key rgmodel.SidecarKey) *Member {
--- a/core/rgmodel/config.go
+++ b/core/rgmodel/config.go
@@ -44,3 +44,10 @@
 	}
 	return KindConfig{}, false
 }
+
+// FlowWeight returns the weight of a flow in the fair sharing of slots, which is at least 1.
+func FlowWeight(teams map[string]TeamConfig, flo Flow) int {
+	tc := teams[flo.Team]
+	kc, _ := tc.Kind(flo.Kind)
+	return max(1, tc.Weight) * max(1, kc.Weight)
+}
--- a/core/rgplacement/placement.go
+++ b/core/rgplacement/placement.go
@@ -7,13 +7,28 @@
 	"ragwortgap/core/rgmodel"
 )
 
+const (
+	// DefaultChoices is the number of probes or reservations for each task where the policy gives no other value.
+	DefaultChoices = 2
+	// minCandidates is the size of the sample for small jobs. It holds several idle sidecars up to a high load, and
+	// two entries that draw 64 of 5,600 sidecars share less than one on average.
+	minCandidates = 64
+)
+
 type (
 	// Candidate is a sidecar that may get tasks.
 	Candidate struct {
 		Sidecar rgmodel.SidecarKey
 		Slots   int
 		// Load is the number of tasks queued or running there, as far as known.
-		Load        int
+		Load int
+		// Running is the service time that the running tasks still need, and Queued that of the queued tasks.
+		Running, Queued time.Duration
+		// OwnQueued is the part of Queued that belongs to the flow of the job.
+		OwnQueued time.Duration
+		// Share is the flow's fair share of the slots while the flows that now have queued tasks keep having some.
+		// Zero counts as 1.
+		Share       float64
 		ServiceTime time.Duration
 		// Distance is the round trip to the sidecar.
 		Distance time.Duration
@@ -21,21 +36,53 @@
 		Weight float64
 	}
 
-	// Share is the number of tasks that one candidate gets.
+	// Work is what FromMember must know of a job and of the entries that place work.
+	Work struct {
+		Flow rgmodel.Flow
+		// Declared is the run time that the caller has declared, or zero.
+		Declared time.Duration
+		// Senders is the number of entries that place work by the same reports: each knows only its own messages
+		// since the report, and assumes that the others have sent as much.
+		Senders int
+		// Teams gives the weights of the flows.
+		Teams map[string]rgmodel.TeamConfig
+	}
+
+	// Share is the number of tasks, or of reservations, that one candidate gets.
 	Share struct {
 		Sidecar rgmodel.SidecarKey
 		Tasks   int
 	}
 
+	// Placement is the plan for a job. It costs one message for each share and two for each probe.
+	Placement struct {
+		Shares []Share
+		Probes int
+		// Reservations says that the shares reserve places for which the sidecars ask for tasks later.
+		Reservations bool
+	}
+
 	// Policy is a way to choose among candidates.
 	Policy interface{ isPolicy() }
 
 	// Random gives each task to a candidate drawn at random.
 	Random struct{}
 
-	// LeastFinish gives each task to the candidate with the least expected finish time.
+	// PowerOfChoices probes Choices candidates for each task and gives the tasks to those of them with the least
+	// expected finish time (batch sampling of Ousterhout et al.: "Sparrow: Distributed, Low Latency Scheduling",
+	// SOSP 2013). The loads of the candidates must be those that a probe finds.
+	PowerOfChoices struct{ Choices int }
+
+	// LeastFinish makes the expected finish time of the whole job as short as possible and then uses as few
+	// candidates as it can. The loads of the candidates may be those of the last reports.
 	LeastFinish struct{}
+
+	// LateBinding reserves Choices places for each task at random. A sidecar asks for a task when a reservation
+	// reaches a free slot, and the reservations left when all tasks are bound are void (Sparrow, as above).
+	LateBinding struct{ Choices int }
 )
 
-func (Random) isPolicy()      {}
-func (LeastFinish) isPolicy() {}
+func (Random) isPolicy()         {}
+func (PowerOfChoices) isPolicy() {}
+func (LeastFinish) isPolicy()    {}
+func (LateBinding) isPolicy()    {}
--- a/core/rgplacement/query_plan.go
+++ b/core/rgplacement/query_plan.go
@@ -1,54 +1,80 @@
 package rgplacement
 
 import (
-	"container/heap"
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
-type finish struct {
-	index int
-	at    time.Duration
-}
+// finishTolerance is the fraction of a job's expected finish time that is given up for fewer messages. Learned
+// service times are means of tasks that differ by more than that.
+const finishTolerance = 1.0 / 16
 
-// finishHeap orders candidates by expected finish time, then by position.
-type finishHeap []finish
+// SampleSize returns how many candidates a job needs at most, so that the cost of a plan does not grow with the fleet.
+func SampleSize(tasks int) int {
+	return max(minCandidates, tasks)
+}
 
-func (fh finishHeap) Len() int      { return len(fh) }
-func (fh finishHeap) Swap(i, j int) { fh[i], fh[j] = fh[j], fh[i] }
-func (fh finishHeap) Less(i, j int) bool {
-	if fh[i].at != fh[j].at {
-		return fh[i].at < fh[j].at
+// Plan distributes the tasks over the candidates by the policy and returns no share without tasks.
+// The result is empty when there are no candidates. Equal candidates are preferred in the given order.
+func Plan(pol Policy, cans []Candidate, tasks int, rnd *rand.Rand) Placement {
+	if len(cans) == 0 || tasks <= 0 {
+		return Placement{}
+	}
+	switch pol := pol.(type) {
+	case Random:
+		return Placement{Shares: scatter(cans, tasks, rnd)}
+	case PowerOfChoices:
+		cans = draw(cans, tasks*choices(pol.Choices), rnd)
+		return Placement{Shares: leastFinish(cans, tasks), Probes: len(cans)}
+	case LateBinding:
+		return Placement{Shares: spread(cans, tasks*choices(pol.Choices), rnd), Reservations: true}
+	case LeastFinish:
+		return Placement{Shares: leastFinish(cans, tasks)}
+	default:
+		return Placement{}
 	}
-	return fh[i].index < fh[j].index
 }
 
-// Push is called by container/heap only.
-func (fh *finishHeap) Push(elm any) { *fh = append(*fh, elm.(finish)) }
-
-// Pop is called by container/heap only.
-func (fh *finishHeap) Pop() any {
-	old := *fh
-	lst := old[len(old)-1]
-	*fh = old[:len(old)-1]
-	return lst
+func choices(num int) int {
+	if num <= 0 {
+		return DefaultChoices
+	}
+	return num
 }
 
-// Plan distributes the tasks over the candidates by the policy and returns no share without tasks.
-// The result is empty when there are no candidates.
-func Plan(pol Policy, cans []Candidate, tasks int, rnd *rand.Rand) []Share {
-	if len(cans) == 0 {
-		return nil
+func scatter(cans []Candidate, tasks int, rnd *rand.Rand) []Share {
+	counts := make([]int, len(cans))
+	for range tasks {
+		counts[rnd.IntN(len(cans))]++
 	}
+	return shares(cans, counts)
+}
+
+// spread gives out the places in equal numbers, in a random order.
+func spread(cans []Candidate, places int, rnd *rand.Rand) []Share {
+	cans = draw(cans, places, rnd)
 	counts := make([]int, len(cans))
-	switch pol.(type) {
-	case Random:
-		for range tasks {
-			counts[rnd.IntN(len(cans))]++
+	for i := range counts {
+		counts[i] = places / len(cans)
+		if i < places%len(cans) {
+			counts[i]++
 		}
-	case LeastFinish:
-		leastFinish(cans, counts, tasks, rnd)
 	}
+	return shares(cans, counts)
+}
+
+// draw returns up to num distinct candidates in random order.
+func draw(cans []Candidate, num int, rnd *rand.Rand) []Candidate {
+	drawn := make([]Candidate, 0, min(num, len(cans)))
+	for _, idx := range rnd.Perm(len(cans))[:min(num, len(cans))] {
+		drawn = append(drawn, cans[idx])
+	}
+	return drawn
+}
+
+func shares(cans []Candidate, counts []int) []Share {
 	var shas []Share
 	for i, cnt := range counts {
 		if cnt > 0 {
@@ -58,34 +84,101 @@
 	return shas
 }
 
-// leastFinish starts from a random order, so that entries with the same view do not all prefer the same sidecar.
-func leastFinish(cans []Candidate, counts []int, tasks int, rnd *rand.Rand) {
-	order := rnd.Perm(len(cans))
-	fins := make(finishHeap, len(cans))
-	for pos, idx := range order {
-		fins[pos] = finish{index: pos, at: expectedFinish(cans[idx], 0)}
+// leastFinish finds by bisection the least time by which the candidates together finish all tasks, and fills those
+// that finish the most tasks by then. A job's answer needs all tasks, so that finishing one of them earlier gains
+// nothing.
+func leastFinish(cans []Candidate, tasks int) []Share {
+	low, high := bounds(cans, tasks)
+	for high-low > max(1, time.Duration(finishTolerance*float64(low))) {
+		mid := low + (high-low)/2
+		if enough(cans, tasks, mid) {
+			high = mid
+		} else {
+			low = mid
+		}
 	}
-	heap.Init(&fins)
-	for range tasks {
-		pos := fins[0].index
-		idx := order[pos]
-		counts[idx]++
-		fins[0].at = expectedFinish(cans[idx], counts[idx])
-		heap.Fix(&fins, 0)
+	type filled struct{ index, tasks int }
+	var fils []filled
+	for i, can := range cans {
+		if cnt := finished(can, tasks, high); cnt > 0 {
+			fils = append(fils, filled{index: i, tasks: cnt})
+		}
 	}
+	slices.SortStableFunc(fils, func(fst, snd filled) int { return cmp.Compare(snd.tasks, fst.tasks) })
+	var shas []Share
+	for _, fil := range fils {
+		if tasks == 0 {
+			break
+		}
+		cnt := min(fil.tasks, tasks)
+		tasks -= cnt
+		shas = append(shas, Share{Sidecar: cans[fil.index].Sidecar, Tasks: cnt})
+	}
+	return shas
+}
+
+// bounds returns a time by which no task finishes, or only just, and one by which a single candidate finishes all.
+func bounds(cans []Candidate, tasks int) (time.Duration, time.Duration) {
+	low, high := expectedFinish(cans[0], 1), expectedFinish(cans[0], tasks)
+	for _, can := range cans[1:] {
+		low = min(low, expectedFinish(can, 1))
+		high = min(high, expectedFinish(can, tasks))
+	}
+	return low, high
+}
+
+func enough(cans []Candidate, tasks int, at time.Duration) bool {
+	for _, can := range cans {
+		tasks -= finished(can, tasks, at)
+		if tasks <= 0 {
+			return true
+		}
+	}
+	return false
 }
 
-// expectedFinish is when one more task would finish if the candidate already had the extra tasks.
-func expectedFinish(can Candidate, extra int) time.Duration {
+// expectedFinish is when the last of the tasks would finish if the candidate got them now.
+// They wait for all queued tasks, or for the flow's own ones at its fair share of the slots, whichever is less.
+func expectedFinish(can Candidate, tasks int) time.Duration {
 	slots := max(1, can.Slots)
-	ahead := can.Load + extra
 	wait := float64(0)
-	if ahead >= slots {
-		wait = float64(ahead-slots+1) / float64(slots)
+	if can.Load+tasks > slots {
+		more := float64(tasks-1) * float64(can.ServiceTime)
+		wait = float64(can.Running) + min(float64(can.Queued)+more, (float64(can.OwnQueued)+more)/share(can))
+		wait /= float64(slots)
 	}
-	wgt := can.Weight
-	if wgt <= 0 {
-		wgt = 1
+	// The added nanosecond keeps finished from losing a task to rounding.
+	return can.Distance + time.Duration((wait+float64(can.ServiceTime))/weight(can)) + 1
+}
+
+// finished is the largest number of tasks, up to the limit, whose expected finish is not after the given time.
+func finished(can Candidate, limit int, at time.Duration) int {
+	slots := max(1, can.Slots)
+	wait := float64(at-can.Distance)*weight(can) - float64(can.ServiceTime)
+	if wait < 0 {
+		return 0
+	}
+	if can.ServiceTime <= 0 {
+		return limit
+	}
+	cnt := max(0, slots-can.Load)
+	spare := wait*float64(slots) - float64(can.Running)
+	if more := max(spare-float64(can.Queued), spare*share(can)-float64(can.OwnQueued)); more >= 0 {
+		cnt = max(cnt, 1+int(more/float64(can.ServiceTime)))
+	}
+	return min(limit, cnt)
+}
+
+func share(can Candidate) float64 {
+	if can.Share <= 0 {
+		return 1
+	}
+	return can.Share
+}
+
+func weight(can Candidate) float64 {
+	if can.Weight <= 0 {
+		return 1
 	}
-	return can.Distance + time.Duration((1+wait)*float64(can.ServiceTime)/wgt)
+	return can.Weight
 }
--- /dev/null
+++ b/core/rgplacement/query_plan_test.go
@@ -0,0 +1,208 @@
+package rgplacement_test
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgfleet"
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgplacement"
+)
+
+const (
+	seed = 20261204
+	sec  = time.Second
+)
+
+var leastFinishTests = map[string]struct {
+	guards string
+	cans   []rgplacement.Candidate
+	tasks  int
+	want   map[string]int
+}{
+	"slow upstream": {
+		guards: "a slow idle upstream gets work although a fast one is idle",
+		cans:   []rgplacement.Candidate{candidate("slow", 5*sec), candidate("fast", sec)},
+		tasks:  8, want: map[string]int{"fast": 8},
+	},
+	"few long tasks": {
+		guards: "load is counted in tasks, so that ten long tasks look shorter than twenty short ones",
+		cans:   []rgplacement.Candidate{loaded("long", 10, 100*sec, 1), loaded("short", 20, 2*sec, 1)},
+		tasks:  1, want: map[string]int{"short": 1},
+	},
+	"small job": {
+		guards: "a job that fits one sidecar is spread over several, at one message each",
+		cans:   []rgplacement.Candidate{candidate("a", sec), candidate("b", sec), candidate("c", sec)},
+		tasks:  6, want: map[string]int{"a": 6},
+	},
+	"busy neighbour": {
+		guards: "single tasks of a job go to busy sidecars although an idle one has room for all",
+		cans:   []rgplacement.Candidate{loaded("busy", 7, 0, 1), candidate("idle", sec)},
+		tasks:  8, want: map[string]int{"idle": 8},
+	},
+	"large job": {
+		guards: "tasks wait for a fast upstream longer than a slow idle one takes",
+		cans:   []rgplacement.Candidate{candidate("fast", sec), candidate("slow", 3*sec)},
+		tasks:  32, want: map[string]int{"fast": 24, "slow": 8},
+	},
+	"slow start": {
+		guards: "a sidecar that returns from an ejection gets as much work as the others",
+		cans: []rgplacement.Candidate{
+			with(candidate("back", sec), func(can *rgplacement.Candidate) { can.Weight = 0.1 }), candidate("well", sec),
+		},
+		tasks: 8, want: map[string]int{"well": 8},
+	},
+	"flood of another flow": {
+		guards: "a queue of another flow counts in full, although fair queueing serves this flow first",
+		cans: []rgplacement.Candidate{
+			with(loaded("flooded", 108, 100*sec, 0.5), func(can *rgplacement.Candidate) { can.OwnQueued = 0 }),
+			loaded("own", 28, 20*sec, 1),
+		},
+		tasks: 1, want: map[string]int{"flooded": 1},
+	},
+	"distance": {
+		guards: "work crosses availability zones although a near sidecar is as fast",
+		cans: []rgplacement.Candidate{
+			with(candidate("far", sec), func(can *rgplacement.Candidate) { can.Distance = sec }), candidate("near", sec),
+		},
+		tasks: 8, want: map[string]int{"near": 8},
+	},
+	"tiny service time": {
+		guards: "an endless bisection of an interval of one nanosecond",
+		cans:   []rgplacement.Candidate{candidate("a", 1)}, tasks: 60, want: map[string]int{"a": 60},
+	},
+	"unknown service time": {
+		guards: "a division by a service time of zero",
+		cans:   []rgplacement.Candidate{candidate("a", 0)}, tasks: 360, want: map[string]int{"a": 360},
+	},
+}
+
+func candidate(name string, tim time.Duration) rgplacement.Candidate {
+	return rgplacement.Candidate{Sidecar: rgmodel.SidecarKey{Name: name}, Slots: 8, ServiceTime: tim}
+}
+
+// with returns the candidate after a change.
+func with(can rgplacement.Candidate, change func(*rgplacement.Candidate)) rgplacement.Candidate {
+	change(&can)
+	return can
+}
+
+// loaded returns a candidate with a service time of one second whose queue is the flow's own.
+func loaded(name string, load int, queued time.Duration, share float64) rgplacement.Candidate {
+	can := candidate(name, sec)
+	can.Load, can.Queued, can.OwnQueued, can.Share = load, queued, queued, share
+	return can
+}
+
+func TestLeastFinish(t *testing.T) {
+	for name, tc := range leastFinishTests {
+		t.Run(name, func(t *testing.T) {
+			got := map[string]int{}
+			for _, sha := range rgplacement.Plan(rgplacement.LeastFinish{}, tc.cans, tc.tasks, nil).Shares {
+				got[sha.Sidecar.Name] += sha.Tasks
+			}
+			if !reflect.DeepEqual(got, tc.want) {
+				t.Errorf("got %v, want %v; guards against: %s", got, tc.want, tc.guards)
+			}
+		})
+	}
+}
+
+// TestPlanPlacesAll guards against lost or invented tasks, and against messages that are not counted.
+func TestPlanPlacesAll(t *testing.T) {
+	tests := map[string]struct {
+		policy rgplacement.Policy
+		// factor is the number of places for each task, and probes the number of probes for each task.
+		factor, probes int
+	}{
+		"random":         {policy: rgplacement.Random{}, factor: 1},
+		"powerOfChoices": {policy: rgplacement.PowerOfChoices{Choices: 3}, factor: 1, probes: 3},
+		"leastFinish":    {policy: rgplacement.LeastFinish{}, factor: 1},
+		"lateBinding":    {policy: rgplacement.LateBinding{Choices: 3}, factor: 3},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 1))
+			for range 2000 {
+				cans := make([]rgplacement.Candidate, rnd.IntN(30))
+				for i := range cans {
+					cans[i] = randomCandidate(rnd, i)
+				}
+				tasks := 1 + rnd.IntN(rgmodel.MaxTasks)
+				plc := rgplacement.Plan(tc.policy, cans, tasks, rnd)
+				sum, seen := 0, map[rgmodel.SidecarKey]bool{}
+				for _, sha := range plc.Shares {
+					if sha.Tasks <= 0 || seen[sha.Sidecar] {
+						t.Fatalf("share %+v is empty or the second of its sidecar", sha)
+					}
+					sum, seen[sha.Sidecar] = sum+sha.Tasks, true
+				}
+				want := tasks * tc.factor
+				if len(cans) == 0 {
+					want = 0
+				}
+				if sum != want || plc.Probes != min(tasks*tc.probes, len(cans)) {
+					t.Fatalf("%d tasks over %d candidates: %d places, %d probes", tasks, len(cans), sum, plc.Probes)
+				}
+			}
+		})
+	}
+}
+
+func randomCandidate(rnd *rand.Rand, num int) rgplacement.Candidate {
+	can := candidate(string(rune('a'+num)), time.Duration(rnd.Int64N(int64(5*sec))))
+	can.Slots, can.Load = rnd.IntN(9), rnd.IntN(20)
+	can.Running, can.Queued, can.Weight = time.Duration(rnd.Int64N(int64(sec))), time.Duration(rnd.Int64N(int64(99*sec))), rnd.Float64()
+	can.OwnQueued, can.Share = time.Duration(rnd.Float64()*float64(can.Queued)), rnd.Float64()
+	return can
+}
+
+func TestFromMember(t *testing.T) {
+	own, other := rgmodel.Flow{Team: "club", Kind: "signUp"}, rgmodel.Flow{Team: "club", Kind: "list"}
+	sc := rgmodel.Sidecar{Name: "s", Incarnation: "1", Capacity: rgmodel.Capacity{Slots: 8}}
+	wrk := rgplacement.Work{Flow: own, Senders: 3, Teams: map[string]rgmodel.TeamConfig{
+		"club": {Weight: 1, Kinds: []rgmodel.KindConfig{{Kind: "signUp", Weight: 3}, {Kind: "list", Weight: 1}}},
+	}}
+	tests := map[string]struct {
+		guards string
+		change func(*rgfleet.State)
+		want   rgplacement.Candidate
+	}{
+		"report": {
+			guards: "the kinds of the queued tasks are ignored, so that a queue of long tasks looks like one of short ones",
+			want: rgplacement.Candidate{
+				Load: 9, Running: sec, Queued: 17 * sec, OwnQueued: 2 * sec, Share: 0.75, ServiceTime: sec, Weight: 1,
+			},
+		},
+		"sent": {
+			guards: "all entries send to the same sidecar until its next report, each unaware of the others",
+			change: func(flt *rgfleet.State) { rgfleet.Sent(flt, sc.Key(), own, 4) },
+			want: rgplacement.Candidate{
+				Load: 21, Running: sec, Queued: 29 * sec, OwnQueued: 14 * sec, Share: 0.75, ServiceTime: sec, Weight: 1,
+			},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1e9, 0)
+			var flt rgfleet.State
+			rgfleet.Announce(&flt, sc, now)
+			rgfleet.Report(&flt, rgmodel.Report{
+				Sidecar: "s", Incarnation: "1", Sequence: 1, Queued: 7, Running: 2, Succeeded: 1,
+				Flows: []rgmodel.FlowLoad{{Flow: own, Queued: 2, Running: 2}, {Flow: other, Queued: 5}},
+				Times: []rgmodel.KindTime{
+					{Kind: "signUp", Mean: rgmodel.Duration{Duration: sec}}, {Kind: "list", Mean: rgmodel.Duration{Duration: 3 * sec}},
+				},
+			}, now)
+			if tc.change != nil {
+				tc.change(&flt)
+			}
+			tc.want.Sidecar, tc.want.Slots = sc.Key(), 8
+			if got := rgplacement.FromMember(&flt, flt.Members["s"], wrk, now); got != tc.want {
+				t.Errorf("got %+v, want %+v; guards against: %s", got, tc.want, tc.guards)
+			}
+		})
+	}
+}
--- a/core/rgqueue/command_start.go
+++ b/core/rgqueue/command_start.go
@@ -42,10 +42,12 @@
 	flo.Running--
 	flo.Finish += float64(took-stt.Cost) / float64(flo.Weight)
 	sta.Running--
-	if out.Verdict == rgmodel.RanOK {
+	switch {
+	case out.Verdict == rgmodel.RanOK:
 		sta.Succeeded++
 		learn(sta, stt.Flow.Kind, took)
-	} else {
+	case out.Reason != rgmodel.ReasonCancelled:
+		// Cancelled tasks are not the upstream's failures: a wave of cancellations must not eject it.
 		sta.Failed++
 	}
 	finalize(sta, stt.ID, out)
--- /dev/null
+++ b/core/rgqueue/command_start_counters_test.go
@@ -0,0 +1,38 @@
+package rgqueue_test
+
+import (
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgqueue"
+)
+
+func TestFinishCounters(t *testing.T) {
+	tests := map[string]struct {
+		guards            string
+		outcome           rgmodel.Outcome
+		succeeded, failed uint64
+	}{
+		"success":   {guards: "failures that no success ends", outcome: rgmodel.Outcome{Verdict: rgmodel.RanOK}, succeeded: 1},
+		"failure":   {guards: "failing that is never seen", outcome: rgmodel.Outcome{Verdict: rgmodel.RanFailed}, failed: 1},
+		"timeout":   {guards: "hanging that is never seen", outcome: rgmodel.Outcome{Reason: rgmodel.ReasonUpstreamTimeout}, failed: 1},
+		"cancelled": {guards: "cancellations that eject upstreams", outcome: rgmodel.Outcome{Reason: rgmodel.ReasonCancelled}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1e9, 0)
+			sta := &rgqueue.State{Announced: map[string]bool{"entry": true}}
+			sta.Self.Capacity.Slots = 1
+			rgqueue.AdoptRing(sta, rgmodel.Ring{Generation: 1, Entries: []rgmodel.Entry{{Incarnation: "entry"}}})
+			rgqueue.Accept(sta, rgmodel.Batch{
+				ID: "job", Generation: 1, Remaining: rgmodel.Duration{Duration: time.Second}, Tasks: []rgmodel.Task{{}},
+			}, now)
+			rgqueue.Finish(sta, rgqueue.StartNext(sta, now).Starts[0], tc.outcome, time.Millisecond)
+			rep := rgqueue.Report(sta)
+			if rep.Succeeded != tc.succeeded || rep.Failed != tc.failed {
+				t.Errorf("got %d and %d, want %d and %d; guards against: %s", rep.Succeeded, rep.Failed, tc.succeeded, tc.failed, tc.guards)
+			}
+		})
+	}
+}
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -100,7 +100,7 @@
 	case disconnected:
 		pro.disconnect(sta, evt, now)
 	case reported:
-		rgfleet.Report(&sta.fleet, evt.report, now)
+		pro.takeReport(sta, evt.report, now)
 	case sealAnswered:
 		pro.sealed(work, sta, evt)
 	case leaveAsked:
--- a/io/rgentry/sidecars.go
+++ b/io/rgentry/sidecars.go
@@ -33,6 +33,15 @@
 	})
 }
 
+func (pro *Process) takeReport(sta *state, rep rgmodel.Report, now time.Time) {
+	if !rgfleet.Report(&sta.fleet, rep, now) {
+		return
+	}
+	hea := sta.fleet.Members[rep.Sidecar].Health
+	pro.scope.Counter("ejections").Inc(1)
+	pro.log.Warn("sidecar ejected", zap.String("sidecar", rep.Sidecar), zap.Duration("duration", hea.EjectedUntil.Sub(now)))
+}
+
 // seal asks one sidecar for its records under the current ring; the answer comes as an event.
 func (pro *Process) seal(work context.Context, sta *state, key rgmodel.SidecarKey) {
 	per := sta.peers[key]
--- a/io/rgentry/submit.go
+++ b/io/rgentry/submit.go
@@ -84,7 +84,7 @@
 		return rgadmission.Refusal{Reason: rgmodel.ReasonDraining, Detail: "the entry is stopping"}
 	case !rgfleet.Runnable(&sta.fleet, jb.Requires):
 		return rgadmission.Refusal{Reason: rgmodel.ReasonNeverRunnable, Detail: "no upstream has the resources that the job requires"}
-	case len(candidates(sta, pro.self, jb, nil, now)) == 0:
+	case len(rgfleet.Sample(&sta.fleet, rgfleet.Want{Requires: jb.Requires, Limit: 1}, sta.random, now)) == 0:
 		return rgadmission.Refusal{
 			Reason: rgmodel.ReasonNoUpstream, Detail: "no upstream can take work now", RetryAfter: rgfleet.ReportInterval,
 		}
@@ -137,7 +137,7 @@
 	cans := candidates(sta, pro.self, jb, tried, now)
 	var pts []part
 	next := 0
-	for _, sha := range rgplacement.Plan(sta.policy, cans, len(tasks), sta.random) {
+	for _, sha := range rgplacement.Plan(sta.policy, cans, len(tasks), sta.random).Shares {
 		pts = append(pts, part{sidecar: sha.Sidecar, tasks: tasks[next : next+sha.Tasks]})
 		next += sha.Tasks
 	}
@@ -147,18 +147,14 @@
 func candidates(
 	sta *state, self rgmodel.Entry, jb rgmodel.Job, tried map[rgmodel.SidecarKey]bool, now time.Time,
 ) []rgplacement.Candidate {
-	var cans []rgplacement.Candidate
-	for _, mem := range rgfleet.Usable(&sta.fleet, now) {
-		key := mem.Sidecar.Key()
-		if tried[key] || !jb.Requires.Fits(mem.Sidecar.Capacity.Resources) {
-			continue
-		}
-		can := rgplacement.Candidate{
-			Sidecar:     key,
-			Slots:       mem.Sidecar.Capacity.Slots,
-			Load:        mem.Report.Queued + mem.Report.Running + mem.SentSince,
-			ServiceTime: rgfleet.ServiceTime(mem, jb.Flow.Kind, jb.RunTime.Duration),
-		}
+	wrk := rgplacement.Work{
+		Flow: jb.Flow, Declared: jb.RunTime.Duration, Senders: len(sta.ring.Ring.Entries), Teams: sta.teams,
+	}
+	want := rgfleet.Want{Requires: jb.Requires, Except: tried, Limit: rgplacement.SampleSize(len(jb.Tasks))}
+	mems := rgfleet.Sample(&sta.fleet, want, sta.random, now)
+	cans := make([]rgplacement.Candidate, 0, len(mems))
+	for _, mem := range mems {
+		can := rgplacement.FromMember(&sta.fleet, mem, wrk, now)
 		if mem.Sidecar.AvailabilityZone != self.AvailabilityZone {
 			can.Distance = zoneDistance
 		}
@@ -195,7 +191,7 @@
 		rn.sidecars[prt.sidecar] = true
 		sta.outstanding[prt.sidecar]++
 		if !prt.recorded {
-			rgfleet.Sent(&sta.fleet, prt.sidecar, len(prt.tasks))
+			rgfleet.Sent(&sta.fleet, prt.sidecar, rn.flow, len(prt.tasks))
 		}
 	}
 }
