--- a/core/rgplacement/placement.go
+++ b/core/rgplacement/placement.go
@@ -24,8 +24,8 @@
 		Load int
 		// Running is the service time that the running tasks still need, and Queued that of the queued tasks.
 		Running, Queued time.Duration
-		// OwnQueued is the part of Queued that belongs to the flow of the job.
-		OwnQueued time.Duration
+		// Own is the part of Running and Queued that belongs to the flow of the job.
+		Own time.Duration
 		// Share is the flow's fair share of the slots while the flows that now have queued tasks keep having some.
 		// Zero counts as 1.
 		Share       float64
--- a/core/rgplacement/query_candidate.go
+++ b/core/rgplacement/query_candidate.go
@@ -38,10 +38,11 @@
 	if fll.Flow.Kind == wrk.Flow.Kind {
 		tim = own
 	}
+	running, queued := time.Duration(fll.Running)*tim/2, time.Duration(fll.Queued)*tim
 	can.Load += fll.Queued + fll.Running
-	can.Running += time.Duration(fll.Running) * tim / 2
-	can.Queued += time.Duration(fll.Queued) * tim
+	can.Running += running
+	can.Queued += queued
 	if fll.Flow == wrk.Flow {
-		can.OwnQueued += time.Duration(fll.Queued) * tim
+		can.Own += running + queued
 	}
 }
--- a/core/rgplacement/query_plan.go
+++ b/core/rgplacement/query_plan.go
@@ -138,14 +138,14 @@
 }
 
 // expectedFinish is when the last of the tasks would finish if the candidate got them now.
-// They wait for all queued tasks, or for the flow's own ones at its fair share of the slots, whichever is less.
+// They wait for all tasks there, or for the flow's own ones at its fair share of the slots, whichever is less. The
+// flow's running tasks count because fair queueing has charged for them.
 func expectedFinish(can Candidate, tasks int) time.Duration {
 	slots := max(1, can.Slots)
 	wait := float64(0)
 	if can.Load+tasks > slots {
 		more := float64(tasks-1) * float64(can.ServiceTime)
-		wait = float64(can.Running) + min(float64(can.Queued)+more, (float64(can.OwnQueued)+more)/share(can))
-		wait /= float64(slots)
+		wait = min(float64(can.Running+can.Queued)+more, nextSlot(can)+(float64(can.Own)+more)/share(can)) / float64(slots)
 	}
 	// The added nanosecond keeps finished from losing a task to rounding.
 	return can.Distance + time.Duration((wait+float64(can.ServiceTime))/weight(can)) + 1
@@ -162,13 +162,18 @@
 		return limit
 	}
 	cnt := max(0, slots-can.Load)
-	spare := wait*float64(slots) - float64(can.Running)
-	if more := max(spare-float64(can.Queued), spare*share(can)-float64(can.OwnQueued)); more >= 0 {
+	spare := wait * float64(slots)
+	if more := max(spare-float64(can.Running+can.Queued), (spare-nextSlot(can))*share(can)-float64(can.Own)); more >= 0 {
 		cnt = max(cnt, 1+int(more/float64(can.ServiceTime)))
 	}
 	return min(limit, cnt)
 }
 
+// nextSlot is the service time that all slots give until the first of them becomes free.
+func nextSlot(can Candidate) float64 {
+	return float64(can.Running) / float64(max(1, can.Slots))
+}
+
 func share(can Candidate) float64 {
 	if can.Share <= 0 {
 		return 1
