--- a/core/rgadmission/admission.go
+++ b/core/rgadmission/admission.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// RetryRatio is the number of retried batches that one first batch allows.
-	RetryRatio = 0.1
+	// BatchesPerRetry is the number of first batches that allow one retried batch. It is an integer because ten
+	// times 0.1 adds up to less than 1, which would lose a retry.
+	BatchesPerRetry = 10
 	// RetryReserve is the number of retries that are allowed without any first batch.
 	RetryReserve = 10
 	// DefaultServiceTime is assumed for a kind that is neither learned nor declared.
@@ -92,9 +93,9 @@
 		Shares  SharePolicy
 		Buckets map[string]*Bucket
 		// Peers holds the usage at other entries by their incarnation.
-		Peers   map[string]PeerUsage
-		Retries float64
-		Primed  bool
+		Peers map[string]PeerUsage
+		// RetryCredit is zero when the reserve is full, and -1 for each first batch that is missing to fill it.
+		RetryCredit int
 	}
 
 	// Load is what an entry knows of one sidecar that may get work.
@@ -102,7 +103,7 @@
 		Slots  int
 		Report rgmodel.Report
 		// Sent counts the tasks of each flow that this entry has sent and that the report cannot include.
-		Sent map[rgmodel.Flow]int
+		Sent []rgmodel.FlowLoad
 	}
 
 	// Refusal is a job's refusal; the zero value admits.
--- a/core/rgadmission/flood_test.go
+++ b/core/rgadmission/flood_test.go
@@ -249,23 +249,19 @@
 func loadsOf(mems []*rgfleet.Member) []rgadmission.Load {
 	var lds []rgadmission.Load
 	for _, mem := range mems {
-		lds = append(lds, rgadmission.Load{Slots: mem.Sidecar.Capacity.Slots, Report: mem.Report, Sent: mem.SentFlows})
+		lds = append(lds, rgadmission.Load{Slots: mem.Sidecar.Capacity.Slots, Report: mem.Report, Sent: mem.SentSince})
 	}
 	return lds
 }
 
 func (run *floodRun) place(jb rgmodel.Job, mems []*rgfleet.Member) {
 	var cans []rgplacement.Candidate
-	usual := rgfleet.MeanTime(mems, jb.Flow.Kind, jb.RunTime.Duration)
+	wrk := rgplacement.Work{Flow: jb.Flow, Declared: jb.RunTime.Duration, Senders: 1, Teams: run.teams}
 	for _, mem := range mems {
-		cans = append(cans, rgplacement.Candidate{
-			Sidecar: mem.Sidecar.Key(), Slots: mem.Sidecar.Capacity.Slots,
-			Load:        rgfleet.FlowLoad(mem, jb.Flow),
-			ServiceTime: rgfleet.ServiceTime(mem, jb.Flow.Kind, usual),
-		})
+		cans = append(cans, rgplacement.FromMember(&run.fleet, mem, wrk, at(run.now)))
 	}
 	next := 0
-	for _, sha := range rgplacement.Plan(rgplacement.LeastFinish{}, cans, len(jb.Tasks), run.random) {
+	for _, sha := range rgplacement.Plan(rgplacement.LeastFinish{}, cans, len(jb.Tasks), run.random).Shares {
 		var sc int
 		_, _ = fmt.Sscan(sha.Sidecar.Name, &sc)
 		bat := rgmodel.Batch{
@@ -274,8 +270,7 @@
 		}
 		next += sha.Tasks
 		run.batches++
-		rgfleet.Sent(&run.fleet, sha.Sidecar, sha.Tasks)
-		rgfleet.SentFlow(&run.fleet, sha.Sidecar, jb.Flow, sha.Tasks)
+		rgfleet.Sent(&run.fleet, sha.Sidecar, jb.Flow, sha.Tasks)
 		rgqueue.Accept(run.queues[sc], bat, at(run.now))
 		if outs, final := rgqueue.Outcomes(run.queues[sc], jb.ID, []int{bat.Tasks[0].Index}); final {
 			run.bounced++
--- a/core/rgadmission/query_wait.go
+++ b/core/rgadmission/query_wait.go
@@ -75,13 +75,13 @@
 			}
 			tot.demand[flo.Flow] += flo.Queued + flo.Running
 		}
-		for flo, tasks := range lod.Sent {
-			if flo == own {
-				tot.ahead += tasks
+		for _, flo := range lod.Sent {
+			if flo.Flow == own {
+				tot.ahead += flo.Queued
 				continue
 			}
-			tot.sent += tasks
-			tot.demand[flo] += tasks
+			tot.sent += flo.Queued
+			tot.demand[flo.Flow] += flo.Queued
 		}
 		for _, kt := range lod.Report.Times {
 			if kt.Kind == own.Kind {
--- a/core/rgadmission/query_wait_test.go
+++ b/core/rgadmission/query_wait_test.go
@@ -91,7 +91,7 @@
 }
 
 func sent(lod rgadmission.Load, flo rgmodel.Flow, tasks int) rgadmission.Load {
-	lod.Sent = map[rgmodel.Flow]int{flo: tasks}
+	lod.Sent = []rgmodel.FlowLoad{{Flow: flo, Queued: tasks}}
 	return lod
 }
 
--- a/core/rghome/command_submit.go
+++ b/core/rghome/command_submit.go
@@ -72,7 +72,7 @@
 }
 
 func submitFresh(sta *State, jb rgmodel.Job, own bool, now time.Time, rnd *rand.Rand) Decision {
-	if rfs := admit(sta, jb, now); rfs.Reason != "" {
+	if rfs := admit(sta, jb, now, rnd); rfs.Reason != "" {
 		dec := refuse(jb, rgmodel.NotRun, rfs.Reason, rfs.Detail)
 		dec.RetryAfter = rfs.RetryAfter
 		return dec
@@ -81,13 +81,13 @@
 }
 
 // admit refuses a job or spends what it needs of the team's quota.
-func admit(sta *State, jb rgmodel.Job, now time.Time) rgadmission.Refusal {
+func admit(sta *State, jb rgmodel.Job, now time.Time, rnd *rand.Rand) rgadmission.Refusal {
 	switch {
 	case sta.Draining:
 		return rgadmission.Refusal{Reason: rgmodel.ReasonDraining, Detail: "the entry is stopping"}
 	case !rgfleet.Runnable(&sta.Fleet, jb.Requires):
 		return rgadmission.Refusal{Reason: rgmodel.ReasonNeverRunnable, Detail: "no upstream has the resources that the job requires"}
-	case len(candidates(sta, jb, nil, now)) == 0:
+	case len(candidates(sta, jb, nil, now, rnd)) == 0:
 		return rgadmission.Refusal{
 			Reason: rgmodel.ReasonNoUpstream, Detail: "no upstream can take work now", RetryAfter: rgfleet.ReportInterval,
 		}
@@ -138,10 +138,8 @@
 	sta *State, jb rgmodel.Job, tasks []rgmodel.Task, tried map[rgmodel.SidecarKey]bool, now time.Time, rnd *rand.Rand,
 ) []rgjob.Part {
 	pts := place(sta, jb, tasks, tried, now, rnd)
-	for range pts {
-		if !rgadmission.TakeRetry(&sta.Admission) {
-			return nil
-		}
+	if !rgadmission.TakeRetries(&sta.Admission, len(pts)) {
+		return nil
 	}
 	return pts
 }
@@ -159,11 +157,10 @@
 	}
 	var pts []rgjob.Part
 	next := 0
-	for _, sha := range rgplacement.Plan(pol, candidates(sta, jb, tried, now), len(tasks), rnd) {
+	for _, sha := range rgplacement.Plan(pol, candidates(sta, jb, tried, now, rnd), len(tasks), rnd).Shares {
 		pts = append(pts, rgjob.Part{Sidecar: sha.Sidecar, Tasks: tasks[next : next+sha.Tasks]})
 		next += sha.Tasks
-		rgfleet.Sent(&sta.Fleet, sha.Sidecar, sha.Tasks)
-		rgfleet.SentFlow(&sta.Fleet, sha.Sidecar, jb.Flow, sha.Tasks)
+		rgfleet.Sent(&sta.Fleet, sha.Sidecar, jb.Flow, sha.Tasks)
 	}
 	return pts
 }
--- a/core/rghome/query_candidates.go
+++ b/core/rghome/query_candidates.go
@@ -1,6 +1,7 @@
 package rghome
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"ragwortgap/core/rgadmission"
@@ -11,22 +12,18 @@
 	"ragwortgap/core/rgsubmission"
 )
 
-// candidates returns the sidecars that may get tasks of the job.
-func candidates(sta *State, jb rgmodel.Job, tried map[rgmodel.SidecarKey]bool, now time.Time) []rgplacement.Candidate {
-	var cans []rgplacement.Candidate
-	mems := rgfleet.Usable(&sta.Fleet, now)
-	usual := rgfleet.MeanTime(mems, jb.Flow.Kind, jb.RunTime.Duration)
+// candidates returns sidecars that may get tasks of the job: all of them in a small fleet, and a sample of a large one.
+func candidates(
+	sta *State, jb rgmodel.Job, tried map[rgmodel.SidecarKey]bool, now time.Time, rnd *rand.Rand,
+) []rgplacement.Candidate {
+	wrk := rgplacement.Work{
+		Flow: jb.Flow, Declared: jb.RunTime.Duration, Senders: len(sta.Ring.Ring.Entries), Teams: sta.Teams,
+	}
+	want := rgfleet.Want{Requires: jb.Requires, Except: tried, Limit: rgplacement.SampleSize(len(jb.Tasks))}
+	mems := rgfleet.Sample(&sta.Fleet, want, rnd, now)
+	cans := make([]rgplacement.Candidate, 0, len(mems))
 	for _, mem := range mems {
-		key := mem.Sidecar.Key()
-		if tried[key] || !jb.Requires.Fits(mem.Sidecar.Capacity.Resources) {
-			continue
-		}
-		can := rgplacement.Candidate{
-			Sidecar:     key,
-			Slots:       mem.Sidecar.Capacity.Slots,
-			Load:        rgfleet.FlowLoad(mem, jb.Flow),
-			ServiceTime: rgfleet.ServiceTime(mem, jb.Flow.Kind, usual),
-		}
+		can := rgplacement.FromMember(&sta.Fleet, mem, wrk, now)
 		if mem.Sidecar.AvailabilityZone != sta.Ring.Self.AvailabilityZone {
 			can.Distance = zoneDistance
 		}
@@ -40,7 +37,7 @@
 	var lds []rgadmission.Load
 	for _, mem := range rgfleet.Usable(&sta.Fleet, now) {
 		if jb.Requires.Fits(mem.Sidecar.Capacity.Resources) {
-			lds = append(lds, rgadmission.Load{Slots: mem.Sidecar.Capacity.Slots, Report: mem.Report, Sent: mem.SentFlows})
+			lds = append(lds, rgadmission.Load{Slots: mem.Sidecar.Capacity.Slots, Report: mem.Report, Sent: mem.SentSince})
 		}
 	}
 	return lds
--- a/core/rgmodel/config.go
+++ b/core/rgmodel/config.go
@@ -55,3 +55,8 @@
 	}
 	return KindConfig{}, false
 }
+
+// FlowWeight returns the weight of a flow in the fair sharing of slots, which is at least 1.
+func FlowWeight(teams map[string]TeamConfig, flo Flow) int {
+	return teams[flo.Team].FlowWeight(flo.Kind)
+}
--- /dev/null
+++ b/core/rgplacement/query_flood_test.go
@@ -0,0 +1,57 @@
+package rgplacement_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgfleet"
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgplacement"
+)
+
+// TestFloodedQueues guards against a flood that makes the sidecar with the shortest queue attract all tasks of another
+// flow: fair queueing lets them pass the flood, so its queues are no reason to prefer one sidecar.
+func TestFloodedQueues(t *testing.T) {
+	own, flood := rgmodel.Flow{Team: "team", Kind: "own"}, rgmodel.Flow{Team: "team", Kind: "flood"}
+	tests := map[string]struct {
+		queued map[string]int
+		least  int
+	}{
+		"no flood":            {queued: map[string]int{"s0": 0, "s1": 0}, least: 8},
+		"floods of one size":  {queued: map[string]int{"s0": 500, "s1": 500}, least: 8},
+		"one flood is larger": {queued: map[string]int{"s0": 500, "s1": 300}, least: 8},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1e9, 0)
+			var flt rgfleet.State
+			var cans []rgplacement.Candidate
+			for _, sc := range []string{"s0", "s1"} {
+				rgfleet.Announce(&flt, rgmodel.Sidecar{Name: sc, Capacity: rgmodel.Capacity{Slots: 8}}, now)
+				rgfleet.Report(&flt, rgmodel.Report{
+					Sidecar: sc, Sequence: 1, Queued: tc.queued[sc], Running: 8, Succeeded: 1,
+					Flows: []rgmodel.FlowLoad{{Flow: flood, Queued: tc.queued[sc], Running: 8}},
+					Times: []rgmodel.KindTime{
+						{Kind: "own", Mean: rgmodel.Duration{Duration: time.Second}},
+						{Kind: "flood", Mean: rgmodel.Duration{Duration: time.Second}},
+					},
+				}, now)
+				wrk := rgplacement.Work{Flow: own, Senders: 1}
+				cans = append(cans, rgplacement.FromMember(&flt, flt.Members[sc], wrk, now))
+			}
+			pla := rgplacement.Plan(rgplacement.LeastFinish{}, cans, 32, rand.New(rand.NewPCG(1, 1)))
+			for _, sc := range []string{"s0", "s1"} {
+				got := 0
+				for _, sha := range pla.Shares {
+					if sha.Sidecar.Name == sc {
+						got = sha.Tasks
+					}
+				}
+				if got < tc.least {
+					t.Errorf("sidecar %s gets %d of 32 tasks, want at least %d", sc, got, tc.least)
+				}
+			}
+		})
+	}
+}
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -110,7 +110,7 @@
 	case disconnected:
 		pro.disconnect(sta, evt, now)
 	case reported:
-		rgfleet.Report(&sta.home.Fleet, evt.report, now)
+		pro.takeReport(sta, evt.report, now)
 		evt.reply <- newerRing(sta, evt.report.Generation)
 		pro.repair(work, sta, evt.report, now)
 	case sealAnswered:
--- a/io/rgentry/sidecars.go
+++ b/io/rgentry/sidecars.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rgfleet"
 	"ragwortgap/core/rghome"
@@ -41,6 +43,15 @@
 	})
 }
 
+func (pro *Process) takeReport(sta *state, rep rgmodel.Report, now time.Time) {
+	if !rgfleet.Report(&sta.home.Fleet, rep, now) {
+		return
+	}
+	hea := sta.home.Fleet.Members[rep.Sidecar].Health
+	pro.scope.Counter("ejections").Inc(1)
+	pro.log.Warn("sidecar ejected", zap.String("sidecar", rep.Sidecar), zap.Duration("duration", hea.EjectedUntil.Sub(now)))
+}
+
 // seal asks one sidecar for its records under the current ring; the answer comes as an event.
 func (pro *Process) seal(work context.Context, sta *state, key rgmodel.SidecarKey) {
 	per := sta.peers[key]
