Hand over ids when an entry stops, and stop placing work on a leaving sidecar

Cause, found by the proofs with processes: a sidecar's leave message can be handled before its last report, and an entry that stops refused submissions that were passed on to it in the milliseconds before the next ring.

Change: the leave message marks the member; a stopping entry waits up to 2 s for the ring without it.

--- a/core/rgfleet/command_member.go
+++ b/core/rgfleet/command_member.go
@@ -32,6 +32,13 @@
 	}
 }
 
+// Leave notes that a sidecar takes no more work. Its report that it drains may arrive later.
+func Leave(sta *State, key rgmodel.SidecarKey) {
+	if mem := member(sta, key); mem != nil {
+		mem.Leaving = true
+	}
+}
+
 // Report takes in a load report and ignores one that is older than the newest.
 // It returns whether the report has led to an ejection.
 func Report(sta *State, rep rgmodel.Report, now time.Time) bool {
--- a/core/rghome/command_submit.go
+++ b/core/rghome/command_submit.go
@@ -72,6 +72,9 @@
 }
 
 func submitFresh(sta *State, jb rgmodel.Job, own bool, now time.Time, rnd *rand.Rand) Decision {
+	if sta.Draining && !own && now.Sub(sta.DrainBegan) < handoverBound {
+		return Park{}
+	}
 	if rfs := admit(sta, jb, now, rnd); rfs.Reason != "" {
 		dec := refuse(jb, rgmodel.NotRun, rfs.Reason, rfs.Detail)
 		dec.RetryAfter = rfs.RetryAfter
--- a/core/rghome/home.go
+++ b/core/rghome/home.go
@@ -14,6 +14,10 @@
 	"ragwortgap/core/rgsubmission"
 )
 
+// handoverBound is how long a stopping entry waits for the ring without it, instead of refusing ids that another entry
+// will be the home of. Without a store there is no such ring.
+const handoverBound = 2 * time.Second
+
 // zoneDistance is the assumed round trip to another availability zone.
 const zoneDistance = 3 * time.Millisecond
 
@@ -28,6 +32,8 @@
 		// Policy chooses sidecars; nil means least expected finish time.
 		Policy   rgplacement.Policy
 		Draining bool
+		// DrainBegan is set with Draining.
+		DrainBegan time.Time
 	}
 
 	// Knowledge is what an entry tells another one that has to learn the sidecars.
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -156,7 +156,7 @@
 	case jobFailed:
 		cancelRun(sta, sta.runs[evt.run])
 	case drainAsked:
-		sta.home.Draining = true
+		sta.home.Draining, sta.home.DrainBegan = true, now
 		pro.publish(sta)
 		pro.log.Info("draining", zap.Int("jobs", len(sta.runs)))
 	}
--- a/io/rgentry/sidecars.go
+++ b/io/rgentry/sidecars.go
@@ -129,6 +129,7 @@
 
 // leave answers a draining sidecar once no answer of it is outstanding.
 func (pro *Process) leave(sta *state, evt leaveAsked) {
+	rgfleet.Leave(&sta.home.Fleet, evt.key)
 	if sta.outstanding[evt.key] == 0 {
 		evt.reply <- struct{}{}
 		return
