Add proofs of the invariants with real processes

A relay that knows the frames of io/rgwire stands before each entry; the setting advertisedAddress makes sidecars and entries dial it.

Ruled out: a relay for each pair of sidecar and entry. The sidecar takes the address of an entry from the ring, so one relay for each entry tells sidecars apart by their announce message.

--- a/io/rgentry/process.go
+++ b/io/rgentry/process.go
@@ -63,13 +63,17 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen on %s", set.PeerAddress)
 	}
+	adr := set.AdvertisedAddress
+	if adr == "" {
+		adr = lis.Addr().String()
+	}
 	pro := &Process{
 		Done:     make(chan struct{}),
 		settings: set,
 		self: rgmodel.Entry{
 			Name:             set.Name,
 			Incarnation:      uuid.NewString(),
-			Address:          lis.Addr().String(),
+			Address:          adr,
 			AvailabilityZone: set.AvailabilityZone,
 		},
 		log:      log.With(zap.String("entry", set.Name)),
--- /dev/null
+++ b/io/rgproof/doc.go
@@ -0,0 +1,2 @@
+// Package rgproof holds tests that run the processes of the system, make them fail and judge the recorded history.
+package rgproof
--- /dev/null
+++ b/io/rgproof/fault_test.go
@@ -0,0 +1,259 @@
+package rgproof
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgstandin"
+)
+
+const (
+	loadEntries  = 3
+	loadSidecars = 3
+	loadCallers  = 5
+	// frozenTime is longer than the lease of an entry and shorter than the callers' patience.
+	frozenTime = 4500 * time.Millisecond
+	faultTime  = 3 * time.Second
+	maxTries   = 6
+)
+
+// faults happen at a seeded moment of the load, and end by themselves where they can.
+var faults = map[string]func(sys *system, rnd *rand.Rand){
+	"entry killed":   func(sys *system, _ *rand.Rand) { sys.entries[1].signal(syscall.SIGKILL) },
+	"sidecar killed": func(sys *system, _ *rand.Rand) { sys.sidecars[1].signal(syscall.SIGKILL) },
+	"sidecar restarted": func(sys *system, _ *rand.Rand) {
+		sys.sidecars[1].signal(syscall.SIGKILL)
+		<-sys.sidecars[1].done
+		sys.startSidecar(1, sys.upstreams[1].url)
+	},
+	"entry frozen":   func(sys *system, _ *rand.Rand) { freeze(sys.entries[1]) },
+	"sidecar frozen": func(sys *system, _ *rand.Rand) { freeze(sys.sidecars[0]) },
+	"cut before start": func(sys *system, rnd *rand.Rand) {
+		sys.disturb(0, rnd, 5, func(frm frame, _ time.Duration) action { return onStart(frm, cut{}) })
+	},
+	"cut after start": func(sys *system, rnd *rand.Rand) {
+		sys.disturb(0, rnd, 5, func(frm frame, _ time.Duration) action { return onStart(frm, cut{after: true}) })
+	},
+	"cut before answer": func(sys *system, rnd *rand.Rand) {
+		sys.disturb(0, rnd, 10, func(frm frame, _ time.Duration) action {
+			if frm.method == "" && !frm.toSidecar {
+				return cut{}
+			}
+			return pass{}
+		})
+	},
+	"messages duplicated": func(sys *system, rnd *rand.Rand) {
+		sys.disturb(0, rnd, 2, func(frame, time.Duration) action { return duplicate{} })
+	},
+	"messages reordered": func(sys *system, rnd *rand.Rand) {
+		sys.disturb(0, rnd, 2, func(_ frame, by time.Duration) action { return delay{by: by} })
+	},
+	"store down":         func(sys *system, _ *rand.Rand) { sys.storeFault(rgstandin.StoreFaults{Down: true}) },
+	"store slow":         func(sys *system, _ *rand.Rand) { sys.storeFault(rgstandin.StoreFaults{Delay: 700 * time.Millisecond}) },
+	"store answers lost": func(sys *system, _ *rand.Rand) { sys.storeFault(rgstandin.StoreFaults{LoseAnswers: true}) },
+	"upstream fails":     func(sys *system, _ *rand.Rand) { sys.upstreamFault("fail") },
+	"upstream hangs":     func(sys *system, _ *rand.Rand) { sys.upstreamFault("hang") },
+	"upstream truncates": func(sys *system, _ *rand.Rand) { sys.upstreamFault("truncate") },
+	"upstream twice":     func(sys *system, _ *rand.Rand) { sys.upstreamFault("twice") },
+	"upstream late":      func(sys *system, _ *rand.Rand) { sys.upstreamFault("late") },
+	"entry stopped":      func(sys *system, _ *rand.Rand) { sys.entries[1].signal(syscall.SIGTERM) },
+	"sidecar stopped":    func(sys *system, _ *rand.Rand) { sys.sidecars[1].signal(syscall.SIGTERM) },
+	"entry added":        func(sys *system, _ *rand.Rand) { sys.addEntry() },
+	"cancellations":      func(sys *system, rnd *rand.Rand) { sys.cancelMany(rnd) },
+}
+
+// TestFaults guards invariants 1 to 5 under load, with one fault or two that overlap.
+func TestFaults(t *testing.T) {
+	tests := map[string]struct {
+		seed   uint64
+		faults []string
+	}{
+		"entry killed":               {seed: 1, faults: []string{"entry killed"}},
+		"sidecar killed":             {seed: 2, faults: []string{"sidecar killed"}},
+		"sidecar restarted":          {seed: 3, faults: []string{"sidecar restarted"}},
+		"entry frozen":               {seed: 4, faults: []string{"entry frozen"}},
+		"sidecar frozen":             {seed: 5, faults: []string{"sidecar frozen"}},
+		"cut before start":           {seed: 6, faults: []string{"cut before start"}},
+		"cut after start":            {seed: 7, faults: []string{"cut after start"}},
+		"cut before answer":          {seed: 8, faults: []string{"cut before answer"}},
+		"messages duplicated":        {seed: 9, faults: []string{"messages duplicated"}},
+		"messages reordered":         {seed: 10, faults: []string{"messages reordered"}},
+		"store down":                 {seed: 11, faults: []string{"store down"}},
+		"store slow":                 {seed: 12, faults: []string{"store slow"}},
+		"store answers lost":         {seed: 13, faults: []string{"store answers lost"}},
+		"upstream fails":             {seed: 14, faults: []string{"upstream fails"}},
+		"upstream hangs":             {seed: 15, faults: []string{"upstream hangs"}},
+		"upstream truncates":         {seed: 16, faults: []string{"upstream truncates"}},
+		"upstream twice":             {seed: 17, faults: []string{"upstream twice"}},
+		"upstream late":              {seed: 18, faults: []string{"upstream late"}},
+		"cancellations":              {seed: 19, faults: []string{"cancellations"}},
+		"entry and sidecar killed":   {seed: 20, faults: []string{"entry killed", "sidecar killed"}},
+		"entry killed, restart":      {seed: 21, faults: []string{"entry killed", "sidecar restarted"}},
+		"entry killed, cuts":         {seed: 22, faults: []string{"entry killed", "cut after start"}},
+		"entry killed, duplicates":   {seed: 23, faults: []string{"messages duplicated", "entry killed"}},
+		"entry killed, reordered":    {seed: 24, faults: []string{"messages reordered", "entry killed"}},
+		"entry killed, store down":   {seed: 25, faults: []string{"store down", "entry killed"}},
+		"entry killed, answers lost": {seed: 26, faults: []string{"store answers lost", "entry killed"}},
+		"entry and sidecar frozen":   {seed: 27, faults: []string{"entry frozen", "sidecar frozen"}},
+		"entry frozen, sidecar lost": {seed: 28, faults: []string{"entry frozen", "sidecar killed"}},
+		"entry frozen, reordered":    {seed: 29, faults: []string{"entry frozen", "messages reordered"}},
+		"entry added, store down":    {seed: 30, faults: []string{"store down", "entry added"}},
+		"entry added, entry killed":  {seed: 31, faults: []string{"entry added", "entry killed"}},
+		"entry added, restart":       {seed: 32, faults: []string{"entry added", "sidecar restarted"}},
+		"cancellations, duplicates":  {seed: 33, faults: []string{"messages duplicated", "cancellations"}},
+		"both stopped":               {seed: 34, faults: []string{"entry stopped", "sidecar stopped"}},
+		"entry stopped, one killed":  {seed: 35, faults: []string{"entry stopped", "sidecar killed"}},
+		"hang and cuts":              {seed: 36, faults: []string{"upstream hangs", "cut after start"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sys := newSystem(t, tc.seed, loadEntries, loadSidecars)
+			end := sys.load()
+			var running sync.WaitGroup
+			for i, name := range tc.faults {
+				rnd := rand.New(rand.NewPCG(tc.seed, uint64(i)))
+				after := 200*time.Millisecond + time.Duration(rnd.IntN(800))*time.Millisecond
+				running.Go(func() {
+					time.Sleep(after)
+					faults[name](sys, rnd)
+				})
+			}
+			running.Wait()
+			sys.await("ring of the live entries", readyBound, func() bool {
+				sta, ok := sys.status(0)
+				return ok && len(sta.Ring.Entries) == sys.liveEntries()
+			})
+			sys.await("service after the faults", readyBound, func() bool {
+				return sys.submit(0, newID(time.Now()), "after", 4).answer.Status == "complete"
+			})
+			end()
+			sys.resubmitAll()
+			sys.judge()
+		})
+	}
+}
+
+func freeze(prc *process) {
+	prc.signal(syscall.SIGSTOP)
+	time.Sleep(frozenTime)
+	prc.signal(syscall.SIGCONT)
+}
+
+func onStart(frm frame, act action) action {
+	if frm.method == "startBatch" {
+		return act
+	}
+	return pass{}
+}
+
+// disturb applies an action to one frame in every, drawn at random, for a while.
+func (sys *system) disturb(entry int, rnd *rand.Rand, every int, choose func(frame, time.Duration) action) {
+	sys.relays[entry].setRule(func(frm frame) action {
+		if rnd.IntN(every) > 0 {
+			return pass{}
+		}
+		return choose(frm, time.Duration(rnd.IntN(300))*time.Millisecond)
+	})
+	time.Sleep(faultTime)
+	sys.relays[entry].setRule(nil)
+}
+
+func (sys *system) storeFault(flt rgstandin.StoreFaults) {
+	sys.store.SetFaults(flt)
+	time.Sleep(frozenTime)
+	sys.store.SetFaults(rgstandin.StoreFaults{})
+}
+
+func (sys *system) upstreamFault(flt string) {
+	sys.upstreams[0].fault.Store(flt)
+	time.Sleep(faultTime)
+	sys.upstreams[0].fault.Store("")
+}
+
+// cancelMany cancels jobs that have just been submitted, through any entry.
+func (sys *system) cancelMany(rnd *rand.Rand) {
+	for end := time.Now().Add(faultTime); time.Now().Before(end); time.Sleep(poll) {
+		sys.mutex.Lock()
+		ids := append([]rgmodel.SubmissionID(nil), sys.recent...)
+		sys.recent = nil
+		sys.mutex.Unlock()
+		for _, id := range ids {
+			if rnd.IntN(2) == 0 {
+				sys.cancel(rnd.IntN(loadEntries), id)
+			}
+		}
+	}
+}
+
+func (sys *system) cancel(entry int, id rgmodel.SubmissionID) {
+	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+	defer stop()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodDelete, sys.url(entry, "/v1/jobs/"+string(id)), nil)
+	if rsp, err := sys.client.Do(req); err == nil {
+		_ = rsp.Body.Close()
+	}
+}
+
+// load submits jobs until the returned function is called. A job without an answer, or refused for the moment, is
+// submitted again, each time to another entry.
+func (sys *system) load() func() {
+	ctx, stop := context.WithCancel(context.Background())
+	sys.t.Cleanup(stop)
+	entries := len(sys.entries)
+	var running sync.WaitGroup
+	for range loadCallers {
+		rnd := rand.New(rand.NewPCG(sys.random.Uint64(), 2))
+		running.Go(func() {
+			for ctx.Err() == nil {
+				sys.submitUntilClear(ctx, rnd, entries)
+			}
+		})
+	}
+	return func() { stop(); running.Wait() }
+}
+
+func (sys *system) submitUntilClear(ctx context.Context, rnd *rand.Rand, entries int) {
+	id, tasks, entry := newID(time.Now()), 1+rnd.IntN(8), rnd.IntN(entries)
+	sys.mutex.Lock()
+	sys.recent = append(sys.recent, id)
+	sys.mutex.Unlock()
+	for try := range maxTries {
+		att := sys.submit((entry+try)%entries, id, "load", tasks)
+		if ctx.Err() != nil || att.status == http.StatusOK {
+			return
+		}
+		time.Sleep(time.Duration(rnd.IntN(100)) * time.Millisecond)
+		if att.err == nil && att.status != http.StatusServiceUnavailable {
+			return
+		}
+	}
+}
+
+// resubmitAll submits a sample of all ids once more: their answers must agree with the history.
+func (sys *system) resubmitAll() {
+	sys.mutex.Lock()
+	seen := map[rgmodel.SubmissionID]attempt{}
+	for _, att := range sys.attempts {
+		if att.answer.Status != "complete" || len(seen) < 40 {
+			seen[att.id] = att
+		}
+	}
+	sys.mutex.Unlock()
+	var running sync.WaitGroup
+	limit := make(chan struct{}, 16)
+	for id, att := range seen {
+		limit <- struct{}{}
+		running.Go(func() {
+			defer func() { <-limit }()
+			sys.submitWithin(0, id, att.body, att.tasks, 2*time.Second)
+		})
+	}
+	running.Wait()
+}
--- /dev/null
+++ b/io/rgproof/system_test.go
@@ -0,0 +1,434 @@
+package rgproof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/google/uuid"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgapi"
+	"ragwortgap/io/rgqueryapi"
+	"ragwortgap/io/rgstandin"
+)
+
+const (
+	// readyBound is generous, because other work may share the machine.
+	readyBound = 30 * time.Second
+	poll       = 20 * time.Millisecond
+	runTime    = 40 * time.Millisecond
+	lateness   = 600 * time.Millisecond
+	slots      = 4
+	firstPort  = 20000
+	portCount  = 10000
+)
+
+type (
+	// process is one process of the system that the test has started.
+	process struct {
+		cmd  *exec.Cmd
+		done chan struct{}
+		log  string
+	}
+
+	// upstream is a stand-in with faults, which records each start together with the payload.
+	upstream struct {
+		sys   *system
+		name  string
+		url   string
+		fault atomic.Value
+		// runTime is in nanoseconds.
+		runTime atomic.Int64
+	}
+
+	// system is a set of processes with their stand-ins, and the history of what they did.
+	system struct {
+		t         *testing.T
+		random    *rand.Rand
+		dir       string
+		store     *rgstandin.Store
+		storeURL  string
+		upstreams []*upstream
+		entries   []*process
+		sidecars  []*process
+		callers   []string
+		relays    []*relay
+		client    *http.Client
+
+		mutex    sync.Mutex
+		attempts []attempt
+		starts   []start
+		// recent holds the ids that the load has submitted since the last wave of cancellations.
+		recent []rgmodel.SubmissionID
+	}
+)
+
+var (
+	program string
+	// ports starts at a different place in each test process.
+	ports atomic.Int64
+	// turns bounds the systems that run at the same time.
+	turns = make(chan struct{}, 5)
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	ports.Store(int64(os.Getpid()) * 101)
+	dir, err := os.MkdirTemp("", "rgproof")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	program = filepath.Join(dir, "ragwortgap")
+	if out, err := exec.Command("go", "build", "-o", program, "ragwortgap").CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("go build: %v: %s", err, out))
+	}
+	return m.Run()
+}
+
+func newSystem(t *testing.T, seed uint64, entries, sidecars int) *system {
+	turns <- struct{}{}
+	t.Cleanup(func() { <-turns })
+	sys := &system{t: t, random: rand.New(rand.NewPCG(seed, 1)), dir: t.TempDir(), store: &rgstandin.Store{}}
+	// A new connection for each request keeps a stopped listener apart from a request that was cut off.
+	sys.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	sys.storeURL = sys.serve(sys.store)
+	for range entries {
+		sys.addEntry()
+	}
+	for range sidecars {
+		sys.addSidecar()
+	}
+	t.Cleanup(sys.close)
+	for num := range entries {
+		sys.await("entry in the ring with all sidecars", readyBound, func() bool { return sys.knows(num, entries, sidecars) })
+	}
+	// A sidecar takes work once it is connected to all entries of the ring.
+	sys.await("first job", readyBound, func() bool {
+		id := newID(time.Now())
+		return sys.submit(0, id, "warmup", 8*sidecars).answer.Status == "complete"
+	})
+	return sys
+}
+
+func (sys *system) serve(hdl http.Handler) string {
+	srv := httptest.NewServer(hdl)
+	sys.t.Cleanup(srv.CloseClientConnections)
+	return srv.URL
+}
+
+func (sys *system) addEntry() {
+	num := len(sys.entries)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		sys.t.Fatal(err)
+	}
+	rel := &relay{listener: lis, target: freeAddress(sys.t), conns: map[net.Conn]bool{}}
+	go rel.serve()
+	var peers []string
+	for _, oth := range sys.relays {
+		peers = append(peers, oth.listener.Addr().String())
+	}
+	sys.mutex.Lock()
+	sys.relays = append(sys.relays, rel)
+	sys.callers = append(sys.callers, freeAddress(sys.t))
+	sys.entries = append(sys.entries, nil)
+	sys.mutex.Unlock()
+	sys.startEntry(num, peers)
+}
+
+// url returns the address of an entry's route for callers.
+func (sys *system) url(entry int, route string) string {
+	sys.mutex.Lock()
+	defer sys.mutex.Unlock()
+	return "http://" + sys.callers[entry] + route
+}
+
+// liveEntries counts the entries that have not ended.
+func (sys *system) liveEntries() int {
+	live := 0
+	for _, prc := range sys.entries {
+		select {
+		case <-prc.done:
+		default:
+			live++
+		}
+	}
+	return live
+}
+
+func (sys *system) startEntry(num int, peers []string) {
+	sys.entries[num] = sys.spawn("entry", fmt.Sprintf("entry%d", num), map[string]any{
+		"name": fmt.Sprintf("entry%d", num), "availabilityZone": "zone0", "callerAddress": sys.callers[num],
+		"peerAddress": sys.relays[num].target, "advertisedAddress": sys.relays[num].listener.Addr().String(),
+		"store": sys.storeURL, "peers": peers,
+	})
+}
+
+func (sys *system) addSidecar() {
+	num := len(sys.sidecars)
+	ups := &upstream{sys: sys, name: fmt.Sprintf("upstream%d", num)}
+	ups.fault.Store("")
+	ups.runTime.Store(int64(runTime))
+	sys.upstreams = append(sys.upstreams, ups)
+	sys.sidecars = append(sys.sidecars, nil)
+	ups.url = sys.serve(ups)
+	sys.startSidecar(num, ups.url)
+}
+
+func (sys *system) startSidecar(num int, url string) {
+	var peers []string
+	for _, rel := range sys.relays {
+		peers = append(peers, rel.listener.Addr().String())
+	}
+	name := fmt.Sprintf("sidecar%d", num)
+	sys.sidecars[num] = sys.spawn("sidecar", name, map[string]any{
+		"name": name, "availabilityZone": "zone0", "entries": peers, "upstream": url, "slots": slots, "connections": 2 * slots,
+		"resources": rgmodel.Resources{Cores: 30, MemoryBytes: 130 << 30},
+	})
+}
+
+func (sys *system) spawn(role, name string, settings any) *process {
+	raw, err := json.Marshal(settings)
+	if err != nil {
+		sys.t.Fatal(err)
+	}
+	path := filepath.Join(sys.dir, name+".json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		sys.t.Fatal(err)
+	}
+	prc := &process{cmd: exec.Command(program, role, path), done: make(chan struct{}), log: path + ".log"}
+	out, err := os.OpenFile(prc.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		sys.t.Fatal(err)
+	}
+	prc.cmd.Stderr = out
+	if err := prc.cmd.Start(); err != nil {
+		sys.t.Fatal(err)
+	}
+	go func() { _ = prc.cmd.Wait(); _ = out.Close(); close(prc.done) }()
+	return prc
+}
+
+// signal reaches a process by its own id; a process that has ended is no error.
+func (prc *process) signal(sig syscall.Signal) {
+	select {
+	case <-prc.done:
+	default:
+		_ = prc.cmd.Process.Signal(sig)
+	}
+}
+
+func (sys *system) close() {
+	for _, prc := range append(append([]*process(nil), sys.entries...), sys.sidecars...) {
+		prc.signal(syscall.SIGKILL)
+		<-prc.done
+	}
+	for _, rel := range sys.relays {
+		_ = rel.listener.Close()
+		rel.cutAll()
+	}
+}
+
+// await polls a condition and fails the test when it does not hold before the bound.
+func (sys *system) await(what string, bound time.Duration, cond func() bool) {
+	sys.t.Helper()
+	for end := time.Now().Add(bound); !cond(); time.Sleep(poll) {
+		if time.Now().After(end) {
+			sys.t.Fatalf("%s: not within %s\n%s", what, bound, sys.logs())
+		}
+	}
+}
+
+func (sys *system) logs() string {
+	var txt bytes.Buffer
+	for _, prc := range append(append([]*process(nil), sys.entries...), sys.sidecars...) {
+		raw, _ := os.ReadFile(prc.log)
+		fmt.Fprintf(&txt, "%s:\n%s", filepath.Base(prc.log), raw)
+	}
+	return txt.String()
+}
+
+func (sys *system) status(num int) (rgqueryapi.Status, bool) {
+	var sta rgqueryapi.Status
+	ctx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, sys.url(num, "/v1/status"), nil)
+	rsp, err := sys.client.Do(req)
+	if err != nil {
+		return sta, false
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	return sta, json.NewDecoder(rsp.Body).Decode(&sta) == nil
+}
+
+func (sys *system) knows(num, entries, sidecars int) bool {
+	sta, ok := sys.status(num)
+	return ok && len(sta.Ring.Entries) == entries && len(sta.Sidecars) == sidecars
+}
+
+// newID returns a submission id with the given time.
+func newID(at time.Time) rgmodel.SubmissionID {
+	uid := uuid.Must(uuid.NewV7())
+	for i := range 6 {
+		uid[i] = byte(at.UnixMilli() >> (8 * (5 - i)))
+	}
+	return rgmodel.SubmissionID(uid.String())
+}
+
+func (sys *system) submit(entry int, id rgmodel.SubmissionID, body string, tasks int) attempt {
+	return sys.submitWithin(entry, id, body, tasks, 5*time.Second)
+}
+
+// submitWithin submits a job and records the attempt.
+func (sys *system) submitWithin(entry int, id rgmodel.SubmissionID, body string, tasks int, deadline time.Duration) attempt {
+	req := rgapi.JobRequest{SubmissionID: string(id), Team: "team", Kind: "work", Deadline: rgmodel.Duration{Duration: deadline}}
+	req.Tasks = taskValues(body, tasks)
+	return sys.send(entry, id, body, req)
+}
+
+func taskValues(body string, tasks int) []jsontext.Value {
+	vals := make([]jsontext.Value, tasks)
+	for i := range vals {
+		vals[i], _ = json.Marshal(payload{Body: body, Index: i})
+	}
+	return vals
+}
+
+// refused reports whether no connection was made, so that the request was never accepted.
+func refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+func (sys *system) send(entry int, id rgmodel.SubmissionID, body string, job rgapi.JobRequest) attempt {
+	att := attempt{id: id, body: body, tasks: len(job.Tasks), entry: entry, began: time.Now()}
+	raw, _ := json.Marshal(job)
+	ctx, stop := context.WithTimeout(context.Background(), job.Deadline.Duration+5*time.Second)
+	defer stop()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, sys.url(entry, "/v1/jobs"), bytes.NewReader(raw))
+	rsp, err := sys.client.Do(req)
+	if err == nil {
+		var bod []byte
+		bod, err = io.ReadAll(rsp.Body)
+		_ = rsp.Body.Close()
+		att.status = rsp.StatusCode
+		if err == nil {
+			err = json.Unmarshal(bod, &att.answer)
+		}
+	}
+	att.err, att.ended = err, time.Now()
+	sys.mutex.Lock()
+	defer sys.mutex.Unlock()
+	sys.attempts = append(sys.attempts, att)
+	return att
+}
+
+// judge fails the test for each violation in the history.
+func (sys *system) judge() {
+	sys.t.Helper()
+	sys.mutex.Lock()
+	bad := judge(sys.attempts, sys.starts)
+	answered := map[string]int{}
+	for _, att := range sys.attempts {
+		answered[strconv.Itoa(att.status)]++
+	}
+	sys.t.Logf("%d attempts by status %v, %d starts", len(sys.attempts), answered, len(sys.starts))
+	sys.mutex.Unlock()
+	for _, txt := range bad[:min(len(bad), 5)] {
+		sys.t.Error(txt)
+	}
+	if len(bad) > 0 {
+		sys.t.Errorf("%d violations\n%s", len(bad), sys.logs())
+	}
+}
+
+// startsOf counts the starts of a submission.
+func (sys *system) startsOf(id rgmodel.SubmissionID) int {
+	sys.mutex.Lock()
+	defer sys.mutex.Unlock()
+	sum := 0
+	for _, stt := range sys.starts {
+		if stt.id == id {
+			sum++
+		}
+	}
+	return sum
+}
+
+// ServeHTTP records the start and then runs the task with the fault that is set.
+func (ups *upstream) ServeHTTP(rsp http.ResponseWriter, req *http.Request) {
+	raw, err := io.ReadAll(req.Body)
+	if err != nil {
+		return
+	}
+	var pay payload
+	_ = json.Unmarshal(raw, &pay)
+	idx, _ := strconv.Atoi(req.Header.Get("Task-Index"))
+	ups.sys.mutex.Lock()
+	ups.sys.starts = append(ups.sys.starts, start{
+		id: rgmodel.SubmissionID(req.Header.Get("Submission-Id")), index: idx, body: pay.Body, upstream: ups.name, at: time.Now(),
+	})
+	ups.sys.mutex.Unlock()
+	req.Body = io.NopCloser(bytes.NewReader(raw))
+	standin := &rgstandin.Upstream{Name: ups.name, RunTime: map[string]time.Duration{"work": time.Duration(ups.runTime.Load())}}
+	switch ups.fault.Load() {
+	case "fail":
+		rsp.WriteHeader(http.StatusInternalServerError)
+	case "hang":
+		<-req.Context().Done()
+	case "truncate":
+		rsp.Header().Set("Content-Length", "1000")
+		_, _ = rsp.Write([]byte(`{"task":`))
+		panic(http.ErrAbortHandler)
+	case "twice":
+		rec := httptest.NewRecorder()
+		standin.ServeHTTP(rec, req)
+		con, _, err := http.NewResponseController(rsp).Hijack()
+		if err != nil {
+			return
+		}
+		one := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", rec.Body.Len(), rec.Body)
+		_, _ = con.Write([]byte(one + one))
+		_ = con.Close()
+	case "late":
+		time.Sleep(lateness)
+		standin.ServeHTTP(rsp, req)
+	default:
+		standin.ServeHTTP(rsp, req)
+	}
+}
+
+// freeAddress returns an address below the range that the system gives to outgoing connections, so that the port stays
+// free until a process listens on it.
+func freeAddress(t *testing.T) string {
+	for range portCount {
+		adr := fmt.Sprintf("127.0.0.1:%d", firstPort+int(ports.Add(1))%portCount)
+		if lis, err := net.Listen("tcp", adr); err == nil {
+			_ = lis.Close()
+			return adr
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
--- a/io/rgsettings/settings.go
+++ b/io/rgsettings/settings.go
@@ -28,14 +28,16 @@
 type (
 	// Entry holds the settings of an entry process.
 	Entry struct {
-		Name             string           `json:"name"`
-		AvailabilityZone string           `json:"availabilityZone"`
-		CallerAddress    string           `json:"callerAddress"`
-		PeerAddress      string           `json:"peerAddress"`
-		Store            string           `json:"store"`
-		Peers            []string         `json:"peers"`
-		DrainBound       rgmodel.Duration `json:"drainBound"`
-		LeaseTime        rgmodel.Duration `json:"leaseTime"`
+		Name             string `json:"name"`
+		AvailabilityZone string `json:"availabilityZone"`
+		CallerAddress    string `json:"callerAddress"`
+		PeerAddress      string `json:"peerAddress"`
+		// AdvertisedAddress is what sidecars and other entries dial, where that is not PeerAddress.
+		AdvertisedAddress string           `json:"advertisedAddress"`
+		Store             string           `json:"store"`
+		Peers             []string         `json:"peers"`
+		DrainBound        rgmodel.Duration `json:"drainBound"`
+		LeaseTime         rgmodel.Duration `json:"leaseTime"`
 	}
 
 	// Sidecar holds the settings of a sidecar process.
@@ -87,6 +89,11 @@
 func CheckEntry(set *Entry) error {
 	fill(&set.DrainBound, DefaultDrainBound)
 	fill(&set.LeaseTime, DefaultLeaseTime)
+	if set.AdvertisedAddress != "" {
+		if err := checkAddress("advertisedAddress", set.AdvertisedAddress); err != nil {
+			return err
+		}
+	}
 	return first(
 		checkName("name", set.Name),
 		checkName("availabilityZone", set.AvailabilityZone),
