Count an unreachable sidecar as possibly running when the ring changes

Cause: an entry that cannot reach a sidecar gives it up after 5 s, and its horizon was the time of that loss. The sidecar may still be connected to another entry and run work for it. When that entry dies, ids younger than the horizon looked fresh to the new home, which started their tasks a second time.

Ruled out: letting the sidecar refuse work while any entry of its ring is disconnected. With the store down, a dead entry stays in the ring, so all sidecars would refuse all work.

Change: a departure has the field unreachable. At a change of the ring the horizon for such a sidecar is the present time. A sidecar that returns, or whose name returns with another incarnation, settles the departure; one that never returns is forgotten after an hour.

A sidecar that is unreachable for more than an hour remains unproved.

--- a/core/rgfleet/command_member.go
+++ b/core/rgfleet/command_member.go
@@ -12,6 +12,7 @@
 	if sta.Members == nil {
 		sta.Members = map[string]*Member{}
 	}
+	settleDepartures(sta, sc, now)
 	old := sta.Members[sc.Name]
 	if old != nil && old.Sidecar.Incarnation == sc.Incarnation {
 		old.Connected, old.Sealed, old.Reported = true, false, now
@@ -21,10 +22,21 @@
 	if old == nil {
 		return rgmodel.SidecarKey{}, false
 	}
-	depart(sta, old, now)
+	depart(sta, old, false, now)
 	return old.Sidecar.Key(), true
 }
 
+// settleDepartures takes in that the process behind a name is known again: the same incarnation has not departed, and
+// another one has ended by now.
+func settleDepartures(sta *State, sc rgmodel.Sidecar, now time.Time) {
+	sta.Departed = slices.DeleteFunc(sta.Departed, func(dep rgmodel.Departure) bool { return dep.Sidecar == sc.Key() })
+	for i, dep := range sta.Departed {
+		if dep.Sidecar.Name == sc.Name && dep.Unreachable {
+			sta.Departed[i].At, sta.Departed[i].Unreachable = now, false
+		}
+	}
+}
+
 // Seal marks a sidecar as ready for work.
 func Seal(sta *State, key rgmodel.SidecarKey) {
 	if mem := member(sta, key); mem != nil {
@@ -61,12 +73,17 @@
 	var lost []rgmodel.SidecarKey
 	for name, mem := range sta.Members {
 		if !mem.Connected && now.Sub(mem.Cut) >= LostAfter {
-			depart(sta, mem, now)
+			depart(sta, mem, true, now)
 			delete(sta.Members, name)
 			lost = append(lost, mem.Sidecar.Key())
 		}
 	}
-	sta.Departed = slices.DeleteFunc(sta.Departed, func(dep rgmodel.Departure) bool { return now.Sub(dep.At) > win })
+	sta.Departed = slices.DeleteFunc(sta.Departed, func(dep rgmodel.Departure) bool {
+		if dep.Unreachable {
+			return now.Sub(dep.At) > max(win, UnreachableWindow)
+		}
+		return now.Sub(dep.At) > win
+	})
 	return lost
 }
 
@@ -81,12 +98,12 @@
 		}
 	}
 	for _, dep := range deps {
-		if !slices.Contains(sta.Departed, dep) {
+		if member(sta, dep.Sidecar) == nil && !slices.Contains(sta.Departed, dep) {
 			sta.Departed = append(sta.Departed, dep)
 		}
 	}
 }
 
-func depart(sta *State, mem *Member, now time.Time) {
-	sta.Departed = append(sta.Departed, rgmodel.Departure{Sidecar: mem.Sidecar.Key(), At: now})
+func depart(sta *State, mem *Member, unreachable bool, now time.Time) {
+	sta.Departed = append(sta.Departed, rgmodel.Departure{Sidecar: mem.Sidecar.Key(), At: now, Unreachable: unreachable})
 }
--- a/core/rgfleet/fleet.go
+++ b/core/rgfleet/fleet.go
@@ -14,6 +14,9 @@
 	MissLimit = 3
 	// LostAfter is how long a disconnected sidecar may take to come back before it counts as lost.
 	LostAfter = 5 * time.Second
+	// UnreachableWindow is how long a sidecar that never came back counts as possibly running. It is longer than the
+	// partitions that are expected (minutes).
+	UnreachableWindow = time.Hour
 )
 
 type (
--- a/core/rgfleet/query_member.go
+++ b/core/rgfleet/query_member.go
@@ -40,6 +40,18 @@
 	return scs
 }
 
+// Departures returns the sidecars whose records are lost, with the latest time that the records may concern: the present
+// for a sidecar that only this entry may have lost, because other entries may still give it work.
+func Departures(sta *State, now time.Time) []rgmodel.Departure {
+	deps := slices.Clone(sta.Departed)
+	for i, dep := range deps {
+		if dep.Unreachable {
+			deps[i].At = now
+		}
+	}
+	return deps
+}
+
 // Runnable reports whether any known sidecar has the resources, and is true while none is known.
 func Runnable(sta *State, res rgmodel.Resources) bool {
 	for _, mem := range sta.Members {
--- a/core/rgmodel/fleet.go
+++ b/core/rgmodel/fleet.go
@@ -88,6 +88,8 @@
 	Departure struct {
 		Sidecar SidecarKey `json:"sidecar"`
 		At      time.Time  `json:"at"`
+		// Unreachable means that its process may still run, and that other entries may still give it work.
+		Unreachable bool `json:"unreachable,omitempty"`
 	}
 )
 
--- a/io/rgentry/ring.go
+++ b/io/rgentry/ring.go
@@ -15,7 +15,7 @@
 // adoptRing takes in a newer ring, seals all sidecars and gives up the submissions that have moved.
 func (pro *Process) adoptRing(work context.Context, sta *state, rng rgmodel.Ring) {
 	gap := rng.Generation != sta.ring.Ring.Generation+1
-	if !rgring.Adopt(&sta.ring, rng, rgfleet.Keys(&sta.fleet), sta.fleet.Departed) {
+	if !rgring.Adopt(&sta.ring, rng, rgfleet.Keys(&sta.fleet), rgfleet.Departures(&sta.fleet, time.Now())) {
 		return
 	}
 	pro.log.Info("ring changed", zap.Uint64("generation", rng.Generation), zap.Int("entries", len(rng.Entries)))
--- a/io/rgproof/proof_test.go
+++ b/io/rgproof/proof_test.go
@@ -35,7 +35,8 @@
 		"sidecar cut off, then death":   {entries: 2, sidecars: 2, run: cutOffThenDeath},
 		"records lost with the home":    {entries: 2, sidecars: 2, run: recordsLostWithHome},
 		"stale home refuses":            {entries: 2, sidecars: 2, run: staleHomeRefuses},
-		"stale home starts":             {entries: 2, sidecars: 2, run: staleHomeStarts},
+		"isolated home refuses":         {entries: 2, sidecars: 2, run: isolatedHomeRefuses},
+		"slow watch refuses":            {entries: 2, sidecars: 2, run: slowWatchRefuses},
 		"late copy of a refused batch":  {entries: 2, sidecars: 1, run: lateCopyOfRefused},
 		"planned stop of a sidecar":     {entries: 2, sidecars: 3, run: plannedStopSidecar},
 		"planned stop of idle sidecars": {entries: 2, sidecars: 4, run: plannedStopInTurn},
@@ -218,25 +219,56 @@
 	running.Wait()
 }
 
-// staleHomeStarts is staleHomeRefuses with connections that hold reports back, so that the old home has usable sidecars.
-func staleHomeStarts(sys *system) {
+// isolatedHomeRefuses cuts an entry off from the store and from all sidecars, but not from its callers. The new home
+// runs a job, and then the old one, which knows of no change, must not say that it was not run.
+func isolatedHomeRefuses(sys *system) {
 	id := sys.homedAt(0)
-	hold := make(chan struct{})
-	sys.store.SetFaults(rgstandin.StoreFaults{})
-	sys.entries[0].signal(syscall.SIGSTOP)
+	sys.gates[0].Store(true)
+	sys.relays[0].setRule(func(frame) action { return cut{} })
+	sys.relays[0].cutAll()
 	sys.awaitRing(1, 1)
-	sys.submit(1, id, "first", 4)
-	// The watch of the old home gets the new ring only after the store has answered slowly.
-	sys.store.SetFaults(rgstandin.StoreFaults{Down: true})
-	sys.entries[0].signal(syscall.SIGCONT)
-	go func() {
-		defer close(hold)
-		for range 30 {
-			sys.submitWithin(0, id, "first", 4, time.Second)
+	if att := sys.submit(1, id, "first", 4); att.answer.Status != "complete" {
+		sys.t.Errorf("new home: status %d, answer %+v", att.status, att.answer)
+	}
+	for range 5 {
+		sys.submitWithin(0, id, "first", 4, time.Second)
+	}
+}
+
+// slowWatchRefuses keeps the ring from an entry that renews its lease in time, while another entry joins and becomes the
+// home of an id. The old home must not say that the id was not run.
+func slowWatchRefuses(sys *system) {
+	ids := make([]rgmodel.SubmissionID, 16)
+	for i := range ids {
+		ids[i] = sys.homedAt(0)
+	}
+	sys.watches[0].Store(true)
+	// The watch that waits already ends with the next change.
+	cli := rgstore.Client{Base: sys.storeURL}
+	raw, _ := json.Marshal(rgmodel.TeamConfig{Team: "other", Revision: 1, Weight: 1})
+	cli.Put(context.Background(), rgentry.KeyConfig+"other", rgstore.Write{Value: raw})
+	sys.await("end of the watch", readyBound, func() bool {
+		sta, ok := sys.status(0)
+		return ok && sta.Teams["other"] == 1
+	})
+	sys.addEntry()
+	sys.awaitRing(2, 3)
+	sys.relays[0].setRule(func(frm frame) action {
+		if frm.method == "report" {
+			return drop{}
 		}
-	}()
-	<-hold
-	sys.store.SetFaults(rgstandin.StoreFaults{})
+		return pass{}
+	})
+	for _, id := range ids {
+		sys.submitWithin(2, id, "first", 2, time.Second)
+	}
+	sys.await("time without reports", readyBound, func() bool {
+		id := sys.homedAt(0)
+		return sys.submitWithin(0, id, "probe", 1, time.Second).status == http.StatusServiceUnavailable
+	})
+	for _, id := range ids {
+		sys.submitWithin(0, id, "first", 2, time.Second)
+	}
 }
 
 // lateCopyOfRefused fills the sidecar, so that batches are refused, and delivers copies of them when it is free again.
--- a/io/rgproof/relay_test.go
+++ b/io/rgproof/relay_test.go
@@ -28,6 +28,7 @@
 	// cut breaks the connection; after says whether the frame is written first.
 	cut       struct{ after bool }
 	duplicate struct{}
+	drop      struct{}
 	// late writes the frame now and a copy of it later.
 	late struct{ by time.Duration }
 	// delay writes the frame later, so that following frames overtake it.
@@ -54,6 +55,7 @@
 func (pass) isAction()      {}
 func (cut) isAction()       {}
 func (duplicate) isAction() {}
+func (drop) isAction()      {}
 func (late) isAction()      {}
 func (delay) isAction()     {}
 
@@ -140,6 +142,8 @@
 			pip.write(raw)
 		}
 		return false
+	case drop:
+		return true
 	case duplicate:
 		return pip.write(append(raw, raw...))
 	case late:
--- a/io/rgproof/system_test.go
+++ b/io/rgproof/system_test.go
@@ -70,8 +70,11 @@
 		entries   []*process
 		sidecars  []*process
 		callers   []string
-		relays    []*relay
-		client    *http.Client
+		// gates keep an entry from the store, and watches keep changes in the store from it.
+		gates   []*atomic.Bool
+		watches []*atomic.Bool
+		relays  []*relay
+		client  *http.Client
 
 		mutex    sync.Mutex
 		attempts []attempt
@@ -154,10 +157,27 @@
 	sys.relays = append(sys.relays, rel)
 	sys.callers = append(sys.callers, freeAddress(sys.t))
 	sys.entries = append(sys.entries, nil)
+	sys.gates = append(sys.gates, &atomic.Bool{})
+	sys.watches = append(sys.watches, &atomic.Bool{})
 	sys.mutex.Unlock()
 	sys.startEntry(num, peers)
 }
 
+// gate is the way of one entry to the store.
+func (sys *system) gate(num int) http.Handler {
+	shut, held := sys.gates[num], sys.watches[num]
+	return http.HandlerFunc(func(rsp http.ResponseWriter, req *http.Request) {
+		switch {
+		case shut.Load():
+			rsp.WriteHeader(http.StatusServiceUnavailable)
+		case held.Load() && req.Method == http.MethodGet:
+			<-req.Context().Done()
+		default:
+			sys.store.ServeHTTP(rsp, req)
+		}
+	})
+}
+
 // url returns the address of an entry's route for callers.
 func (sys *system) url(entry int, route string) string {
 	sys.mutex.Lock()
@@ -182,7 +202,7 @@
 	sys.entries[num] = sys.spawn("entry", fmt.Sprintf("entry%d", num), map[string]any{
 		"name": fmt.Sprintf("entry%d", num), "availabilityZone": "zone0", "callerAddress": sys.callers[num],
 		"peerAddress": sys.relays[num].target, "advertisedAddress": sys.relays[num].listener.Addr().String(),
-		"store": sys.storeURL, "peers": peers,
+		"store": sys.serve(sys.gate(num)), "peers": peers,
 	})
 }
 
