Tie "not run" to the lease and a takeover to the other entries

Cause: an entry that did not know of a newer ring refused an id with "not run" although the new home had run it. Two ways were found: an entry that is cut off from the store and the sidecars but not from its callers, and an entry whose watch is slow while another one joins. In the second case a sidecar that is known to other entries only could also escape the seal of the joining entry.

Ruled out: refusing all submissions once the lease has lapsed, because serving must go on while the store is down; and asking a sidecar for its fence before each refusal, because the sidecar asked may be one that the new home cannot reach.

Change: a home says "may have run" instead of "not run" for ids chosen by callers once its lease has lapsed by the monotonic clock; the lease counts only after the ring was read under it. A takeover is complete only when the other entries of the ring have answered a members call with the new generation; sidecars that only they know are awaited.

While the store is down for longer than a lease, refusals of ids that callers have chosen say "may have run"; the status code stays. An entry that neither answers nor loses its lease delays takeovers of moved ids.

--- a/core/rgring/command_adopt.go
+++ b/core/rgring/command_adopt.go
@@ -31,6 +31,32 @@
 	return true
 }
 
+// AwaitEntries notes, before rng is adopted, that the other entries of it must confirm that they know it. Until then an
+// old home may still refuse an id that has moved, and a sidecar may be known to the others only.
+func AwaitEntries(sta *State, rng rgmodel.Ring) {
+	if rng.Generation <= sta.Ring.Generation {
+		return
+	}
+	sta.Unconfirmed = make(map[string]bool, len(rng.Entries))
+	for _, ent := range rng.Entries {
+		if ent != sta.Self {
+			sta.Unconfirmed[ent.Incarnation] = true
+		}
+	}
+}
+
+// Confirmed notes that an entry knows the generation. Departed are the sidecars that it has lost.
+func Confirmed(sta *State, ent rgmodel.Entry, generation uint64, departed []rgmodel.Departure) {
+	if generation < sta.Ring.Generation || !sta.Unconfirmed[ent.Incarnation] {
+		return
+	}
+	for _, dep := range departed {
+		raiseHorizon(sta, dep.At)
+	}
+	delete(sta.Unconfirmed, ent.Incarnation)
+	settle(sta)
+}
+
 // Await adds a sidecar that has announced itself to those whose seal is pending.
 func Await(sta *State, key rgmodel.SidecarKey) {
 	if sta.Pending == nil {
@@ -88,9 +114,9 @@
 	}
 }
 
-// settle ends the takeover once no seal is pending.
+// settle ends the takeover once no seal and no confirmation is pending.
 func settle(sta *State) {
-	if len(sta.Pending) == 0 && sta.Ring.Generation > 0 {
+	if len(sta.Pending) == 0 && len(sta.Unconfirmed) == 0 && sta.Ring.Generation > 0 {
 		sta.Kept = []rgmodel.Ring{sta.Ring}
 		sta.Settled = true
 	}
--- a/core/rgring/query_home.go
+++ b/core/rgring/query_home.go
@@ -45,7 +45,7 @@
 		return Elsewhere{Home: ent}
 	case own:
 		return Fresh{}
-	case len(sta.Pending) > 0 && !Keeps(sta, id):
+	case len(sta.Pending)+len(sta.Unconfirmed) > 0 && !Keeps(sta, id):
 		return NotReady{}
 	case len(sta.Records[id]) > 0:
 		return Recorded{Sightings: sta.Records[id]}
--- a/core/rgring/ring.go
+++ b/core/rgring/ring.go
@@ -24,6 +24,9 @@
 		Settled bool
 		// Pending holds the sidecars that have not answered the seal of the current generation.
 		Pending map[rgmodel.SidecarKey]bool
+		// Unconfirmed holds the incarnations of the other entries that have not said that they know the current
+		// generation.
+		Unconfirmed map[string]bool
 		// Horizon bounds the ids that a lost record may concern: ids created before it are uncertain.
 		Horizon time.Time
 		Records map[rgmodel.SubmissionID][]Sighting
@@ -35,7 +38,7 @@
 	// Elsewhere means that another entry is the home.
 	Elsewhere struct{ Home rgmodel.Entry }
 
-	// NotReady means that this entry is the home, and sidecars have yet to answer its seal.
+	// NotReady means that this entry is the home, and sidecars or other entries have yet to answer for the ring.
 	NotReady struct{}
 
 	// Uncertain means that tasks of the id may have been started by parts that are gone.
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -42,12 +42,14 @@
 		runs        map[uint64]*run
 		runCount    uint64
 		// cancels holds the cancellations that wait to be sent together.
-		cancels  map[rgmodel.SidecarKey][]rgmodel.SubmissionID
-		flush    <-chan time.Time
-		draining bool
-		quiet    bool
-		drained  chan struct{}
-		expired  time.Time
+		cancels map[rgmodel.SidecarKey][]rgmodel.SubmissionID
+		flush   <-chan time.Time
+		// leaseUntil is when another entry may become the home of this one's ids without its knowledge.
+		leaseUntil time.Time
+		draining   bool
+		quiet      bool
+		drained    chan struct{}
+		expired    time.Time
 	}
 )
 
@@ -129,6 +131,13 @@
 		evt.reply <- rgwire.CancelJobReply{Found: cancelJob(sta, evt.id)}
 	case jobFailed:
 		cancelRun(sta, sta.runs[evt.run])
+	case entryConfirmed:
+		pro.confirm(work, sta, evt, now)
+	case leaseHeld:
+		sta.leaseUntil = evt.until
+	case leaseEnded:
+		sta.leaseUntil = time.Time{}
+		evt.reply <- struct{}{}
 	case drainAsked:
 		sta.draining = true
 		pro.publish(sta)
--- a/io/rgentry/event.go
+++ b/io/rgentry/event.go
@@ -96,6 +96,20 @@
 	}
 
 	drainAsked struct{}
+
+	// entryConfirmed says that another entry has adopted the generation, and what it knows.
+	entryConfirmed struct {
+		entry      rgmodel.Entry
+		generation uint64
+		members    rgwire.MembersReply
+	}
+
+	// leaseHeld says that no other entry can take this one out of the ring before the time given. It comes after a
+	// ringRead with the ring that was in the store while the lease was held.
+	leaseHeld struct{ until time.Time }
+
+	// leaseEnded is answered before the lease is given back.
+	leaseEnded struct{ reply chan<- struct{} }
 )
 
 func (announced) isEvent()      {}
@@ -116,12 +130,17 @@
 func (jobFailed) isEvent()      {}
 func (cancelAsked) isEvent()    {}
 func (drainAsked) isEvent()     {}
+func (entryConfirmed) isEvent() {}
+func (leaseHeld) isEvent()      {}
+func (leaseEnded) isEvent()     {}
 
 type (
 	// run is a job in flight, as the control goroutine sees it.
 	run struct {
-		id       rgmodel.SubmissionID
-		flow     rgmodel.Flow
+		id   rgmodel.SubmissionID
+		flow rgmodel.Flow
+		// own says that this entry has generated the id.
+		own      bool
 		began    time.Time
 		sidecars map[rgmodel.SidecarKey]bool
 		// stop ends the traffic goroutine of a job whose home has moved.
--- a/io/rgentry/store.go
+++ b/io/rgentry/store.go
@@ -207,17 +207,32 @@
 // keepLease holds the entry's leased key until ctx ends, and then gives it back.
 func (pro *Process) keepLease(ctx, work context.Context) {
 	ttl := pro.settings.LeaseTime.Duration
-	lease := ""
+	lease, confirmed := "", false
 	for ctx.Err() == nil {
+		began := time.Now()
+		held := false
 		if lease == "" {
 			lease = pro.takeLease(ctx)
-		} else if err := pro.store.Renew(ctx, lease); errors.Is(err, errors.NotFound) {
-			pro.log.Warn("lease lapsed")
-			lease = ""
-			continue
+			held, confirmed = lease != "", false
+		} else {
+			err := pro.store.Renew(ctx, lease)
+			if errors.Is(err, errors.NotFound) {
+				pro.log.Warn("lease lapsed")
+				lease = ""
+				continue
+			}
+			held = err == nil
+		}
+		// The ring may have changed before the lease was taken, so it is read before the lease counts.
+		confirmed = confirmed || (held && pro.readRing(ctx))
+		if held && confirmed {
+			pro.tell(ctx, leaseHeld{until: began.Add(ttl)})
 		}
 		pause(ctx, ttl/3)
 	}
+	rep := make(chan struct{}, 1)
+	// An error means that the control goroutine has ended and states no more verdicts.
+	_, _ = ask(work, pro, leaseEnded{reply: rep}, rep)
 	if lease != "" {
 		giveBack, stop := context.WithTimeout(work, callTimeout)
 		defer stop()
@@ -227,6 +242,19 @@
 	}
 }
 
+// readRing passes the ring in the store on to the control goroutine and returns whether the store answered.
+func (pro *Process) readRing(ctx context.Context) bool {
+	itm, err := pro.store.Get(ctx, KeyRing)
+	if errors.Is(err, errors.NotFound) {
+		return true
+	}
+	var rng rgmodel.Ring
+	if err != nil || json.Unmarshal(itm.Value, &rng) != nil {
+		return false
+	}
+	return pro.tell(ctx, ringRead{ring: rng})
+}
+
 // takeLease writes the entry's key under a new lease and returns the lease, or nothing if the store did not answer.
 func (pro *Process) takeLease(ctx context.Context) string {
 	raw, err := json.Marshal(pro.self)
--- a/io/rgentry/submit.go
+++ b/io/rgentry/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,7 +35,7 @@
 	case rgsubmission.Conflict:
 		evt.reply <- refuse(jb, rgmodel.NotRun, rgmodel.ReasonDigestMismatch, "the id was used with another body")
 	case rgsubmission.Answered:
-		evt.reply <- settled{answer: std.Answer}
+		evt.reply <- settled{answer: sta.limitVerdicts(std.Answer, evt.own, now)}
 	case rgsubmission.Running:
 		evt.reply <- sta.attach(jb.ID)
 	case rgsubmission.Dropped:
@@ -71,6 +72,7 @@
 	if rfs := pro.admit(sta, jb, now); rfs.Reason != "" {
 		pro.scope.Tagged(map[string]string{"reason": string(rfs.Reason)}).Counter("refusals").Inc(1)
 		dec := refuse(jb, rgmodel.NotRun, rfs.Reason, rfs.Detail)
+		dec.answer = sta.limitVerdicts(dec.answer, evt.own, now)
 		dec.retryAfter = rfs.RetryAfter
 		evt.reply <- dec
 		return
@@ -173,7 +175,7 @@
 	rgsubmission.Register(&sta.submissions, jb, window(sta, jb.Flow.Team), now)
 	sta.runCount++
 	ctx, stop := context.WithTimeout(work, jb.Deadline.Duration+answerGrace)
-	rn := &run{id: jb.ID, flow: jb.Flow, began: now, sidecars: map[rgmodel.SidecarKey]bool{}, stop: stop}
+	rn := &run{id: jb.ID, flow: jb.Flow, own: evt.own, began: now, sidecars: map[rgmodel.SidecarKey]bool{}, stop: stop}
 	sta.runs[sta.runCount] = rn
 	countParts(sta, rn, pln.parts)
 	for range pln.parts {
@@ -225,14 +227,30 @@
 		return
 	}
 	rgsubmission.Finish(&sta.submissions, evt.answer, evt.places)
+	ans := sta.limitVerdicts(evt.answer, rn.own, time.Now())
 	for _, cal := range sta.callers[rn.id] {
-		cal <- evt.answer
+		cal <- ans
 	}
 	delete(sta.callers, rn.id)
 	pro.scope.Counter("jobs").Inc(1)
 	pro.scope.Timer("jobTime").Record(time.Since(rn.began))
 }
 
+// limitVerdicts replaces "not run" by "may have run" once the lease has lapsed: another entry may be the home by then and
+// may have run the job. An id that nobody else has seen keeps its verdicts.
+func (sta *state) limitVerdicts(ans rgmodel.Answer, own bool, now time.Time) rgmodel.Answer {
+	if own || now.Before(sta.leaseUntil) {
+		return ans
+	}
+	ans.Outcomes = slices.Clone(ans.Outcomes)
+	for i, out := range ans.Outcomes {
+		if out.Verdict == rgmodel.NotRun {
+			ans.Outcomes[i].Verdict = rgmodel.MayHaveRun
+		}
+	}
+	return ans
+}
+
 // attach adds a caller to those who get the answer of a running job.
 func (sta *state) attach(id rgmodel.SubmissionID) wait {
 	ans := make(chan rgmodel.Answer, 1)
