Stop placing work on a sidecar as soon as its leave message arrives

Cause: a drained sidecar sends its last report and the leave message from two goroutines, and the entry handles messages concurrently. When the leave message was handled first, the entry answered it and then placed another batch on the sidecar, which ended with that batch unanswered.

Ruled out: ordering the two messages at the sidecar. The handlers of one connection run concurrently at the entry, so the order of writing decides nothing.

Change: the leave message itself marks the member as leaving. The scenario "planned stop, late reports" delays reports by 400 ms. Scenarios of planned stops have work in flight at the signal; ids of the start-up phase are not judged as planned stops.

--- a/core/rgfleet/command_member.go
+++ b/core/rgfleet/command_member.go
@@ -44,6 +44,13 @@
 	}
 }
 
+// Leave notes that a sidecar takes no more work.
+func Leave(sta *State, key rgmodel.SidecarKey) {
+	if mem := member(sta, key); mem != nil {
+		mem.Leaving = true
+	}
+}
+
 // Report takes in a load report and ignores one that is older than the newest.
 func Report(sta *State, rep rgmodel.Report, now time.Time) {
 	mem := member(sta, rgmodel.SidecarKey{Name: rep.Sidecar, Incarnation: rep.Incarnation})
--- a/core/rgfleet/fleet.go
+++ b/core/rgfleet/fleet.go
@@ -28,6 +28,8 @@
 		Connected bool
 		// Sealed is set once the sidecar has answered the seal of its newest connection.
 		Sealed bool
+		// Leaving is set once the sidecar has said that it leaves. Its report that it drains may arrive later.
+		Leaving bool
 		// Cut is when the connection was lost.
 		Cut time.Time
 		// SentSince counts the tasks this entry has sent and that the newest report cannot include.
--- a/core/rgfleet/query_member.go
+++ b/core/rgfleet/query_member.go
@@ -63,7 +63,7 @@
 }
 
 func usable(mem *Member, now time.Time) bool {
-	return mem.Connected && mem.Sealed && !mem.Report.Draining &&
+	return mem.Connected && mem.Sealed && !mem.Report.Draining && !mem.Leaving &&
 		now.Sub(mem.Reported) <= MissLimit*ReportInterval && !now.Before(mem.Health.EjectedUntil)
 }
 
--- a/io/rgentry/sidecars.go
+++ b/io/rgentry/sidecars.go
@@ -109,6 +109,7 @@
 
 // leave answers a draining sidecar once no answer of it is outstanding.
 func (pro *Process) leave(sta *state, evt leaveAsked) {
+	rgfleet.Leave(&sta.fleet, evt.key)
 	if sta.outstanding[evt.key] == 0 {
 		evt.reply <- struct{}{}
 		return
--- a/io/rgproof/proof_test.go
+++ b/io/rgproof/proof_test.go
@@ -40,6 +40,7 @@
 		"late copy of a refused batch":  {entries: 2, sidecars: 1, run: lateCopyOfRefused},
 		"planned stop of a sidecar":     {entries: 2, sidecars: 3, run: plannedStopSidecar},
 		"planned stop of idle sidecars": {entries: 2, sidecars: 4, run: plannedStopInTurn},
+		"planned stop, late reports":    {entries: 2, sidecars: 4, run: plannedStopLateReports},
 		"planned stop of an entry":      {entries: 3, sidecars: 2, run: plannedStopEntry},
 		"start during a store outage":   {entries: 2, sidecars: 2, run: startDuringOutage},
 		"configuration":                 {entries: 3, sidecars: 2, run: configuration},
@@ -271,20 +272,31 @@
 	}
 }
 
-// lateCopyOfRefused fills the sidecar, so that batches are refused, and delivers copies of them when it is free again.
+// lateCopyOfRefused has a sidecar that refuses batches, because it is not connected to an entry of the ring, and delivers
+// copies of them when it is. The refused tasks must not start then.
 func lateCopyOfRefused(sys *system) {
-	sys.setRunTime(time.Second)
-	for _, rel := range sys.relays {
-		rel.setRule(func(frm frame) action { return onStart(frm, late{by: 4 * time.Second}) })
-	}
-	var running sync.WaitGroup
-	for range 12 {
-		running.Go(func() { sys.submitWithin(0, newID(time.Now()), "first", 4, 1500*time.Millisecond) })
-	}
-	running.Wait()
-	id := newID(time.Now().Add(-3 * time.Second))
-	sys.await("copies delivered", readyBound, func() bool { return sys.relays[0].late.Load()+sys.relays[1].late.Load() == 0 })
-	sys.submit(0, id, "first", 1)
+	sys.addEntry()
+	sys.relays[2].setRule(func(frm frame) action {
+		if frm.sidecar != "" {
+			return cut{}
+		}
+		return pass{}
+	})
+	sys.awaitRing(0, 3)
+	sys.relays[0].setRule(func(frm frame) action { return onStart(frm, late{by: 2 * time.Second}) })
+	sys.await("refusal by the sidecar", readyBound, func() bool {
+		att := sys.submit(0, sys.homedAt(0), "first", 4)
+		return len(att.answer.Tasks) > 0 && att.answer.Tasks[0].Reason == rgmodel.ReasonNotReady && verdict(att, 0) == rgmodel.NotRun
+	})
+	sys.relays[0].setRule(nil)
+	sys.relays[2].setRule(nil)
+	sys.await("sidecar at the new entry", readyBound, func() bool {
+		return sys.submit(2, newID(time.Now()), "other", 4).answer.Status == "complete"
+	})
+	sys.await("copies delivered", readyBound, func() bool { return sys.relays[0].late.Load() == 0 })
+	sys.await("start of what came after the copies", readyBound, func() bool {
+		return sys.submit(0, newID(time.Now()), "other", 8).answer.Status == "complete"
+	})
 }
 
 // plannedStopSidecar stops a sidecar under load. All jobs must be complete, and its upstream must get no work that was
@@ -292,6 +304,7 @@
 func plannedStopSidecar(sys *system) {
 	sys.setRunTime(300 * time.Millisecond)
 	end := sys.load()
+	sys.await("load at the upstream", readyBound, func() bool { return sys.upstreams[1].running.Load() > 0 })
 	sys.sidecars[1].signal(syscall.SIGTERM)
 	bound := time.Now().Add(3 * time.Second)
 	sys.awaitExit(sys.sidecars[1])
@@ -309,6 +322,7 @@
 func plannedStopInTurn(sys *system) {
 	end := sys.load()
 	for num := range 3 {
+		sys.await("load at the upstream", readyBound, func() bool { return sys.upstreams[num].running.Load() > 0 })
 		sys.sidecars[num].signal(syscall.SIGTERM)
 		sys.awaitExit(sys.sidecars[num])
 	}
@@ -316,11 +330,31 @@
 	sys.allComplete()
 }
 
+// plannedStopLateReports is plannedStopInTurn with reports that arrive after the leave message, as they can because
+// messages are handled concurrently.
+func plannedStopLateReports(sys *system) {
+	for _, rel := range sys.relays {
+		rel.setRule(func(frm frame) action {
+			if frm.method == "report" {
+				return delay{by: 400 * time.Millisecond}
+			}
+			return pass{}
+		})
+	}
+	plannedStopInTurn(sys)
+}
+
 // plannedStopEntry stops an entry under load. A request whose connection was accepted must be answered.
 func plannedStopEntry(sys *system) {
-	sys.setRunTime(300 * time.Millisecond)
+	sys.setRunTime(200 * time.Millisecond)
 	end := sys.load()
+	sys.await("attempts of the load", readyBound, func() bool { return sys.countAttempts() > 20 })
+	// Two jobs are in flight at the entry, of which it is the home of one only.
+	far := sys.background(1, sys.homedAt(0), 2)
+	near := sys.background(1, sys.homedAt(1), 2)
 	sys.entries[1].signal(syscall.SIGTERM)
+	<-far
+	<-near
 	sys.awaitExit(sys.entries[1])
 	sys.awaitRing(0, 2)
 	end()
@@ -347,11 +381,13 @@
 	defer sys.mutex.Unlock()
 	for _, att := range sys.attempts {
 		switch {
+		case att.body == "warmup":
 		case att.err != nil && refused(att.err):
 		case att.err != nil:
 			sys.t.Errorf("invariant 7: %s at entry %d was cut off after %s: %v", att.id, att.entry, att.ended.Sub(att.began), att.err)
 		case att.answer.Status != "complete" && verdict(att, 0) != rgmodel.NotRun:
-			sys.t.Errorf("invariant 7: %s at entry %d: status %d, %+v", att.id, att.entry, att.status, att.answer.Tasks)
+			sys.t.Errorf("invariant 7: %s at entry %d after %s: status %d, %+v", att.id, att.entry, att.ended.Sub(att.began), att.status,
+				att.answer.Tasks)
 		}
 	}
 }
--- a/io/rgproof/system_test.go
+++ b/io/rgproof/system_test.go
@@ -57,6 +57,7 @@
 		fault atomic.Value
 		// runTime is in nanoseconds.
 		runTime atomic.Int64
+		running atomic.Int64
 	}
 
 	// system is a set of processes with their stand-ins, and the history of what they did.
@@ -127,11 +128,13 @@
 	for num := range entries {
 		sys.await("entry in the ring with all sidecars", readyBound, func() bool { return sys.knows(num, entries, sidecars) })
 	}
-	// A sidecar takes work once it is connected to all entries of the ring.
-	sys.await("first job", readyBound, func() bool {
-		id := newID(time.Now())
-		return sys.submit(0, id, "warmup", 8*sidecars).answer.Status == "complete"
-	})
+	// A sidecar takes work once it is connected to all entries of the ring, and an entry that started before the others
+	// answered takes ids made 2 s after that only.
+	for num := range entries {
+		sys.await("first job", readyBound, func() bool {
+			return sys.submit(num, sys.homedAt(num), "warmup", 4*sidecars).answer.Status == "complete"
+		})
+	}
 	return sys
 }
 
@@ -383,6 +386,12 @@
 	}
 }
 
+func (sys *system) countAttempts() int {
+	sys.mutex.Lock()
+	defer sys.mutex.Unlock()
+	return len(sys.attempts)
+}
+
 // startsOf counts the starts of a submission.
 func (sys *system) startsOf(id rgmodel.SubmissionID) int {
 	sys.mutex.Lock()
@@ -410,6 +419,8 @@
 		id: rgmodel.SubmissionID(req.Header.Get("Submission-Id")), index: idx, body: pay.Body, upstream: ups.name, at: time.Now(),
 	})
 	ups.sys.mutex.Unlock()
+	ups.running.Add(1)
+	defer ups.running.Add(-1)
 	req.Body = io.NopCloser(bytes.NewReader(raw))
 	standin := &rgstandin.Upstream{Name: ups.name, RunTime: map[string]time.Duration{"work": time.Duration(ups.runTime.Load())}}
 	switch ups.fault.Load() {
