Let a stopping entry wait for the ring without it before it refuses

Cause: a stopping entry gives its lease back and was still the home of ids for some milliseconds. It refused a job that another entry passed on with "may have run, draining", because it may state "not run" only while it holds the lease. A submission that was parked again also got a new arrival time, so that it could outlive its deadline in the table.

Ruled out: keeping the lease until the drain is over. Then new jobs of these ids would be refused for the whole drain.

Change: a stopping entry parks such a submission for at most 2 s; the next ring sends it to the new home. The arrival time of a parked submission is set once.

Without a store, the refusal says "may have run" after 2 s.

--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -47,9 +47,11 @@
 		// leaseUntil is when another entry may become the home of this one's ids without its knowledge.
 		leaseUntil time.Time
 		draining   bool
-		quiet      bool
-		drained    chan struct{}
-		expired    time.Time
+		// drainedSince is when the drain began.
+		drainedSince time.Time
+		quiet        bool
+		drained      chan struct{}
+		expired      time.Time
 	}
 )
 
@@ -139,7 +141,7 @@
 		sta.leaseUntil = time.Time{}
 		evt.reply <- struct{}{}
 	case drainAsked:
-		sta.draining = true
+		sta.draining, sta.drainedSince = true, now
 		pro.publish(sta)
 		pro.log.Info("draining", zap.Int("jobs", len(sta.runs)))
 	}
--- a/io/rgentry/submit.go
+++ b/io/rgentry/submit.go
@@ -18,6 +18,8 @@
 const (
 	// cancelDelay gathers cancellations, so that a wave of them is one message for each sidecar.
 	cancelDelay = 10 * time.Millisecond
+	// handoverBound is how long a stopping entry waits for the ring without it. Without a store there is none.
+	handoverBound = 2 * time.Second
 	// zoneDistance is the assumed round trip to another availability zone.
 	zoneDistance = 3 * time.Millisecond
 )
@@ -56,8 +58,7 @@
 	case rgring.Elsewhere:
 		evt.reply <- forward{home: std.Home}
 	case rgring.NotReady:
-		evt.arrived = now
-		sta.parked = append(sta.parked, evt)
+		sta.park(evt, now)
 	case rgring.Uncertain:
 		evt.reply <- refuse(jb, rgmodel.MayHaveRun, rgmodel.ReasonRecordLost, "records that may concern the id are lost")
 	case rgring.Recorded:
@@ -69,6 +70,11 @@
 
 func (pro *Process) submitFresh(work context.Context, sta *state, evt submitted, now time.Time) {
 	jb := evt.job
+	if sta.draining && !evt.own && !now.Before(sta.leaseUntil) && now.Sub(sta.drainedSince) < handoverBound {
+		// Only the next ring tells who is the home now that the lease is given back.
+		sta.park(evt, now)
+		return
+	}
 	if rfs := pro.admit(sta, jb, now); rfs.Reason != "" {
 		pro.scope.Tagged(map[string]string{"reason": string(rfs.Reason)}).Counter("refusals").Inc(1)
 		dec := refuse(jb, rgmodel.NotRun, rfs.Reason, rfs.Detail)
@@ -258,6 +264,14 @@
 	return wait{answer: ans}
 }
 
+// park keeps a submission until the next unpark or its deadline.
+func (sta *state) park(evt submitted, now time.Time) {
+	if evt.arrived.IsZero() {
+		evt.arrived = now
+	}
+	sta.parked = append(sta.parked, evt)
+}
+
 // unpark decides anew on the submissions that waited for sidecars to answer a seal.
 func (pro *Process) unpark(work context.Context, sta *state) {
 	evts := sta.parked
@@ -269,12 +283,13 @@
 
 func (pro *Process) expireParked(sta *state, now time.Time) {
 	var kept []submitted
+	handover := sta.draining && now.Sub(sta.drainedSince) >= handoverBound
 	for _, evt := range sta.parked {
-		if now.Sub(evt.arrived) < evt.job.Deadline.Duration {
+		if !handover && now.Sub(evt.arrived) < evt.job.Deadline.Duration {
 			kept = append(kept, evt)
 			continue
 		}
-		evt.reply <- refuse(evt.job, rgmodel.MayHaveRun, rgmodel.ReasonNotReady, "sidecars have not answered for earlier work")
+		evt.reply <- refuse(evt.job, rgmodel.MayHaveRun, rgmodel.ReasonNotReady, "the ring has changed, and answers are missing")
 	}
 	sta.parked = kept
 }
