Measure the recovery of submissions after the death of an entry

Cause: the design page promises that resubmissions are collected or resumed; there was no figure for it.

--- /dev/null
+++ b/io/rgproof/recovery_test.go
@@ -0,0 +1,95 @@
+package rgproof
+
+import (
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgapi"
+)
+
+const (
+	recoveryJobs  = 60
+	recoveryTasks = 4
+)
+
+// TestRecovery prints how the submissions of an entry are recovered after its death: 30 that were answered before and 30
+// that were in flight, each submitted again to another entry right after the death. It fails only for violations of
+// the invariants.
+func TestRecovery(t *testing.T) {
+	tests := map[string]struct {
+		seed     uint64
+		sidecars []int
+	}{
+		"entry killed":               {seed: 41},
+		"entry and 1 of 3 sidecars":  {seed: 42, sidecars: []int{1}},
+		"entry and all sidecars":     {seed: 43, sidecars: []int{0, 1, 2}},
+		"entry killed, another seed": {seed: 44},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sys := newSystem(t, tc.seed, 3, 3)
+			ids := make([]rgmodel.SubmissionID, recoveryJobs)
+			for i := range ids {
+				ids[i] = sys.homedAt(1)
+			}
+			answered, running := ids[:recoveryJobs/2], ids[recoveryJobs/2:]
+			for _, id := range answered {
+				sys.submit(1, id, "first", recoveryTasks)
+			}
+			sys.setRunTime(400 * time.Millisecond)
+			var first sync.WaitGroup
+			for _, id := range running {
+				first.Go(func() { sys.submitWithin(1, id, "first", recoveryTasks, 20*time.Second) })
+			}
+			sys.await("tasks in flight", readyBound, func() bool { return sys.startsOf(running[0]) > 0 })
+			sys.entries[1].signal(syscall.SIGKILL)
+			for _, num := range tc.sidecars {
+				sys.sidecars[num].signal(syscall.SIGKILL)
+			}
+			killed := time.Now()
+			first.Wait()
+			t.Logf("answered before: %+v", sys.resubmit(answered, killed))
+			t.Logf("in flight: %+v", sys.resubmit(running, killed))
+			sys.judge()
+		})
+	}
+}
+
+// recovery is a row of the table. Times count from the death.
+type recovery struct {
+	Exact, MayHaveRun, NotRun, Other int
+	First, Median, Last              time.Duration
+}
+
+// resubmit submits all ids again at once and sums up the answers.
+func (sys *system) resubmit(ids []rgmodel.SubmissionID, killed time.Time) recovery {
+	atts := make([]attempt, len(ids))
+	var running sync.WaitGroup
+	for i, id := range ids {
+		running.Go(func() { atts[i] = sys.submitWithin(0, id, "first", recoveryTasks, 20*time.Second) })
+	}
+	running.Wait()
+	var rec recovery
+	var times []time.Duration
+	for _, att := range atts {
+		times = append(times, att.ended.Sub(killed).Round(time.Millisecond))
+		switch {
+		case att.answer.Status == "complete":
+			rec.Exact++
+		case att.err != nil:
+			rec.Other++
+		case slices.ContainsFunc(att.answer.Tasks, func(tsk rgapi.TaskFailure) bool { return tsk.Verdict == rgmodel.MayHaveRun }):
+			rec.MayHaveRun++
+		default:
+			rec.NotRun++
+		}
+	}
+	slices.Sort(times)
+	rec.First, rec.Median, rec.Last = times[0], times[len(times)/2], times[len(times)-1]
+	return rec
+}
