Keep answers that an upstream repeats apart from later requests

Cause: the sidecar uses connections to the upstream again. An upstream that sends an answer twice had the copy taken for the answer to the next request on that connection, when its answers do not name the task.

Ruled out: a new connection for each request. It costs a handshake for each task, and answers that name the task are told apart already.

Change: connections are used again only while the upstream names the task in its answers; an unnamed answer over a used connection is "may have run, answerMismatch". A mismatched answer is no longer read, so that its connection is closed. The scenario "home again" guards against a part that is sent after its entry has left the ring and come back.

An upstream that does not name tasks pays a new connection for each.

--- a/io/rgproof/proof_test.go
+++ b/io/rgproof/proof_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -37,6 +38,7 @@
 		"stale home refuses":            {entries: 2, sidecars: 2, run: staleHomeRefuses},
 		"isolated home refuses":         {entries: 2, sidecars: 2, run: isolatedHomeRefuses},
 		"slow watch refuses":            {entries: 2, sidecars: 2, run: slowWatchRefuses},
+		"home again":                    {entries: 2, sidecars: 2, run: homeAgain},
 		"late copy of a refused batch":  {entries: 2, sidecars: 1, run: lateCopyOfRefused},
 		"planned stop of a sidecar":     {entries: 2, sidecars: 3, run: plannedStopSidecar},
 		"planned stop of idle sidecars": {entries: 2, sidecars: 4, run: plannedStopInTurn},
@@ -272,6 +274,33 @@
 	}
 }
 
+// homeAgain has a part of a job wait for a lost connection while its entry leaves the ring and comes back. The part must
+// not be sent under the new generation, because the resubmission may have placed its tasks elsewhere.
+func homeAgain(sys *system) {
+	var blocked atomic.Bool
+	sys.relays[0].setRule(func(frm frame) action {
+		if frm.sidecar == "sidecar0" && (blocked.Load() || frm.method == "startBatch") {
+			blocked.Store(true)
+			return cut{}
+		}
+		return pass{}
+	})
+	sta, _ := sys.status(0)
+	id := sys.homedAt(0)
+	first := make(chan attempt, 1)
+	go func() { first <- sys.submitWithin(0, id, "first", 8, 12*time.Second) }()
+	sys.await("lost connection", readyBound, blocked.Load)
+	sys.gates[0].Store(true)
+	sys.awaitRing(1, 1)
+	sys.gates[0].Store(false)
+	sys.await("entry in the ring again", readyBound, func() bool {
+		now, ok := sys.status(0)
+		return ok && now.Ring.Generation > sta.Ring.Generation+1 && len(now.Ring.Entries) == 2
+	})
+	sys.relays[0].setRule(nil)
+	<-first
+}
+
 // lateCopyOfRefused has a sidecar that refuses batches, because it is not connected to an entry of the ring, and delivers
 // copies of them when it is. The refused tasks must not start then.
 func lateCopyOfRefused(sys *system) {
--- a/io/rgproof/system_test.go
+++ b/io/rgproof/system_test.go
@@ -411,14 +411,7 @@
 	if err != nil {
 		return
 	}
-	var pay payload
-	_ = json.Unmarshal(raw, &pay)
-	idx, _ := strconv.Atoi(req.Header.Get("Task-Index"))
-	ups.sys.mutex.Lock()
-	ups.sys.starts = append(ups.sys.starts, start{
-		id: rgmodel.SubmissionID(req.Header.Get("Submission-Id")), index: idx, body: pay.Body, upstream: ups.name, at: time.Now(),
-	})
-	ups.sys.mutex.Unlock()
+	ups.record(req, raw)
 	ups.running.Add(1)
 	defer ups.running.Add(-1)
 	req.Body = io.NopCloser(bytes.NewReader(raw))
@@ -432,6 +425,8 @@
 		rsp.Header().Set("Content-Length", "1000")
 		_, _ = rsp.Write([]byte(`{"task":`))
 		panic(http.ErrAbortHandler)
+	case "late copies", "late copies unnamed":
+		ups.answerTwice(rsp, req, raw, ups.fault.Load() == "late copies")
 	case "twice":
 		rec := httptest.NewRecorder()
 		standin.ServeHTTP(rec, req)
@@ -450,6 +445,43 @@
 	}
 }
 
+func (ups *upstream) record(req *http.Request, raw []byte) {
+	var pay payload
+	_ = json.Unmarshal(raw, &pay)
+	idx, _ := strconv.Atoi(req.Header.Get("Task-Index"))
+	ups.sys.mutex.Lock()
+	defer ups.sys.mutex.Unlock()
+	ups.sys.starts = append(ups.sys.starts, start{
+		id: rgmodel.SubmissionID(req.Header.Get("Submission-Id")), index: idx, body: pay.Body, upstream: ups.name, at: time.Now(),
+	})
+}
+
+// answerTwice takes over the connection and sends each answer again when the next request may be in flight on it.
+// Named answers carry the headers that tell which task they belong to.
+func (ups *upstream) answerTwice(rsp http.ResponseWriter, req *http.Request, raw []byte, named bool) {
+	con, buf, err := http.NewResponseController(rsp).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = con.Close() }()
+	pip := &pipe{to: con}
+	for err == nil {
+		var names string
+		if named {
+			names = fmt.Sprintf("Submission-Id: %s\r\nTask-Index: %s\r\n", req.Header.Get("Submission-Id"), req.Header.Get("Task-Index"))
+		}
+		bod := fmt.Sprintf(`{"task":%s,"echo":%s}`, req.Header.Get("Task-Index"), raw)
+		ans := []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", names, len(bod), bod))
+		time.Sleep(runTime)
+		pip.write(ans)
+		time.AfterFunc(runTime/2, func() { pip.write(ans) })
+		if req, err = http.ReadRequest(buf.Reader); err == nil {
+			raw, err = io.ReadAll(req.Body)
+			ups.record(req, raw)
+		}
+	}
+}
+
 // freeAddress returns an address below the range that the system gives to outgoing connections, so that the port stays
 // free until a process listens on it.
 func freeAddress(t *testing.T) string {
--- a/io/rgsidecar/process.go
+++ b/io/rgsidecar/process.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
@@ -28,7 +29,10 @@
 	log      *zap.Logger
 	scope    tally.Scope
 	upstream *http.Client
-	events   chan event
+	// named is set while the upstream names the task in its answers. Connections are used again only then, because
+	// an answer that comes twice would be taken for the answer to the next request on the connection.
+	named  atomic.Bool
+	events chan event
 	// links counts the goroutines that keep connections to entries.
 	links conc.WaitGroup
 	// runners counts the goroutines that wait for the upstream.
--- a/io/rgsidecar/runner.go
+++ b/io/rgsidecar/runner.go
@@ -37,8 +37,11 @@
 
 // forward sends the request once; it is never repeated here, whatever happens to the connection.
 func (pro *Process) forward(ctx context.Context, stt rgqueue.Start) rgmodel.Outcome {
-	var connected atomic.Bool
-	trc := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connected, reused atomic.Bool
+	trc := &httptrace.ClientTrace{GotConn: func(inf httptrace.GotConnInfo) {
+		connected.Store(true)
+		reused.Store(inf.Reused)
+	}}
 	loc := pro.settings.Upstream + "/tasks/" + url.PathEscape(stt.Flow.Kind)
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trc), http.MethodPost, loc, bytes.NewReader(stt.Task.Payload))
 	if err != nil {
@@ -46,6 +49,7 @@
 	}
 	// Without GetBody, net/http cannot repeat the request on another connection.
 	req.GetBody = nil
+	req.Close = !pro.named.Load()
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(headerSubmission, string(stt.ID))
 	req.Header.Set(headerIndex, strconv.Itoa(stt.Task.Index))
@@ -56,7 +60,11 @@
 		return unanswered(ctx, connected.Load(), err)
 	}
 	defer func() { _ = rsp.Body.Close() }()
-	return pro.readAnswer(ctx, stt, rsp)
+	if pro.mismatched(rsp.Header, stt, reused.Load()) {
+		// The body is not read, so that net/http closes the connection.
+		return rgmodel.Outcome{Reason: rgmodel.ReasonAnswerMismatch, Detail: "answer does not name the task"}
+	}
+	return pro.readAnswer(ctx, rsp)
 }
 
 // unanswered is the outcome without an answer: only a request that never got a connection has surely not run.
@@ -76,7 +84,7 @@
 	return out
 }
 
-func (pro *Process) readAnswer(ctx context.Context, stt rgqueue.Start, rsp *http.Response) rgmodel.Outcome {
+func (pro *Process) readAnswer(ctx context.Context, rsp *http.Response) rgmodel.Outcome {
 	raw, err := io.ReadAll(io.LimitReader(rsp.Body, pro.settings.MaxAnswerBytes+1))
 	switch {
 	case err != nil:
@@ -87,8 +95,6 @@
 		return out
 	case int64(len(raw)) > pro.settings.MaxAnswerBytes:
 		return rgmodel.Outcome{Reason: rgmodel.ReasonAnswerTooLarge, Detail: fmt.Sprintf("over %d bytes", pro.settings.MaxAnswerBytes)}
-	case mismatched(rsp.Header, stt):
-		return rgmodel.Outcome{Reason: rgmodel.ReasonAnswerMismatch, Detail: "answer names another task"}
 	case rsp.StatusCode < http.StatusOK || rsp.StatusCode >= http.StatusMultipleChoices:
 		return rgmodel.Outcome{Verdict: rgmodel.RanFailed, Reason: rgmodel.ReasonUpstreamStatus, Detail: rsp.Status}
 	case len(raw) > 0 && !json.Valid(raw):
@@ -98,8 +104,14 @@
 	}
 }
 
-// mismatched reports whether the answer names another task than the request.
-func mismatched(hdr http.Header, stt rgqueue.Start) bool {
+// mismatched reports whether the answer may belong to another task: it names another one, or it names none and came
+// over a connection that was used before.
+func (pro *Process) mismatched(hdr http.Header, stt rgqueue.Start, reused bool) bool {
 	id, idx := hdr.Get(headerSubmission), hdr.Get(headerIndex)
-	return (id != "" && id != string(stt.ID)) || (idx != "" && idx != strconv.Itoa(stt.Task.Index))
+	named := id != "" && idx != ""
+	pro.named.Store(named)
+	if named || !reused {
+		return (id != "" && id != string(stt.ID)) || (idx != "" && idx != strconv.Itoa(stt.Task.Index))
+	}
+	return true
 }
