--- a/core/rghome/command_submit.go
+++ b/core/rghome/command_submit.go
@@ -72,7 +72,7 @@
 }
 
 func submitFresh(sta *State, jb rgmodel.Job, own bool, now time.Time, rnd *rand.Rand) Decision {
-	if sta.Draining && !own && now.Sub(sta.DrainBegan) < handoverBound {
+	if sta.Draining && now.Sub(sta.DrainBegan) < HandoverTime {
 		return Park{}
 	}
 	if rfs := admit(sta, jb, now, rnd); rfs.Reason != "" {
--- a/core/rghome/home.go
+++ b/core/rghome/home.go
@@ -14,12 +14,13 @@
 	"ragwortgap/core/rgsubmission"
 )
 
-// handoverBound is how long a stopping entry waits for the ring without it, instead of refusing ids that another entry
-// will be the home of. Without a store there is no such ring.
-const handoverBound = 2 * time.Second
-
-// zoneDistance is the assumed round trip to another availability zone.
-const zoneDistance = 3 * time.Millisecond
+const (
+	// HandoverTime is how long a stopping entry takes submissions, for the ring without it and for the balancer to
+	// send callers elsewhere. Without a store there is no such ring.
+	HandoverTime = 2 * time.Second
+	// zoneDistance is the assumed round trip to another availability zone.
+	zoneDistance = 3 * time.Millisecond
+)
 
 type (
 	// State is all that an entry decides on. The zero value works once Ring.Self is set.
--- a/io/rgcli/command_run.go
+++ b/io/rgcli/command_run.go
@@ -11,6 +11,7 @@
 	"github.com/julienschmidt/httprouter"
 	"go.uber.org/zap"
 
+	"ragwortgap/core/rghome"
 	"ragwortgap/io/rgcommandapi"
 	"ragwortgap/io/rgentry"
 	"ragwortgap/io/rgmetrics"
@@ -93,7 +94,9 @@
 	return tls.NewListener(lis, ide.Server()), nil
 }
 
-// serve answers requests until ctx ends, and then until the requests in flight are answered and the process is done.
+// serve answers requests until ctx ends, then as long as the balancer may still send some, and then until the requests
+// in flight are answered and the process is done. A listener that closes at once resets the connections that wait to be
+// accepted.
 func serve(ctx context.Context, lis net.Listener, hdl http.Handler, bound time.Duration, done <-chan struct{}) error {
 	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 1)
@@ -103,6 +106,12 @@
 		return errors.Annotatef(err, "serve HTTP on %s", lis.Addr())
 	case <-ctx.Done():
 	}
+	handover := time.NewTimer(min(rghome.HandoverTime, bound))
+	defer handover.Stop()
+	select {
+	case <-handover.C:
+	case <-done:
+	}
 	drain, stop := context.WithTimeout(context.WithoutCancel(ctx), bound)
 	defer stop()
 	err := srv.Shutdown(drain)
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -19,6 +19,8 @@
 
 const (
 	tickInterval = 200 * time.Millisecond
+	// handoverMargin is for the requests that arrive at the end of the handover to be counted as callers.
+	handoverMargin = 500 * time.Millisecond
 	// expireInterval is how often submissions are checked against their window.
 	expireInterval = 5 * time.Second
 )
@@ -181,7 +183,7 @@
 
 // checkDrained ends the process at the second tick without work, so that replies of the last tick are written.
 func (pro *Process) checkDrained(sta *state) {
-	if len(sta.runs) > 0 || len(sta.parked) > 0 || pro.callers.Load() > 0 {
+	if time.Since(sta.home.DrainBegan) < rghome.HandoverTime+handoverMargin || len(sta.runs) > 0 || len(sta.parked) > 0 || pro.callers.Load() > 0 {
 		sta.quiet = false
 		return
 	}
--- a/io/rgsidecar/process.go
+++ b/io/rgsidecar/process.go
@@ -32,8 +32,11 @@
 	scope    tally.Scope
 	upstream *http.Client
 	identity *rgtls.Identity
-	events   chan event
 	health   atomic.Pointer[Health]
+	// named is set while the upstream names the task in its answers. Connections are used again only then, because
+	// an answer that comes twice would be taken for the answer to the next request on the connection.
+	named  atomic.Bool
+	events chan event
 	// links counts the goroutines that keep connections to entries.
 	links conc.WaitGroup
 	// runners counts the goroutines that wait for the upstream.
