--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -183,7 +183,8 @@
 
 // checkDrained ends the process at the second tick without work, so that replies of the last tick are written.
 func (pro *Process) checkDrained(sta *state) {
-	if time.Since(sta.home.DrainBegan) < rghome.HandoverTime+handoverMargin || len(sta.runs) > 0 || len(sta.parked) > 0 || pro.callers.Load() > 0 {
+	handover := time.Since(sta.home.DrainBegan) < rghome.HandoverTime+handoverMargin
+	if handover || len(sta.runs) > 0 || len(sta.parked) > 0 || pro.callers.Load() > 0 {
 		sta.quiet = false
 		return
 	}
