--- /dev/null
+++ b/io/rgproof/control_bench_test.go
@@ -0,0 +1,261 @@
+package rgproof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"ragwortgap/io/rgentry"
+	"ragwortgap/io/rgsettings"
+	"ragwortgap/io/rgsidecar"
+	"ragwortgap/io/rgstandin"
+)
+
+const (
+	// measureTime is the length of a measurement, after settleTime.
+	measureTime = 10 * time.Second
+	settleTime  = 6 * time.Second
+	// clockTick is the unit of processor time in /proc, which is 10 ms on Linux.
+	clockTick = 10 * time.Millisecond
+	// benchCallers submit jobs of benchTasks one after the other.
+	benchCallers = 32
+	benchTasks   = 36
+)
+
+// benchClient keeps a connection for each caller.
+var benchClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchCallers}}
+
+// usage is what the kernel has counted for a process.
+type usage struct {
+	processor time.Duration
+	octets    int64
+	memory    int64
+}
+
+// BenchmarkControlEntry measures what one entry process spends at rest on sidecars that run in the test process.
+func BenchmarkControlEntry(b *testing.B) {
+	for _, peers := range []int{10, 50, 200} {
+		b.Run(strconv.Itoa(peers), func(b *testing.B) {
+			ben := newBench(b)
+			entry := ben.entry()
+			for num := range peers {
+				ben.inProcessSidecar(num, []string{ben.peer}, "http://127.0.0.1:1")
+			}
+			ben.measure(entry)
+		})
+	}
+}
+
+// BenchmarkControlSidecar measures what one sidecar process spends at rest on entries that run in the test process.
+func BenchmarkControlSidecar(b *testing.B) {
+	for _, peers := range []int{1, 10, 40} {
+		b.Run(strconv.Itoa(peers), func(b *testing.B) {
+			ben := newBench(b)
+			var adrs []string
+			for num := range peers {
+				adrs = append(adrs, ben.inProcessEntry(num))
+			}
+			ben.measure(ben.sidecar(adrs, "http://127.0.0.1:1"))
+		})
+	}
+}
+
+// BenchmarkLoad measures what one entry and one sidecar process spend on a task whose upstream answers at once.
+func BenchmarkLoad(b *testing.B) {
+	ben := newBench(b)
+	ups := httptest.NewServer(http.HandlerFunc(func(rsp http.ResponseWriter, req *http.Request) {
+		rsp.Header().Set("Submission-Id", req.Header.Get("Submission-Id"))
+		rsp.Header().Set("Task-Index", req.Header.Get("Task-Index"))
+		_, _ = rsp.Write([]byte(`{"done":true}`))
+	}))
+	b.Cleanup(ups.Close)
+	entry := ben.entry()
+	sidecar := ben.sidecar([]string{ben.peer}, ups.URL)
+	<-time.After(settleTime)
+	var tasks atomic.Int64
+	ctx, stop := context.WithTimeout(context.Background(), measureTime)
+	defer stop()
+	fromEntry, fromSidecar := read(b, entry), read(b, sidecar)
+	var callers conc.WaitGroup
+	for range benchCallers {
+		callers.Go(func() { ben.submitJobs(ctx, &tasks) })
+	}
+	callers.Wait()
+	toEntry, toSidecar := read(b, entry), read(b, sidecar)
+	cnt := float64(tasks.Load())
+	b.ReportMetric(cnt/measureTime.Seconds(), "tasks/s")
+	for name, use := range map[string][2]usage{"entry": {fromEntry, toEntry}, "sidecar": {fromSidecar, toSidecar}} {
+		b.ReportMetric(float64((use[1].processor-use[0].processor).Microseconds())/cnt, name+"UsPerTask")
+		b.ReportMetric(float64(use[1].octets-use[0].octets)/cnt, name+"BytesPerTask")
+		b.ReportMetric(float64(use[1].memory-use[0].memory)/cnt, name+"MemoryPerTask")
+	}
+}
+
+// bench holds the parts around the measured processes.
+type bench struct {
+	b      *testing.B
+	ctx    context.Context
+	store  string
+	peer   string
+	caller string
+}
+
+func newBench(b *testing.B) *bench {
+	ctx, stop := context.WithCancel(context.Background())
+	b.Cleanup(stop)
+	sto := httptest.NewServer(&rgstandin.Store{})
+	b.Cleanup(sto.CloseClientConnections)
+	return &bench{b: b, ctx: ctx, store: sto.URL, peer: unusedAddress(b), caller: unusedAddress(b)}
+}
+
+func unusedAddress(b *testing.B) string {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	return lis.Addr().String()
+}
+
+func (ben *bench) entry() *os.Process {
+	return ben.spawn("entry", rgsettings.Entry{
+		Name: "entry", AvailabilityZone: "zone0", CallerAddress: ben.caller, PeerAddress: ben.peer, Store: ben.store,
+	})
+}
+
+func (ben *bench) sidecar(entries []string, upstream string) *os.Process {
+	return ben.spawn("sidecar", sidecarSettings("sidecar", entries, upstream))
+}
+
+func sidecarSettings(name string, entries []string, upstream string) rgsettings.Sidecar {
+	return rgsettings.Sidecar{
+		Name: name, AvailabilityZone: "zone0", Entries: entries, Upstream: upstream, Slots: 8, Connections: 60,
+	}
+}
+
+func (ben *bench) spawn(role string, settings any) *os.Process {
+	raw, err := json.Marshal(settings)
+	if err != nil {
+		ben.b.Fatal(err)
+	}
+	path := filepath.Join(ben.b.TempDir(), role+".json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		ben.b.Fatal(err)
+	}
+	cmd := exec.Command(program, role, path)
+	if err := cmd.Start(); err != nil {
+		ben.b.Fatal(err)
+	}
+	ben.b.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGKILL)
+		_ = cmd.Wait()
+	})
+	return cmd.Process
+}
+
+func (ben *bench) inProcessSidecar(num int, entries []string, upstream string) {
+	set := sidecarSettings(fmt.Sprintf("sidecar%d", num), entries, upstream)
+	if err := rgsettings.CheckSidecar(&set); err != nil {
+		ben.b.Fatal(err)
+	}
+	if _, err := rgsidecar.Start(ben.ctx, set, zap.NewNop(), tally.NoopScope); err != nil {
+		ben.b.Fatal(err)
+	}
+}
+
+func (ben *bench) inProcessEntry(num int) string {
+	set := rgsettings.Entry{
+		Name: fmt.Sprintf("entry%d", num), AvailabilityZone: "zone0", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+		Store: ben.store,
+	}
+	if err := rgsettings.CheckEntry(&set); err != nil {
+		ben.b.Fatal(err)
+	}
+	pro, err := rgentry.Start(ben.ctx, set, zap.NewNop(), tally.NoopScope)
+	if err != nil {
+		ben.b.Fatal(err)
+	}
+	return pro.Self().Address
+}
+
+// measure reports what a process spends at rest, per second and in all.
+func (ben *bench) measure(prc *os.Process) {
+	<-time.After(settleTime)
+	from := read(ben.b, prc)
+	<-time.After(measureTime)
+	to := read(ben.b, prc)
+	ben.b.ReportMetric(float64((to.processor-from.processor).Microseconds())/measureTime.Seconds(), "cpuUs/s")
+	ben.b.ReportMetric(float64(to.octets-from.octets)/measureTime.Seconds(), "bytes/s")
+	ben.b.ReportMetric(float64(to.memory)/(1<<20), "MB")
+}
+
+func (ben *bench) submitJobs(ctx context.Context, tasks *atomic.Int64) {
+	body := `{"team":"t","kind":"k","deadline":"20s","tasks":[1` + strings.Repeat(",1", benchTasks-1) + `]}`
+	for ctx.Err() == nil {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+ben.caller+"/v1/jobs", bytes.NewBufferString(body))
+		if err != nil {
+			ben.b.Error(err)
+			return
+		}
+		rsp, err := benchClient.Do(req)
+		if err != nil {
+			continue
+		}
+		_ = rsp.Body.Close()
+		if rsp.StatusCode == http.StatusOK {
+			tasks.Add(benchTasks)
+		}
+	}
+}
+
+// read takes the counters of a process from /proc: octets are those of all reads and writes, which are sockets only.
+func read(b *testing.B, prc *os.Process) usage {
+	dir := fmt.Sprintf("/proc/%d/", prc.Pid)
+	stat, err := os.ReadFile(dir + "stat")
+	if err != nil {
+		b.Fatal(err)
+	}
+	// The fields after the name of the program, which ends with a parenthesis: 11 and 12 are user and system time.
+	flds := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	return usage{
+		processor: time.Duration(number(flds[11])+number(flds[12])) * clockTick,
+		octets:    field(b, dir+"io", "rchar:") + field(b, dir+"io", "wchar:"),
+		memory:    field(b, dir+"status", "VmRSS:") << 10,
+	}
+}
+
+func field(b *testing.B, path, name string) int64 {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for line := range strings.Lines(string(raw)) {
+		if rest, ok := strings.CutPrefix(line, name); ok {
+			return number(strings.Fields(rest)[0])
+		}
+	}
+	b.Fatalf("no %s in %s", name, path)
+	return 0
+}
+
+func number(txt string) int64 {
+	num, _ := strconv.ParseInt(txt, 10, 64)
+	return num
+}
