Refuse batches that a cancellation has overtaken, and keep bad payloads from ejecting upstreams

Causes: a cancellation travels in a message of its own and could arrive before the batch, which then ran; answers with a 4xx status counted as failures of the upstream, so one team's bad payloads could eject it; a forwarded refusal lost its Retry-After; a record's window came with the batch although it is the same for all.

Change: a sidecar refuses batches of a cancelled submission for a minute; 4xx answers have the reason upstreamRefused and count neither way; ForwardReply carries retryAfter; records expire after RecordWindow.

--- a/core/rgadmission/flood_test.go
+++ b/core/rgadmission/flood_test.go
@@ -308,7 +308,7 @@
 		jr.failed = true
 		for _, que := range run.queues {
 			if rec := que.Records[id]; rec != nil && rec.Pending > 0 {
-				rgqueue.Cancel(que, []rgmodel.SubmissionID{id})
+				rgqueue.Cancel(que, []rgmodel.SubmissionID{id}, at(run.now))
 			}
 		}
 		if run.measured(jr) {
--- a/core/rgmodel/job.go
+++ b/core/rgmodel/job.go
@@ -96,7 +96,6 @@
 		Urgency    Urgency      `json:"urgency"`
 		Remaining  Duration     `json:"remaining"`
 		RunTime    Duration     `json:"runTime"`
-		Window     Duration     `json:"window"`
 		Tasks      []Task       `json:"tasks"`
 	}
 )
--- a/core/rgmodel/verdict.go
+++ b/core/rgmodel/verdict.go
@@ -27,6 +27,7 @@
 	ReasonNoUpstream       Reason = "noUpstream"
 	ReasonConnectionLost   Reason = "connectionLost"
 	ReasonUpstreamStatus   Reason = "upstreamStatus"
+	ReasonUpstreamRefused  Reason = "upstreamRefused"
 	ReasonUpstreamTimeout  Reason = "upstreamTimeout"
 	ReasonUpstreamUnreach  Reason = "upstreamUnreachable"
 	ReasonAnswerTruncated  Reason = "answerTruncated"
--- a/core/rgplacement/simulation_test.go
+++ b/core/rgplacement/simulation_test.go
@@ -182,7 +182,6 @@
 		jb.batch = rgmodel.Batch{
 			ID: rgmodel.SubmissionID(fmt.Sprint(len(sim.jobs))), Generation: 1, Flow: rgmodel.Flow{Team: "team", Kind: kind},
 			RunTime: rgmodel.Duration{Duration: time.Duration(sim.declared * (bounds[0] + bounds[1]) / 2 * float64(time.Second))},
-			Window:  rgmodel.Duration{Duration: time.Second},
 		}
 		num := int(math.Exp(rnd.Float64() * math.Log(float64(largest+1))))
 		for i := range min(largest, num) {
@@ -411,7 +410,7 @@
 		if jb.open[name] > 0 {
 			sim.addMessages(jb, 1, true)
 			queue := &sim.sidecars[name].queue
-			sim.after(2*hop, func() { rgqueue.Cancel(queue, []rgmodel.SubmissionID{jb.batch.ID}) })
+			sim.after(2*hop, func() { rgqueue.Cancel(queue, []rgmodel.SubmissionID{jb.batch.ID}, sim.clock()) })
 		}
 	}
 	sim.result.messages += jb.messages
--- a/core/rgqueue/command_accept.go
+++ b/core/rgqueue/command_accept.go
@@ -22,7 +22,7 @@
 	if rec == nil {
 		rec = addRecord(sta, bat)
 	}
-	rec.Expires = later(rec.Expires, now.Add(rec.Window+bat.Remaining.Duration))
+	rec.Expires = later(rec.Expires, now.Add(rgmodel.RecordWindow+bat.Remaining.Duration))
 	fresh := unrecorded(rec, bat.Tasks)
 	if len(fresh) == 0 {
 		return ""
@@ -44,11 +44,7 @@
 	if sta.Records == nil {
 		sta.Records = map[rgmodel.SubmissionID]*Record{}
 	}
-	win := bat.Window.Duration
-	if win == 0 {
-		win = rgmodel.RecordWindow
-	}
-	rec := &Record{Digest: bat.Digest, Flow: bat.Flow, Tasks: map[int]*Task{}, Window: win}
+	rec := &Record{Digest: bat.Digest, Flow: bat.Flow, Tasks: map[int]*Task{}}
 	sta.Records[bat.ID] = rec
 	return rec
 }
--- a/core/rgqueue/command_cancel.go
+++ b/core/rgqueue/command_cancel.go
@@ -2,18 +2,24 @@
 
 import (
 	"container/heap"
+	"maps"
 	"sort"
 	"time"
 
 	"ragwortgap/core/rgmodel"
 )
 
-// Cancel removes the queued tasks of the submissions, with the verdict that they were not run.
-// Running tasks are not touched: their upstream request is for the caller to stop.
-func Cancel(sta *State, ids []rgmodel.SubmissionID) {
+// Cancel removes the queued tasks of the submissions, with the verdict that they were not run. A batch that the
+// cancellation has overtaken on its way is refused. Running tasks are not touched: their upstream request is for the
+// caller to stop.
+func Cancel(sta *State, ids []rgmodel.SubmissionID, now time.Time) {
+	if sta.Cancelled == nil {
+		sta.Cancelled = map[rgmodel.SubmissionID]time.Time{}
+	}
 	drop := make(map[rgmodel.SubmissionID]bool, len(ids))
 	for _, id := range ids {
 		drop[id] = true
+		sta.Cancelled[id] = now.Add(cancelMemory)
 	}
 	removeQueued(sta, rgmodel.ReasonCancelled, func(que Queued) bool { return drop[que.ID] })
 }
@@ -34,6 +40,7 @@
 			delete(sta.Records, id)
 		}
 	}
+	maps.DeleteFunc(sta.Cancelled, func(_ rgmodel.SubmissionID, until time.Time) bool { return now.After(until) })
 	forgetSettled(sta)
 	if sta.Queued == 0 && sta.Running == 0 {
 		// The end of a busy period settles all debts, so that no flow is kept for its debt alone.
--- a/core/rgqueue/command_start.go
+++ b/core/rgqueue/command_start.go
@@ -69,8 +69,9 @@
 	case out.Verdict == rgmodel.RanOK:
 		sta.Succeeded++
 		learn(sta, stt.Flow.Kind, took)
-	case out.Reason != rgmodel.ReasonCancelled:
-		// Cancelled tasks are not the upstream's failures: a wave of cancellations must not eject it.
+	case out.Reason != rgmodel.ReasonCancelled && out.Reason != rgmodel.ReasonUpstreamRefused:
+		// Tasks that were cancelled, or that the upstream finds wrong, are not its failures: a wave of cancellations
+		// or one team's bad payloads must not eject it.
 		sta.Failed++
 	}
 	finalize(sta, stt.ID, out)
--- a/core/rgqueue/contract_test.go
+++ b/core/rgqueue/contract_test.go
@@ -45,7 +45,7 @@
 		want:   map[int]rgmodel.Reason{0: "", 1: "", 2: ""},
 	},
 	"a copy after a cancellation": {
-		slots: 8, before: func(sta *rgqueue.State) { rgqueue.Cancel(sta, []rgmodel.SubmissionID{"job"}) },
+		slots: 8, before: func(sta *rgqueue.State) { rgqueue.Cancel(sta, []rgmodel.SubmissionID{"job"}, epoch) },
 		want: map[int]rgmodel.Reason{0: rgmodel.ReasonCancelled, 1: rgmodel.ReasonCancelled, 2: rgmodel.ReasonCancelled},
 	},
 	"a copy after the deadline": {
@@ -71,6 +71,11 @@
 		},
 		want: map[int]rgmodel.Reason{0: rgmodel.ReasonNotReady, 1: rgmodel.ReasonNotReady, 2: rgmodel.ReasonNotReady},
 	},
+	"a batch that its cancellation has overtaken": {
+		slots: 8, late: true,
+		before: func(sta *rgqueue.State) { rgqueue.Cancel(sta, []rgmodel.SubmissionID{"job"}, epoch) },
+		want:   map[int]rgmodel.Reason{0: rgmodel.ReasonCancelled, 1: rgmodel.ReasonCancelled, 2: rgmodel.ReasonCancelled},
+	},
 	"a batch without time left": {
 		slots: 8, late: true, change: func(bat *rgmodel.Batch) { bat.Remaining.Duration = 0 },
 		want: map[int]rgmodel.Reason{0: rgmodel.ReasonExpired, 1: rgmodel.ReasonExpired, 2: rgmodel.ReasonExpired},
@@ -162,7 +167,7 @@
 	}{
 		"cancel removes the queued tasks of the submission": {
 			remove: func(sta *rgqueue.State) []rgmodel.SubmissionID {
-				rgqueue.Cancel(sta, []rgmodel.SubmissionID{"job"})
+				rgqueue.Cancel(sta, []rgmodel.SubmissionID{"job"}, epoch)
 				return []rgmodel.SubmissionID{"job"}
 			},
 			wantQueued: 10, wantRunning: 2, want: map[rgmodel.Reason]int{rgmodel.ReasonCancelled: 8},
--- a/core/rgqueue/harness_test.go
+++ b/core/rgqueue/harness_test.go
@@ -136,7 +136,7 @@
 
 func refill(sta *rgqueue.State, lod load, now time.Duration) {
 	if now >= lod.idleFrom && now < lod.idleUntil {
-		rgqueue.Cancel(sta, queuedIDs(sta, lod.kind))
+		rgqueue.Cancel(sta, queuedIDs(sta, lod.kind), epoch)
 		return
 	}
 	if flo := sta.Flows[flow(lod.kind)]; flo != nil && len(flo.Waiting) >= 8 {
--- a/core/rgqueue/property_test.go
+++ b/core/rgqueue/property_test.go
@@ -81,7 +81,7 @@
 		his.running = append(his.running[:pos], his.running[pos+1:]...)
 		rgqueue.Finish(his.sta, stt, ok(stt), time.Duration(arg)*time.Millisecond)
 	case kind == 16:
-		rgqueue.Cancel(his.sta, []rgmodel.SubmissionID{id})
+		rgqueue.Cancel(his.sta, []rgmodel.SubmissionID{id}, epoch)
 	case kind == 17:
 		his.now = his.now.Add(time.Duration(arg%20) * 50 * time.Millisecond)
 		rgqueue.ExpireQueued(his.sta, his.now)
--- a/core/rgqueue/query_wait.go
+++ b/core/rgqueue/query_wait.go
@@ -54,6 +54,8 @@
 	switch {
 	case !InContact(sta, now):
 		return rgmodel.ReasonNotReady
+	case now.Before(sta.Cancelled[bat.ID]):
+		return rgmodel.ReasonCancelled
 	case sta.Draining:
 		return rgmodel.ReasonDraining
 	case bat.Remaining.Duration <= 0:
--- a/core/rgqueue/results_test.go
+++ b/core/rgqueue/results_test.go
@@ -101,7 +101,6 @@
 	case pending:
 		bat = batch(id, "k", 2)
 	}
-	bat.Window.Duration = time.Minute
 	rgqueue.Accept(sta, bat, epoch)
 	stts := rgqueue.StartNext(sta, epoch).Starts
 	if id == "a2 runs" {
--- a/core/rgqueue/state.go
+++ b/core/rgqueue/state.go
@@ -11,6 +11,8 @@
 )
 
 const (
+	// cancelMemory is how long a cancellation outlives itself: a batch that it has overtaken arrives within a deadline.
+	cancelMemory = time.Minute
 	// DefaultMaxQueued is the number of queued tasks above which batches are refused whatever their deadline.
 	DefaultMaxQueued = 4096
 	// DefaultServiceTime is assumed for a kind that is neither learned nor declared.
@@ -72,7 +74,6 @@
 		Flow    rgmodel.Flow
 		Tasks   map[int]*Task
 		Expires time.Time
-		Window  time.Duration
 		// Pending is the number of tasks that are not final.
 		Pending int
 		// Settlement is the number of the latest time at which no task was pending any more.
@@ -103,10 +104,12 @@
 		// Settled is in order of settlement. An entry is out of date when its record is gone or has a later one.
 		Settled     []Settled
 		Settlements uint64
-		Flows       map[rgmodel.Flow]*Flow
-		Weights     map[rgmodel.Flow]int
-		Times       map[string]time.Duration
-		Virtual     float64
+		// Cancelled holds until when batches of a submission are refused because it was cancelled.
+		Cancelled map[rgmodel.SubmissionID]time.Time
+		Flows     map[rgmodel.Flow]*Flow
+		Weights   map[rgmodel.Flow]int
+		Times     map[string]time.Duration
+		Virtual   float64
 		// Decayed is when the usage of the flows was last brought up to date.
 		Decayed   time.Time
 		Arrivals  uint64
--- a/io/rgentry/caller.go
+++ b/io/rgentry/caller.go
@@ -102,8 +102,8 @@
 				// The entry that has passed the job on decides again, with a newer ring. Waiting here would hold it up.
 				return Reply{}
 			}
-			if ans, ok := pro.forwardJob(ctx, jb, dec.home, hops); ok {
-				return Reply{Answer: ans}
+			if rep, ok := pro.forwardJob(ctx, jb, dec.home, hops); ok {
+				return rep
 			}
 			pause(ctx, forwardPause)
 		}
@@ -115,11 +115,11 @@
 }
 
 // forwardJob passes a job to its home. Passing it on again is safe, because the home knows the id.
-func (pro *Process) forwardJob(ctx context.Context, jb rgmodel.Job, home rgmodel.Entry, hops int) (rgmodel.Answer, bool) {
+func (pro *Process) forwardJob(ctx context.Context, jb rgmodel.Job, home rgmodel.Entry, hops int) (Reply, bool) {
 	pro.scope.Counter("forwards").Inc(1)
 	var rep rgwire.ForwardReply
 	err := pro.entries.ask(ctx, pro, home, rgwire.Forward{Job: jb, Hops: hops + 1}, &rep)
-	return rep.Answer, err == nil && len(rep.Answer.Outcomes) == len(jb.Tasks)
+	return Reply{Answer: rep.Answer, RetryAfter: rep.RetryAfter.Duration}, err == nil && len(rep.Answer.Outcomes) == len(jb.Tasks)
 }
 
 func (pro *Process) elsewhere(id rgmodel.SubmissionID) (rgmodel.Entry, bool) {
--- a/io/rgentry/serve.go
+++ b/io/rgentry/serve.go
@@ -35,7 +35,8 @@
 		pro.tell(ctx, usageHeard{usage: msg})
 		return struct{}{}, nil
 	case rgwire.Forward:
-		return rgwire.ForwardReply{Answer: pro.submitJob(ctx, msg.Job, false, msg.Hops).Answer}, nil
+		rep := pro.submitJob(ctx, msg.Job, false, msg.Hops)
+		return rgwire.ForwardReply{Answer: rep.Answer, RetryAfter: rgmodel.Duration{Duration: rep.RetryAfter}}, nil
 	case rgwire.JobState:
 		return pro.localState(ctx, msg.ID)
 	case rgwire.CancelJob:
--- a/io/rgsidecar/control.go
+++ b/io/rgsidecar/control.go
@@ -188,7 +188,7 @@
 }
 
 func (pro *Process) cancel(sta *state, ids []rgmodel.SubmissionID) {
-	rgqueue.Cancel(&sta.queue, ids)
+	rgqueue.Cancel(&sta.queue, ids, time.Now())
 	for key, stop := range sta.running {
 		for _, id := range ids {
 			if key.id == id {
--- a/io/rgsidecar/runner.go
+++ b/io/rgsidecar/runner.go
@@ -95,6 +95,8 @@
 		return out
 	case int64(len(raw)) > pro.settings.MaxAnswerBytes:
 		return rgmodel.Outcome{Reason: rgmodel.ReasonAnswerTooLarge, Detail: fmt.Sprintf("over %d bytes", pro.settings.MaxAnswerBytes)}
+	case rsp.StatusCode >= http.StatusBadRequest && rsp.StatusCode < http.StatusInternalServerError:
+		return rgmodel.Outcome{Verdict: rgmodel.RanFailed, Reason: rgmodel.ReasonUpstreamRefused, Detail: rsp.Status}
 	case rsp.StatusCode < http.StatusOK || rsp.StatusCode >= http.StatusMultipleChoices:
 		return rgmodel.Outcome{Verdict: rgmodel.RanFailed, Reason: rgmodel.ReasonUpstreamStatus, Detail: rsp.Status}
 	case len(raw) > 0 && !json.Valid(raw):
--- a/io/rgwire/message.go
+++ b/io/rgwire/message.go
@@ -95,7 +95,8 @@
 
 	// ForwardReply is the answer to Forward.
 	ForwardReply struct {
-		Answer rgmodel.Answer `json:"answer"`
+		Answer     rgmodel.Answer   `json:"answer"`
+		RetryAfter rgmodel.Duration `json:"retryAfter"`
 	}
 
 	// JobState asks the home of a submission how far it is.
