--- /dev/null
+++ b/core/rgqueue/memory_bench_test.go
@@ -0,0 +1,33 @@
+package rgqueue_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgqueue"
+)
+
+// BenchmarkRecordMemory measures the heap that a settled task keeps, in jobs of which the sidecar has 9 tasks with
+// results of 64 bytes, below the bound for results.
+func BenchmarkRecordMemory(b *testing.B) {
+	const jobs, perJob = 5_000, 9
+	var from, to runtime.MemStats
+	sta := ready(perJob)
+	runtime.GC()
+	runtime.ReadMemStats(&from)
+	for num := range jobs {
+		rgqueue.Accept(sta, batch(fmt.Sprintf("%036d", num), "k", perJob), epoch)
+		for _, stt := range rgqueue.StartNext(sta, epoch).Starts {
+			out := ok(stt)
+			out.Result = make(rgmodel.Payload, 64)
+			rgqueue.Finish(sta, stt, out, time.Millisecond)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&to)
+	b.ReportMetric(float64(to.HeapAlloc-from.HeapAlloc)/(jobs*perJob), "bytes/task")
+	runtime.KeepAlive(sta)
+}
--- /dev/null
+++ b/core/rgsubmission/memory_bench_test.go
@@ -0,0 +1,52 @@
+package rgsubmission
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// BenchmarkSubmissionMemory measures the heap that a final job of 36 tasks at 4 sidecars keeps once its answer has been
+// dropped, and with it.
+func BenchmarkSubmissionMemory(b *testing.B) {
+	tests := map[string]int{"answer dropped": 1, "answer kept": 1 << 30}
+	for name, limit := range tests {
+		b.Run(name, func(b *testing.B) {
+			const jobs, tasks = 2_000, 36
+			var from, to runtime.MemStats
+			sta := &State{MaxAnswerBytes: limit}
+			runtime.GC()
+			runtime.ReadMemStats(&from)
+			for num := range jobs {
+				id := rgmodel.SubmissionID(fmt.Sprintf("%036d", num))
+				Register(sta, rgmodel.Job{ID: id}, false, rgmodel.RecordWindow, time.Unix(0, 0))
+				Finish(sta, answer(id, tasks), places(tasks))
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&to)
+			b.ReportMetric(float64(to.HeapAlloc-from.HeapAlloc)/jobs, "bytes/job")
+			runtime.KeepAlive(sta)
+		})
+	}
+}
+
+func answer(id rgmodel.SubmissionID, tasks int) rgmodel.Answer {
+	ans := rgmodel.Answer{ID: id}
+	for idx := range tasks {
+		ans.Outcomes = append(ans.Outcomes, rgmodel.Outcome{Index: idx, Verdict: rgmodel.RanOK, Result: make(rgmodel.Payload, 64)})
+	}
+	return ans
+}
+
+func places(tasks int) []Place {
+	plcs := make([]Place, 4)
+	for idx := range tasks {
+		plc := &plcs[idx%4]
+		plc.Sidecar = rgmodel.SidecarKey{Name: "sidecar", Incarnation: "incarnation"}
+		plc.Indexes = append(plc.Indexes, idx)
+	}
+	return plcs
+}
