Keep returning entries in the ring after an outage of the store, and learn again after a ring change

Causes: after an outage all leases have expired, and the first entry to take its lease wrote a ring without the others, which cost takeovers; an entry that was learning its sidecars while the ring changed went alone, which made callers' ids of two seconds uncertain at most starts with several entries.

Change: for one lease time after the store answers again, entries without a lease stay in the ring; a round of learning for an older ring is repeated.

--- a/io/rgentry/event.go
+++ b/io/rgentry/event.go
@@ -83,8 +83,8 @@
 	learned struct {
 		known       []rghome.Knowledge
 		unaccounted []rgmodel.Entry
-		// round says that this is the answer to a round of learning, not to a poll while the store is down.
-		round bool
+		// generation is that of the ring for which entries were asked, or zero for a poll while the store is down.
+		generation uint64
 	}
 
 	membersAsked struct {
--- a/io/rgentry/ring.go
+++ b/io/rgentry/ring.go
@@ -122,7 +122,7 @@
 
 // askEntries asks each entry once and reports what they know, and which have neither answered nor ended.
 func (pro *Process) askEntries(work context.Context, rng rgmodel.Ring, asked []rgmodel.Entry) {
-	evt := learned{round: true}
+	evt := learned{generation: rng.Generation}
 	seen := map[string]bool{pro.self.Incarnation: true}
 	for _, ent := range asked {
 		if seen[ent.Incarnation] {
@@ -152,11 +152,16 @@
 		pro.adoptRing(work, sta, kno.Ring, now)
 		evt.unaccounted = append(evt.unaccounted, kno.Unaccounted...)
 	}
-	if !evt.round {
+	if evt.generation == 0 {
 		return
 	}
 	sta.learning = false
-	if !rgring.Complete(&sta.home.Ring) && contains(sta.home.Ring.Ring, pro.self) {
+	switch {
+	case rgring.Complete(&sta.home.Ring) || !contains(sta.home.Ring.Ring, pro.self):
+	case evt.generation < sta.home.Ring.Ring.Generation:
+		// The ring has changed since; an entry that was asked then may not have adopted the new one.
+		pro.startLearning(work, sta, sta.home.Ring.Ring)
+	default:
 		pro.goAlone(work, sta, evt.unaccounted, now)
 	}
 	if rgring.Complete(&sta.home.Ring) {
--- a/io/rgentry/store.go
+++ b/io/rgentry/store.go
@@ -30,6 +30,8 @@
 
 	// watchWait bounds a waiting watch; it is also the longest time until a lost watch is noticed.
 	watchWait = 10 * time.Second
+	// settleWait bounds a watch after an outage of the store, until the ring may lose entries again.
+	settleWait = 500 * time.Millisecond
 	// peerInterval is how often another entry is asked for news while the store does not answer. The question of an
 	// entry that has a ring has some 20 bytes for each team: 2.7 KB/s for 270 teams.
 	peerInterval = 2 * time.Second
@@ -42,8 +44,9 @@
 	process *Process
 	items   map[string]rgstore.Item
 	version uint64
-	// down is set while the store does not answer.
+	// down is set while the store does not answer, and back is when it last answered again.
 	down bool
+	back time.Time
 }
 
 // followStore joins the ring and follows the store. When ctx ends, the entry gives its lease back, so that other
@@ -98,7 +101,11 @@
 }
 
 func (fol *follower) watch(ctx context.Context) error {
-	lis, err := fol.process.store.Watch(ctx, KeyPrefix, fol.version, watchWait)
+	wait := watchWait
+	if fol.settling() {
+		wait = settleWait
+	}
+	lis, err := fol.process.store.Watch(ctx, KeyPrefix, fol.version, wait)
 	if err != nil {
 		return err
 	}
@@ -119,6 +126,7 @@
 	case err != nil && !fol.down:
 		fol.process.log.Warn("store unavailable", zap.Error(err))
 	case err == nil && fol.down:
+		fol.back = time.Now()
 		fol.process.log.Info("store available")
 	}
 	fol.down = err != nil
@@ -222,6 +230,9 @@
 func (fol *follower) proposeRing(ctx context.Context) {
 	live := fol.live()
 	cur, _ := fol.ring()
+	if fol.settling() {
+		live = withReturning(live, cur)
+	}
 	if len(live) == 0 || slices.Equal(live, cur.Entries) {
 		return
 	}
@@ -242,6 +253,27 @@
 	}
 }
 
+// settling reports whether entries whose leases have expired in a store outage may still take new ones.
+func (fol *follower) settling() bool {
+	return time.Since(fol.back) < fol.process.settings.LeaseTime.Duration
+}
+
+// withReturning adds the entries of the ring that no other incarnation replaces. Without it, the first entry to take
+// its lease after an outage of the store would exclude all others for a moment.
+func withReturning(live []rgmodel.Entry, rng rgmodel.Ring) []rgmodel.Entry {
+	for _, ent := range rng.Entries {
+		if !slices.ContainsFunc(live, func(oth rgmodel.Entry) bool { return oth.Name == ent.Name }) {
+			live = append(live, ent)
+		}
+	}
+	sortByName(live)
+	return live
+}
+
+func sortByName(ents []rgmodel.Entry) {
+	slices.SortFunc(ents, func(fst, snd rgmodel.Entry) int { return strings.Compare(fst.Name, snd.Name) })
+}
+
 // live returns the entries that hold a lease, ordered by name.
 func (fol *follower) live() []rgmodel.Entry {
 	var ents []rgmodel.Entry
@@ -256,7 +288,7 @@
 		}
 		ents = append(ents, ent)
 	}
-	slices.SortFunc(ents, func(fst, snd rgmodel.Entry) int { return strings.Compare(fst.Name, snd.Name) })
+	sortByName(ents)
 	return ents
 }
 
