--- a/core/rgadmission/command_quota.go
+++ b/core/rgadmission/command_quota.go
@@ -31,11 +31,11 @@
 	buc := fill(sta, quo.Team.Team, hol, now)
 	share := part(sta, buc.Demand, hol)
 	buc.Demand += tasks / DemandTime.Seconds()
-	refill := hol.quota.Sustained * now.Sub(buc.Began).Seconds()
+	refill := hol.Quota.Sustained * now.Sub(buc.Began).Seconds()
 	wait := time.Duration(0)
-	switch need := min(tasks, hol.quota.Burst); {
+	switch need := min(tasks, hol.Quota.Burst); {
 	case buc.Tokens < need:
-		wait = time.Duration((need - buc.Tokens) / hol.quota.Sustained * float64(time.Second))
+		wait = time.Duration((need - buc.Tokens) / hol.Quota.Sustained * float64(time.Second))
 	case buc.Spent > 0 && buc.Spent+tasks > share*(buc.Pool+refill):
 		wait = UsageInterval - now.Sub(buc.Began)
 	}
@@ -120,15 +120,15 @@
 }
 
 // fill returns the team's bucket with the tokens of the time that has passed.
-func fill(sta *State, team string, hol holding, now time.Time) *Bucket {
+func fill(sta *State, team string, hol Holding, now time.Time) *Bucket {
 	if sta.Buckets == nil {
 		sta.Buckets = map[string]*Bucket{}
 	}
-	lim := hol.quota
+	lim := hol.Quota
 	buc := sta.Buckets[team]
 	if buc == nil {
 		// The others may be spending all that comes in; a full bucket here would let each entry admit another burst.
-		full := lim.Burst * max(0, 1-hol.demand/lim.Sustained)
+		full := lim.Burst * max(0, 1-hol.Demand/lim.Sustained)
 		buc = &Bucket{Tokens: full, Filled: now, Began: now, Pool: full}
 		sta.Buckets[team] = buc
 	}
--- a/core/rgadmission/query_share.go
+++ b/core/rgadmission/query_share.go
@@ -6,20 +6,20 @@
 	"ragwortgap/core/rgmodel"
 )
 
-// holding is what an entry may dispose of.
-type holding struct {
+// Holding is what an entry may dispose of.
+type Holding struct {
 	// quota is the part of the team's quota that the entry's bucket holds: its own equal part, and the parts of the
 	// entries whose use it knows.
-	quota rgmodel.Quota
+	Quota rgmodel.Quota
 	// demand is that of the other entries, in tasks per second.
-	demand float64
+	Demand float64
 	// entries is the number of entries of the ring.
-	entries float64
+	Entries float64
 }
 
 // hold looks through the entries of the ring for what is known of them.
-func hold(sta *State, quo Quota, now time.Time) holding {
-	hol := holding{entries: float64(max(1, len(quo.Ring.Entries)))}
+func hold(sta *State, quo Quota, now time.Time) Holding {
+	hol := Holding{Entries: float64(max(1, len(quo.Ring.Entries)))}
 	known := 1.0
 	switch sta.Shares.(type) {
 	case EqualShare:
@@ -28,26 +28,26 @@
 			pus, ok := sta.Peers[ent.Incarnation]
 			if ok && ent.Incarnation != quo.Self.Incarnation && now.Sub(pus.At) <= UsageTTL {
 				known++
-				hol.demand += pus.Teams[quo.Team.Team].Demand
+				hol.Demand += pus.Teams[quo.Team.Team].Demand
 			}
 		}
 	}
 	lim := limit(quo.Team)
-	hol.quota = rgmodel.Quota{Sustained: lim.Sustained * known / hol.entries, Burst: lim.Burst * known / hol.entries}
+	hol.Quota = rgmodel.Quota{Sustained: lim.Sustained * known / hol.Entries, Burst: lim.Burst * known / hol.Entries}
 	return hol
 }
 
 // part returns the part of the bucket that the entry may spend in an interval, above 0 and at most 1.
-func part(sta *State, own float64, hol holding) float64 {
+func part(sta *State, own float64, hol Holding) float64 {
 	switch sta.Shares.(type) {
 	case EqualShare:
 		// The bucket itself holds no more than the entry's part.
 		return 1
 	default:
-		if own+hol.demand <= 0 {
-			return 1 / hol.entries
+		if own+hol.Demand <= 0 {
+			return 1 / hol.Entries
 		}
-		return DemandFloor/hol.entries + (1-DemandFloor)*own/(own+hol.demand)
+		return DemandFloor/hol.Entries + (1-DemandFloor)*own/(own+hol.Demand)
 	}
 }
 
--- a/core/rgadmission/query_wait.go
+++ b/core/rgadmission/query_wait.go
@@ -14,21 +14,22 @@
 const margin = 1.25
 
 type (
-	// totals sums the loads of all sidecars.
-	totals struct {
-		slots   int
-		running int
-		sent    int
+	// Totals sums the loads of all sidecars.
+	Totals struct {
+		Slots   int
+		Running int
+		Sent    int
 		// ahead counts the tasks of the job's flow that are queued or may still be.
-		ahead int
+		Ahead int
 		// demand counts the tasks of each other flow.
-		demand map[rgmodel.Flow]int
+		Demand map[rgmodel.Flow]int
 		// learned is the mean service time of the job's kind over all slots where it is known, else zero.
-		learned time.Duration
+		Learned time.Duration
 	}
 
-	claim struct {
-		demand, weight float64
+	// Claim is the demand of one flow for slots.
+	Claim struct {
+		Demand, Weight float64
 	}
 )
 
@@ -39,17 +40,17 @@
 // wrong the declared or the last learned time is.
 func CheckWait(lds []Load, teams map[string]rgmodel.TeamConfig, jb rgmodel.Job) Refusal {
 	tot := sum(lds, jb.Flow)
-	ahead := tot.ahead - max(0, tot.slots-tot.running-tot.sent)
-	if tot.slots == 0 || ahead <= 0 {
+	ahead := tot.Ahead - max(0, tot.Slots-tot.Running-tot.Sent)
+	if tot.Slots == 0 || ahead <= 0 {
 		return Refusal{}
 	}
 	share := slotShare(tot, teams, jb.Flow)
 	wait := time.Duration(float64(ahead) * float64(declared(jb)) / share)
-	if tot.learned > 0 {
+	if tot.Learned > 0 {
 		// The last task of the job must start early enough to finish: one that the deadline cuts off has
 		// used a slot for nothing.
 		last := ahead + len(jb.Tasks)
-		wait = time.Duration(margin * (float64(last)*float64(tot.learned)/share + float64(tot.learned)))
+		wait = time.Duration(margin * (float64(last)*float64(tot.Learned)/share + float64(tot.Learned)))
 	}
 	if wait <= jb.Deadline.Duration {
 		return Refusal{}
@@ -61,27 +62,27 @@
 	}
 }
 
-func sum(lds []Load, own rgmodel.Flow) totals {
-	tot := totals{demand: map[rgmodel.Flow]int{}}
+func sum(lds []Load, own rgmodel.Flow) Totals {
+	tot := Totals{Demand: map[rgmodel.Flow]int{}}
 	var learned time.Duration
 	known := 0
 	for _, lod := range lds {
-		tot.slots += lod.Slots
-		tot.running += lod.Report.Running
+		tot.Slots += lod.Slots
+		tot.Running += lod.Report.Running
 		for _, flo := range lod.Report.Flows {
 			if flo.Flow == own {
-				tot.ahead += flo.Queued
+				tot.Ahead += flo.Queued
 				continue
 			}
-			tot.demand[flo.Flow] += flo.Queued + flo.Running
+			tot.Demand[flo.Flow] += flo.Queued + flo.Running
 		}
 		for _, flo := range lod.Sent {
 			if flo.Flow == own {
-				tot.ahead += flo.Queued
+				tot.Ahead += flo.Queued
 				continue
 			}
-			tot.sent += flo.Queued
-			tot.demand[flo.Flow] += flo.Queued
+			tot.Sent += flo.Queued
+			tot.Demand[flo.Flow] += flo.Queued
 		}
 		for _, kt := range lod.Report.Times {
 			if kt.Kind == own.Kind {
@@ -91,32 +92,32 @@
 		}
 	}
 	if known > 0 {
-		tot.learned = learned / time.Duration(known)
+		tot.Learned = learned / time.Duration(known)
 	}
 	return tot
 }
 
 // slotShare is the number of slots that the flow gets with endless work, by weighted max-min fairness: a flow with fewer
 // tasks than its share leaves the rest to the others (Bertsekas, Gallager: "Data Networks", 1992, section 6.5.2).
-func slotShare(tot totals, teams map[string]rgmodel.TeamConfig, own rgmodel.Flow) float64 {
-	clms := make([]claim, 0, len(tot.demand))
-	free, mine := float64(tot.slots), weight(teams, own)
+func slotShare(tot Totals, teams map[string]rgmodel.TeamConfig, own rgmodel.Flow) float64 {
+	clms := make([]Claim, 0, len(tot.Demand))
+	free, mine := float64(tot.Slots), weight(teams, own)
 	total := mine
 	// Sidecars leave slots free for other flows when the job's tasks are long. About half of these slots are assumed to be in
 	// use, and so in the demand already.
-	more := 1 + rgqueue.ReserveFactor(tot.learned)/2
-	for flo, tasks := range tot.demand {
-		clm := claim{demand: more * float64(tasks), weight: weight(teams, flo)}
+	more := 1 + rgqueue.ReserveFactor(tot.Learned)/2
+	for flo, tasks := range tot.Demand {
+		clm := Claim{Demand: more * float64(tasks), Weight: weight(teams, flo)}
 		clms = append(clms, clm)
-		total += clm.weight
+		total += clm.Weight
 	}
-	slices.SortFunc(clms, func(fst, snd claim) int { return cmp.Compare(fst.demand/fst.weight, snd.demand/snd.weight) })
+	slices.SortFunc(clms, func(fst, snd Claim) int { return cmp.Compare(fst.Demand/fst.Weight, snd.Demand/snd.Weight) })
 	for _, clm := range clms {
-		if clm.demand > free*clm.weight/total {
+		if clm.Demand > free*clm.Weight/total {
 			break
 		}
-		free -= clm.demand
-		total -= clm.weight
+		free -= clm.Demand
+		total -= clm.Weight
 	}
 	return free * mine / total
 }
--- a/io/rgcli/cli.go
+++ b/io/rgcli/cli.go
@@ -24,18 +24,19 @@
 )
 
 type (
-	arguments struct {
-		Entry   *entryCommand   `arg:"subcommand:entry" help:"run an entry"`
-		Sidecar *sidecarCommand `arg:"subcommand:sidecar" help:"run the sidecar of an upstream"`
-		Demo    *demoCommand    `arg:"subcommand:demo" help:"run the whole system with stand-ins in one process"`
-		Burn    *burnQuery      `arg:"subcommand:burn" help:"print the error budgets of the flows, summed over entries"`
-		Version *versionQuery   `arg:"subcommand:version" help:"print the version"`
+	// Arguments are the subcommands and their arguments, as go-arg reads them.
+	Arguments struct {
+		Entry   *EntryCommand   `arg:"subcommand:entry" help:"run an entry"`
+		Sidecar *SidecarCommand `arg:"subcommand:sidecar" help:"run the sidecar of an upstream"`
+		Demo    *DemoCommand    `arg:"subcommand:demo" help:"run the whole system with stand-ins in one process"`
+		Burn    *BurnQuery      `arg:"subcommand:burn" help:"print the error budgets of the flows, summed over entries"`
+		Version *VersionQuery   `arg:"subcommand:version" help:"print the version"`
 
-		Questionnaire *questionnaireCommand `arg:"subcommand:questionnaire" help:"ask a team's questions, or check its answers"`
-		Generate      *generateQuery        `arg:"subcommand:generate" help:"print the configuration that answers ask for"`
-		Explain       *explainQuery         `arg:"subcommand:explain" help:"print what a change of answers changes"`
-		Apply         *applyCommand         `arg:"subcommand:apply" help:"write a team's configuration to the store"`
-		Status        *statusQuery          `arg:"subcommand:status" help:"print the configuration in force at entries and sidecars"`
+		Questionnaire *QuestionnaireCommand `arg:"subcommand:questionnaire" help:"ask a team's questions, or check its answers"`
+		Generate      *GenerateQuery        `arg:"subcommand:generate" help:"print the configuration that answers ask for"`
+		Explain       *ExplainQuery         `arg:"subcommand:explain" help:"print what a change of answers changes"`
+		Apply         *ApplyCommand         `arg:"subcommand:apply" help:"write a team's configuration to the store"`
+		Status        *StatusQuery          `arg:"subcommand:status" help:"print the configuration in force at entries and sidecars"`
 	}
 )
 
@@ -43,7 +44,7 @@
 func Main(args []string, out, log io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	var cmd arguments
+	var cmd Arguments
 	prs, err := arg.NewParser(arg.Config{Program: "ragwortgap", Out: out}, &cmd)
 	if err != nil {
 		_, _ = fmt.Fprintln(log, err)
@@ -62,25 +63,25 @@
 
 func dispatch(ctx context.Context, prs *arg.Parser, out io.Writer) error {
 	switch cmd := prs.Subcommand().(type) {
-	case *entryCommand:
+	case *EntryCommand:
 		return cmd.run(ctx)
-	case *sidecarCommand:
+	case *SidecarCommand:
 		return cmd.run(ctx)
-	case *demoCommand:
+	case *DemoCommand:
 		return cmd.run(ctx, out)
-	case *questionnaireCommand:
+	case *QuestionnaireCommand:
 		return cmd.run(ctx, os.Stdin, out)
-	case *generateQuery:
+	case *GenerateQuery:
 		return cmd.run(out)
-	case *explainQuery:
+	case *ExplainQuery:
 		return cmd.run(out)
-	case *applyCommand:
+	case *ApplyCommand:
 		return cmd.run(ctx, out)
-	case *statusQuery:
+	case *StatusQuery:
 		return cmd.run(ctx, out)
-	case *burnQuery:
+	case *BurnQuery:
 		return cmd.run(ctx, out)
-	case *versionQuery:
+	case *VersionQuery:
 		return cmd.run(out)
 	default:
 		prs.WriteHelp(out)
--- a/io/rgcli/command_apply.go
+++ b/io/rgcli/command_apply.go
@@ -14,7 +14,8 @@
 	"ragwortgap/io/rgstore"
 )
 
-type applyCommand struct {
+// ApplyCommand writes a configuration to the store.
+type ApplyCommand struct {
 	File     string        `arg:"positional,required" help:"answers or configuration, JSON with comments"`
 	Store    string        `arg:"--store,required" help:"URL of the store"`
 	ChangeID string        `arg:"--change-id" help:"change id; repeat it to apply a change again whose outcome is unknown"`
@@ -22,7 +23,7 @@
 	Timeout  time.Duration `arg:"--timeout" default:"30s" help:"how long to try"`
 }
 
-func (cmd *applyCommand) run(ctx context.Context, out io.Writer) error {
+func (cmd *ApplyCommand) run(ctx context.Context, out io.Writer) error {
 	tc, err := rganswers.ReadConfig(cmd.File)
 	if err != nil {
 		return err
--- a/io/rgcli/command_demo.go
+++ b/io/rgcli/command_demo.go
@@ -7,10 +7,11 @@
 	"ragwortgap/io/rgdemo"
 )
 
-type demoCommand struct {
+// DemoCommand runs the demo.
+type DemoCommand struct {
 	Keep bool `arg:"--keep" help:"go on serving after the report"`
 }
 
-func (cmd *demoCommand) run(ctx context.Context, out io.Writer) error {
+func (cmd *DemoCommand) run(ctx context.Context, out io.Writer) error {
 	return rgdemo.Run(ctx, rgdemo.Options{Keep: cmd.Keep}, out)
 }
--- a/io/rgcli/command_questionnaire.go
+++ b/io/rgcli/command_questionnaire.go
@@ -14,7 +14,8 @@
 )
 
 type (
-	questionnaireCommand struct {
+	// QuestionnaireCommand asks for answers or checks them.
+	QuestionnaireCommand struct {
 		Check string `arg:"--check" help:"check this answers file instead of asking"`
 		File  string `arg:"positional" help:"answers file to write"`
 	}
@@ -26,7 +27,7 @@
 	}
 )
 
-func (cmd *questionnaireCommand) run(_ context.Context, in io.Reader, out io.Writer) error {
+func (cmd *QuestionnaireCommand) run(_ context.Context, in io.Reader, out io.Writer) error {
 	switch {
 	case (cmd.Check == "") == (cmd.File == ""):
 		return errors.BadRequestf("need either a file to write or --check")
--- a/io/rgcli/command_run.go
+++ b/io/rgcli/command_run.go
@@ -25,16 +25,18 @@
 const headerTimeout = 5 * time.Second
 
 type (
-	entryCommand struct {
+	// EntryCommand runs an entry.
+	EntryCommand struct {
 		Settings string `arg:"positional,required" help:"settings file, JSON with comments"`
 	}
 
-	sidecarCommand struct {
+	// SidecarCommand runs a sidecar.
+	SidecarCommand struct {
 		Settings string `arg:"positional,required" help:"settings file, JSON with comments"`
 	}
 )
 
-func (cmd *entryCommand) run(ctx context.Context) error {
+func (cmd *EntryCommand) run(ctx context.Context) error {
 	set, err := rgsettings.ReadEntry(cmd.Settings)
 	if err != nil {
 		return err
@@ -119,7 +121,7 @@
 	return errors.Annotate(err, "drain callers")
 }
 
-func (cmd *sidecarCommand) run(ctx context.Context) error {
+func (cmd *SidecarCommand) run(ctx context.Context) error {
 	set, err := rgsettings.ReadSidecar(cmd.Settings)
 	if err != nil {
 		return err
--- a/io/rgcli/config_test.go
+++ b/io/rgcli/config_test.go
@@ -111,7 +111,7 @@
 		t.Run(name, func(t *testing.T) {
 			path := filepath.Join(t.TempDir(), "answers.json")
 			var out, log bytes.Buffer
-			cmd := questionnaireCommand{File: path}
+			cmd := QuestionnaireCommand{File: path}
 			err := cmd.run(context.Background(), strings.NewReader(tc.input), &out)
 			if code := exitCode(err, &log); code != tc.code || !strings.Contains(out.String(), tc.want) {
 				t.Errorf("exit code %d, want %d; output %s%s", code, tc.code, out.String(), log.String())
--- a/io/rgcli/query_burn.go
+++ b/io/rgcli/query_burn.go
@@ -25,13 +25,14 @@
 	maxBurnBytes = 16 << 20
 )
 
-type burnQuery struct {
+// BurnQuery prints error budgets.
+type BurnQuery struct {
 	Entries []string `arg:"positional,required" placeholder:"ADDRESS" help:"entries, such as 127.0.0.1:8080 or https://10.1.0.5:8443"`
 	CA      string   `arg:"--ca" placeholder:"FILE" help:"authorities of the entries, PEM; default: the system's"`
 }
 
 // run prints the budgets of the entries that answer, and fails if one of them does not, because the sums lack its jobs.
-func (qry *burnQuery) run(ctx context.Context, out io.Writer) error {
+func (qry *BurnQuery) run(ctx context.Context, out io.Writer) error {
 	cli, err := queryClient(qry.CA)
 	if err != nil {
 		return err
--- a/io/rgcli/query_burn_test.go
+++ b/io/rgcli/query_burn_test.go
@@ -31,7 +31,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			qry := burnQuery{}
+			qry := BurnQuery{}
 			for _, hdl := range tc.entries {
 				srv := httptest.NewServer(hdl)
 				defer srv.Close()
--- a/io/rgcli/query_generate.go
+++ b/io/rgcli/query_generate.go
@@ -12,17 +12,19 @@
 )
 
 type (
-	generateQuery struct {
+	// GenerateQuery prints the configuration that answers ask for.
+	GenerateQuery struct {
 		Answers string `arg:"positional,required" help:"answers file, JSON with comments"`
 	}
 
-	explainQuery struct {
+	// ExplainQuery prints what a change of answers changes.
+	ExplainQuery struct {
 		Before string `arg:"positional,required" help:"answers file before the change"`
 		After  string `arg:"positional,required" help:"answers file after the change"`
 	}
 )
 
-func (qry *generateQuery) run(out io.Writer) error {
+func (qry *GenerateQuery) run(out io.Writer) error {
 	ans, err := rganswers.ReadAnswers(qry.Answers)
 	if err != nil {
 		return err
@@ -34,7 +36,7 @@
 	return printConfig(out, tc)
 }
 
-func (qry *explainQuery) run(out io.Writer) error {
+func (qry *ExplainQuery) run(out io.Writer) error {
 	bef, err := rganswers.ReadAnswers(qry.Before)
 	if err != nil {
 		return err
--- a/io/rgcli/query_status.go
+++ b/io/rgcli/query_status.go
@@ -19,13 +19,14 @@
 	maxStatusBytes = 16 << 20
 )
 
-type statusQuery struct {
+// StatusQuery prints the configuration in force at entries and sidecars.
+type StatusQuery struct {
 	Entries []string `arg:"positional,required" help:"caller addresses of entries, such as 127.0.0.1:8000"`
 	Team    string   `arg:"--team" help:"show the revision of this team"`
 }
 
 // run fails when an entry does not answer or a configuration is not in force everywhere.
-func (qry *statusQuery) run(ctx context.Context, out io.Writer) error {
+func (qry *StatusQuery) run(ctx context.Context, out io.Writer) error {
 	versions := map[rgmodel.ConfigVersion]bool{}
 	behind, silent := 0, 0
 	for _, adr := range qry.Entries {
--- a/io/rgcli/query_version.go
+++ b/io/rgcli/query_version.go
@@ -8,9 +8,10 @@
 	"github.com/juju/errors"
 )
 
-type versionQuery struct{}
+// VersionQuery prints the version.
+type VersionQuery struct{}
 
-func (qry *versionQuery) run(out io.Writer) error {
+func (qry *VersionQuery) run(out io.Writer) error {
 	ver := "unknown"
 	if inf, ok := debug.ReadBuildInfo(); ok {
 		ver = inf.Main.Version
--- a/io/rgdemo/demo.go
+++ b/io/rgdemo/demo.go
@@ -41,18 +41,18 @@
 		Keep bool
 	}
 
-	// system is everything that the demo runs.
-	system struct {
-		store     *rgstandin.Store
-		upstreams []*rgstandin.Upstream
-		starts    *rgstandin.StartLog
-		entries   []*rgentry.Process
-		sidecars  []*rgsidecar.Process
-		callers   []string
+	// System is everything that the demo runs.
+	System struct {
+		Store     *rgstandin.Store
+		Upstreams []*rgstandin.Upstream
+		Starts    *rgstandin.StartLog
+		Entries   []*rgentry.Process
+		Sidecars  []*rgsidecar.Process
+		Callers   []string
 		// storeAddress and upstreamAddress let processes that are started by hand join the demo.
-		storeAddress, upstreamAddress string
-		metrics                       tally.TestScope
-		servers                       []*http.Server
+		StoreAddress, UpstreamAddress string
+		Metrics                       tally.TestScope
+		Servers                       []*http.Server
 	}
 )
 
@@ -69,7 +69,7 @@
 // Run starts the system, submits jobs, prints a report and fails if an answer was neither complete nor a refusal.
 func Run(ctx context.Context, opt Options, out io.Writer) error {
 	work, stop := context.WithCancel(ctx)
-	sys := &system{starts: &rgstandin.StartLog{}, metrics: tally.NewTestScope("", nil)}
+	sys := &System{Starts: &rgstandin.StartLog{}, Metrics: tally.NewTestScope("", nil)}
 	defer sys.close()
 	defer stop()
 	if err := sys.start(work, zap.NewNop()); err != nil {
@@ -85,22 +85,22 @@
 	}
 	rep.print(out)
 	if opt.Keep {
-		say(out, "entries: %s; peer addresses: %s; store: http://%s; an upstream: http://%s", strings.Join(sys.callers, " "),
-			strings.Join(sys.peers(), " "), sys.storeAddress, sys.upstreamAddress)
-		say(out, "serving on http://%s until interrupted; try:", sys.callers[0])
-		say(out, `curl -s http://%s/v1/jobs -d '%s'`, sys.callers[0], exampleJob)
+		say(out, "entries: %s; peer addresses: %s; store: http://%s; an upstream: http://%s", strings.Join(sys.Callers, " "),
+			strings.Join(sys.peers(), " "), sys.StoreAddress, sys.UpstreamAddress)
+		say(out, "serving on http://%s until interrupted; try:", sys.Callers[0])
+		say(out, `curl -s http://%s/v1/jobs -d '%s'`, sys.Callers[0], exampleJob)
 		<-ctx.Done()
 	}
 	return rep.verdict()
 }
 
-func (sys *system) start(ctx context.Context, log *zap.Logger) error {
-	sys.store = &rgstandin.Store{}
-	storeAddress, err := sys.serve(sys.store)
+func (sys *System) start(ctx context.Context, log *zap.Logger) error {
+	sys.Store = &rgstandin.Store{}
+	storeAddress, err := sys.serve(sys.Store)
 	if err != nil {
 		return err
 	}
-	sys.storeAddress = storeAddress
+	sys.StoreAddress = storeAddress
 	var peers []string
 	for i := range entryCount {
 		set := rgsettings.Entry{
@@ -114,7 +114,7 @@
 		if err := rgsettings.CheckEntry(&set); err != nil {
 			return err
 		}
-		pro, err := rgentry.Start(ctx, set, log, sys.metrics)
+		pro, err := rgentry.Start(ctx, set, log, sys.Metrics)
 		if err != nil {
 			return err
 		}
@@ -125,8 +125,8 @@
 		if err != nil {
 			return err
 		}
-		sys.entries = append(sys.entries, pro)
-		sys.callers = append(sys.callers, adr)
+		sys.Entries = append(sys.Entries, pro)
+		sys.Callers = append(sys.Callers, adr)
 		peers = append(peers, pro.Self().Address)
 	}
 	for i := range sidecarCount {
@@ -137,19 +137,19 @@
 	return nil
 }
 
-func (sys *system) startSidecar(ctx context.Context, log *zap.Logger, num int, peers []string) error {
+func (sys *System) startSidecar(ctx context.Context, log *zap.Logger, num int, peers []string) error {
 	ups := &rgstandin.Upstream{
 		Name:    fmt.Sprintf("upstream%d", num),
 		RunTime: runTimes,
 		// Back ends that were bought over years: the slowest takes 2.8 times as long as the fastest.
 		Slowness: 0.6 + 0.12*float64(num),
-		Log:      sys.starts,
+		Log:      sys.Starts,
 	}
 	adr, err := sys.serve(ups)
 	if err != nil {
 		return err
 	}
-	sys.upstreamAddress = adr
+	sys.UpstreamAddress = adr
 	set := rgsettings.Sidecar{
 		Name:             fmt.Sprintf("sidecar%d", num),
 		AvailabilityZone: zone(num),
@@ -163,18 +163,18 @@
 	if err := rgsettings.CheckSidecar(&set); err != nil {
 		return err
 	}
-	pro, err := rgsidecar.Start(ctx, set, log, sys.metrics)
+	pro, err := rgsidecar.Start(ctx, set, log, sys.Metrics)
 	if err != nil {
 		return err
 	}
-	sys.upstreams = append(sys.upstreams, ups)
-	sys.sidecars = append(sys.sidecars, pro)
+	sys.Upstreams = append(sys.Upstreams, ups)
+	sys.Sidecars = append(sys.Sidecars, pro)
 	return nil
 }
 
-func (sys *system) peers() []string {
+func (sys *System) peers() []string {
 	var adrs []string
-	for _, ent := range sys.entries {
+	for _, ent := range sys.Entries {
 		adrs = append(adrs, ent.Self().Address)
 	}
 	return adrs
@@ -184,19 +184,19 @@
 	return fmt.Sprintf("zone%d", num%3)
 }
 
-func (sys *system) serve(hdl http.Handler) (string, error) {
+func (sys *System) serve(hdl http.Handler) (string, error) {
 	lis, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		return "", errors.Annotate(err, "listen")
 	}
 	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: readyBound}
-	sys.servers = append(sys.servers, srv)
+	sys.Servers = append(sys.Servers, srv)
 	go func() { _ = srv.Serve(lis) }()
 	return lis.Addr().String(), nil
 }
 
 // awaitReady waits until every entry is in the ring and knows every sidecar.
-func (sys *system) awaitReady(ctx context.Context) error {
+func (sys *System) awaitReady(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, readyBound)
 	defer stop()
 	tic := time.NewTicker(readyPoll)
@@ -211,8 +211,8 @@
 	return nil
 }
 
-func (sys *system) ready() bool {
-	for _, ent := range sys.entries {
+func (sys *System) ready() bool {
+	for _, ent := range sys.Entries {
 		if vie := ent.View(); len(vie.Ring.Entries) < entryCount || vie.Ready < sidecarCount {
 			return false
 		}
@@ -220,14 +220,14 @@
 	return true
 }
 
-func (sys *system) close() {
-	for _, ent := range sys.entries {
+func (sys *System) close() {
+	for _, ent := range sys.Entries {
 		<-ent.Done
 	}
-	for _, sid := range sys.sidecars {
+	for _, sid := range sys.Sidecars {
 		<-sid.Done
 	}
-	for _, srv := range sys.servers {
+	for _, srv := range sys.Servers {
 		_ = srv.Close()
 	}
 }
--- a/io/rgdemo/load.go
+++ b/io/rgdemo/load.go
@@ -30,39 +30,41 @@
 )
 
 type (
-	kind struct {
-		team, name string
+	// Kind is a kind of work of a team.
+	Kind struct {
+		Team, Name string
 	}
 
-	// tally counts what became of the jobs of one kind.
-	tallyRow struct {
-		complete, refused, failed int
-		tasks                     int
-		ratios                    *hdrhistogram.Histogram
+	// KindTally counts what became of the jobs of one kind.
+	KindTally struct {
+		Complete, Refused, Failed int
+		Tasks                     int
+		Ratios                    *hdrhistogram.Histogram
 	}
 
-	report struct {
-		rows     map[kind]*tallyRow
-		counters map[string]int64
-		doubled  int
+	// Report is what the demo prints.
+	Report struct {
+		Rows     map[Kind]*KindTally
+		Counters map[string]int64
+		Doubled  int
 	}
 )
 
-var kinds = []kind{
-	{team: "kitapDostu", name: "readingLists"},
-	{team: "kitapDostu", name: "chapterReminders"},
-	{team: "kitapDostu", name: "signUps"},
-	{team: "zelenaSkola", name: "menuConfirmations"},
-	{team: "zelenaSkola", name: "allocations"},
-	{team: "zelenaSkola", name: "stockChecks"},
+var kinds = []Kind{
+	{Team: "kitapDostu", Name: "readingLists"},
+	{Team: "kitapDostu", Name: "chapterReminders"},
+	{Team: "kitapDostu", Name: "signUps"},
+	{Team: "zelenaSkola", Name: "menuConfirmations"},
+	{Team: "zelenaSkola", Name: "allocations"},
+	{Team: "zelenaSkola", Name: "stockChecks"},
 }
 
 // load submits jobs of all kinds from several callers at once.
-func (sys *system) load(ctx context.Context, out io.Writer) (*report, error) {
-	rep := &report{rows: map[kind]*tallyRow{}}
+func (sys *System) load(ctx context.Context, out io.Writer) (*Report, error) {
+	rep := &Report{Rows: map[Kind]*KindTally{}}
 	var mutex sync.Mutex
 	for _, knd := range kinds {
-		rep.rows[knd] = &tallyRow{ratios: hdrhistogram.New(1, 1_000_000, 3)}
+		rep.Rows[knd] = &KindTally{Ratios: hdrhistogram.New(1, 1_000_000, 3)}
 	}
 	done := 0
 	pol := pool.New().WithErrors().WithContext(ctx).WithMaxGoroutines(callersPerKind * len(kinds))
@@ -70,13 +72,13 @@
 		for _, knd := range kinds {
 			pol.Go(func(ctx context.Context) error {
 				began := time.Now()
-				ans, err := submit(ctx, sys.callers[i%len(sys.callers)], knd)
+				ans, err := submit(ctx, sys.Callers[i%len(sys.Callers)], knd)
 				if err != nil {
 					return err
 				}
 				mutex.Lock()
 				defer mutex.Unlock()
-				rep.add(knd, ans, float64(time.Since(began))/float64(sys.ideal(knd.name)))
+				rep.add(knd, ans, float64(time.Since(began))/float64(sys.ideal(knd.Name)))
 				done++
 				if done%60 == 0 {
 					say(out, "%d of %d jobs answered", done, jobsPerKind*len(kinds))
@@ -88,29 +90,29 @@
 	if err := pol.Wait(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	rep.counters = map[string]int64{}
-	for _, cnt := range sys.metrics.Snapshot().Counters() {
-		rep.counters[cnt.Name()] += cnt.Value()
+	rep.Counters = map[string]int64{}
+	for _, cnt := range sys.Metrics.Snapshot().Counters() {
+		rep.Counters[cnt.Name()] += cnt.Value()
 	}
-	rep.doubled = sys.doubled()
+	rep.Doubled = sys.doubled()
 	return rep, nil
 }
 
 // ideal is the mean run time on the fastest upstream: all tasks at once on idle upstreams without a dispatcher.
-func (sys *system) ideal(knd string) time.Duration {
-	best := sys.upstreams[0].Mean(knd)
-	for _, ups := range sys.upstreams {
+func (sys *System) ideal(knd string) time.Duration {
+	best := sys.Upstreams[0].Mean(knd)
+	for _, ups := range sys.Upstreams {
 		best = min(best, ups.Mean(knd))
 	}
 	return best
 }
 
-func submit(ctx context.Context, adr string, knd kind) (rgapi.JobAnswer, error) {
+func submit(ctx context.Context, adr string, knd Kind) (rgapi.JobAnswer, error) {
 	tasks := make([]string, tasksPerJob)
 	for i := range tasks {
 		tasks[i] = fmt.Sprintf(`{"number":%d}`, i)
 	}
-	body := fmt.Sprintf(`{"team":%q,"kind":%q,"deadline":%q,"tasks":[%s]}`, knd.team, knd.name, deadline, strings.Join(tasks, ","))
+	body := fmt.Sprintf(`{"team":%q,"kind":%q,"deadline":%q,"tasks":[%s]}`, knd.Team, knd.Name, deadline, strings.Join(tasks, ","))
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+adr+"/v1/jobs", bytes.NewBufferString(body))
 	if err != nil {
 		return rgapi.JobAnswer{}, errors.Trace(err)
@@ -125,17 +127,17 @@
 	return ans, errors.Annotate(err, "answer")
 }
 
-func (rep *report) add(knd kind, ans rgapi.JobAnswer, ratio float64) {
-	row := rep.rows[knd]
+func (rep *Report) add(knd Kind, ans rgapi.JobAnswer, ratio float64) {
+	row := rep.Rows[knd]
 	switch {
 	case ans.Status == "complete" && len(ans.Results) == tasksPerJob:
-		row.complete++
-		row.tasks += tasksPerJob
-		_ = row.ratios.RecordValue(int64(ratio / hundredth))
+		row.Complete++
+		row.Tasks += tasksPerJob
+		_ = row.Ratios.RecordValue(int64(ratio / hundredth))
 	case allNotRun(ans):
-		row.refused++
+		row.Refused++
 	default:
-		row.failed++
+		row.Failed++
 	}
 }
 
@@ -149,10 +151,10 @@
 }
 
 // doubled counts the tasks that upstreams started more than once.
-func (sys *system) doubled() int {
+func (sys *System) doubled() int {
 	seen := map[string]int{}
 	dbl := 0
-	for _, stt := range sys.starts.All() {
+	for _, stt := range sys.Starts.All() {
 		key := string(stt.ID) + "/" + stt.Index
 		seen[key]++
 		if seen[key] == 2 {
@@ -162,39 +164,39 @@
 	return dbl
 }
 
-func (rep *report) print(out io.Writer) {
-	names := make([]kind, 0, len(rep.rows))
+func (rep *Report) print(out io.Writer) {
+	names := make([]Kind, 0, len(rep.Rows))
 	tasks := 0
-	for knd, row := range rep.rows {
+	for knd, row := range rep.Rows {
 		names = append(names, knd)
-		tasks += row.tasks
+		tasks += row.Tasks
 	}
-	sort.Slice(names, func(i, j int) bool { return names[i].team+names[i].name < names[j].team+names[j].name })
+	sort.Slice(names, func(i, j int) bool { return names[i].Team+names[i].Name < names[j].Team+names[j].Name })
 	say(out, "\n%-12s %-18s %8s %8s %8s %12s %12s %8s", "team", "kind", "complete", "refused", "failed", "p50/ideal", "p99/ideal", "share")
 	for _, knd := range names {
-		row := rep.rows[knd]
-		say(out, "%-12s %-18s %8d %8d %8d %12.2f %12.2f %7.1f%%", knd.team, knd.name, row.complete, row.refused, row.failed,
-			float64(row.ratios.ValueAtQuantile(50))*hundredth, float64(row.ratios.ValueAtQuantile(99))*hundredth,
-			100*float64(row.tasks)/float64(max(1, tasks)))
-	}
-	batches := rep.counters["batches"]
-	wasted := rep.counters["retries"] + rep.counters["unanswered"]
-	forwards := rep.counters["forwards"]
+		row := rep.Rows[knd]
+		say(out, "%-12s %-18s %8d %8d %8d %12.2f %12.2f %7.1f%%", knd.Team, knd.Name, row.Complete, row.Refused, row.Failed,
+			float64(row.Ratios.ValueAtQuantile(50))*hundredth, float64(row.Ratios.ValueAtQuantile(99))*hundredth,
+			100*float64(row.Tasks)/float64(max(1, tasks)))
+	}
+	batches := rep.Counters["batches"]
+	wasted := rep.Counters["retries"] + rep.Counters["unanswered"]
+	forwards := rep.Counters["forwards"]
 	perTask := float64(2*(batches+forwards)) / float64(max(1, tasks))
 	say(out, "\nmessages per task: %.2f (%d batches, each answered, and %d forwards)", perTask, batches, forwards)
 	say(out, "wasted messages: %d", wasted)
-	say(out, "tasks started twice: %d", rep.doubled)
+	say(out, "tasks started twice: %d", rep.Doubled)
 }
 
 // verdict fails if an answer was neither complete nor a refusal, or a task was started twice.
-func (rep *report) verdict() error {
-	for knd, row := range rep.rows {
-		if row.failed > 0 {
-			return errors.Errorf("%d jobs of %s/%s were neither complete nor refused", row.failed, knd.team, knd.name)
+func (rep *Report) verdict() error {
+	for knd, row := range rep.Rows {
+		if row.Failed > 0 {
+			return errors.Errorf("%d jobs of %s/%s were neither complete nor refused", row.Failed, knd.Team, knd.Name)
 		}
 	}
-	if rep.doubled > 0 {
-		return errors.Errorf("%d tasks were started twice", rep.doubled)
+	if rep.Doubled > 0 {
+		return errors.Errorf("%d tasks were started twice", rep.Doubled)
 	}
 	return nil
 }
--- a/io/rgentry/caller.go
+++ b/io/rgentry/caller.go
@@ -60,7 +60,7 @@
 // the view, because a change would otherwise publish a view for each sidecar's report.
 func (pro *Process) SidecarConfigs(ctx context.Context) (map[rgmodel.SidecarKey]rgmodel.ConfigVersion, error) {
 	rep := make(chan map[rgmodel.SidecarKey]rgmodel.ConfigVersion, 1)
-	return ask(ctx, pro, configsAsked{reply: rep}, rep)
+	return ask(ctx, pro, ConfigsAsked{Reply: rep}, rep)
 }
 
 // CancelJob cancels a running job at its home and returns whether there was one.
@@ -81,28 +81,28 @@
 	ctx, stop := context.WithTimeout(ctx, jb.Deadline.Duration+2*answerGrace)
 	defer stop()
 	for ctx.Err() == nil {
-		rep := make(chan decision, 1)
-		dec, err := ask(ctx, pro, submitted{job: jb, own: own, reply: rep}, rep)
+		rep := make(chan Decision, 1)
+		dec, err := ask(ctx, pro, Submitted{Job: jb, Own: own, Reply: rep}, rep)
 		if err != nil {
 			break
 		}
 		switch dec := dec.(type) {
-		case settled:
-			return Reply{Answer: dec.answer, RetryAfter: dec.retryAfter}
-		case wait:
+		case Settled:
+			return Reply(dec)
+		case Wait:
 			select {
-			case ans, ok := <-dec.answer:
+			case ans, ok := <-dec.Answer:
 				if ok {
 					return Reply{Answer: ans}
 				}
 			case <-ctx.Done():
 			}
-		case forward:
+		case Forward:
 			if hops >= maxHops {
 				// The entry that has passed the job on decides again, with a newer ring. Waiting here would hold it up.
 				return Reply{}
 			}
-			if rep, ok := pro.forwardJob(ctx, jb, dec.home, hops); ok {
+			if rep, ok := pro.forwardJob(ctx, jb, dec.Home, hops); ok {
 				return rep
 			}
 			pause(ctx, forwardPause)
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -26,58 +26,57 @@
 )
 
 type (
-	// state is owned by the control goroutine.
-	state struct {
-		home    rghome.State
-		config  rgmodel.ConfigVersion
-		history rgconfig.History
+	// State is owned by the control goroutine.
+	State struct {
+		Home    rghome.State
+		Config  rgmodel.ConfigVersion
+		History rgconfig.History
 		// near caches which sidecars this entry pushes changes to at once.
-		near map[rgmodel.SidecarKey]bool
+		Near map[rgmodel.SidecarKey]bool
 		// repaired is when a sidecar that lagged behind was last sent what it lacks.
-		repaired map[rgmodel.SidecarKey]time.Time
-		random   *rand.Rand
-		peers    map[rgmodel.SidecarKey]*rgwire.Peer
+		Repaired map[rgmodel.SidecarKey]time.Time
+		Random   *rand.Rand
+		Peers    map[rgmodel.SidecarKey]*rgwire.Peer
 		// outstanding counts the parts for which a sidecar owes an answer.
-		outstanding map[rgmodel.SidecarKey]int
-		leaving     map[rgmodel.SidecarKey]chan<- struct{}
+		Outstanding map[rgmodel.SidecarKey]int
+		Leaving     map[rgmodel.SidecarKey]chan<- struct{}
 		// learning is set while a goroutine asks other entries for their sidecars, since learnBegan.
-		learning   bool
-		learnBegan time.Time
-		callers    map[rgmodel.SubmissionID][]chan rgmodel.Answer
-		awaiting   map[rgmodel.SidecarKey][]chan<- peerState
-		parked     []submitted
-		runs       map[uint64]*run
-		runCount   uint64
+		Learning   bool
+		LearnBegan time.Time
+		Callers    map[rgmodel.SubmissionID][]chan rgmodel.Answer
+		Awaiting   map[rgmodel.SidecarKey][]chan<- PeerState
+		Parked     []Submitted
+		Runs       map[uint64]*Run
+		RunCount   uint64
 		// cancels holds the cancellations that wait to be sent together.
-		cancels map[rgmodel.SidecarKey][]rgmodel.SubmissionID
-		flush   <-chan time.Time
-		quiet   bool
-		drained chan struct{}
-		expired time.Time
+		Cancels map[rgmodel.SidecarKey][]rgmodel.SubmissionID
+		Flush   <-chan time.Time
+		Quiet   bool
+		Drained bool
+		Expired time.Time
 		// told is when the other entries were last told the usage of quotas.
-		told time.Time
-		burn rgburn.State
+		Told time.Time
+		Burn rgburn.State
 		// burnReport was made at the time burned.
-		burnReport []rgburn.FlowReport
-		burned     time.Time
+		BurnReport []rgburn.FlowReport
+		Burned     time.Time
 	}
 )
 
 // control is the control goroutine. It ends when the jobs in flight have ended after ctx, or at the drain bound.
 func (pro *Process) control(ctx, work context.Context) {
-	sta := &state{
-		home:        rghome.State{Ring: rgring.State{Self: pro.self}, Teams: map[string]rgmodel.TeamConfig{}},
-		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		peers:       map[rgmodel.SidecarKey]*rgwire.Peer{},
-		outstanding: map[rgmodel.SidecarKey]int{},
-		leaving:     map[rgmodel.SidecarKey]chan<- struct{}{},
-		callers:     map[rgmodel.SubmissionID][]chan rgmodel.Answer{},
-		awaiting:    map[rgmodel.SidecarKey][]chan<- peerState{},
-		runs:        map[uint64]*run{},
-		drained:     make(chan struct{}),
-		near:        map[rgmodel.SidecarKey]bool{},
-		repaired:    map[rgmodel.SidecarKey]time.Time{},
-		cancels:     map[rgmodel.SidecarKey][]rgmodel.SubmissionID{},
+	sta := &State{
+		Home:        rghome.State{Ring: rgring.State{Self: pro.self}, Teams: map[string]rgmodel.TeamConfig{}},
+		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Peers:       map[rgmodel.SidecarKey]*rgwire.Peer{},
+		Outstanding: map[rgmodel.SidecarKey]int{},
+		Leaving:     map[rgmodel.SidecarKey]chan<- struct{}{},
+		Callers:     map[rgmodel.SubmissionID][]chan rgmodel.Answer{},
+		Awaiting:    map[rgmodel.SidecarKey][]chan<- PeerState{},
+		Runs:        map[uint64]*Run{},
+		Near:        map[rgmodel.SidecarKey]bool{},
+		Repaired:    map[rgmodel.SidecarKey]time.Time{},
+		Cancels:     map[rgmodel.SidecarKey][]rgmodel.SubmissionID{},
 	}
 	tic := time.NewTicker(tickInterval)
 	defer tic.Stop()
@@ -89,134 +88,132 @@
 			pro.handle(work, sta, evt)
 		case now := <-tic.C:
 			pro.tick(work, sta, now)
-		case <-sta.flush:
+			if sta.Drained {
+				return
+			}
+		case <-sta.Flush:
 			pro.flushCancels(work, sta)
 		case <-stopping:
 			stopping = nil
 			bound = time.After(pro.settings.DrainBound.Duration)
-			pro.handle(work, sta, drainAsked{})
+			pro.handle(work, sta, DrainAsked{})
 		case <-bound:
-			pro.log.Warn("drain bound passed", zap.Int("jobs", len(sta.runs)))
-			return
-		case <-sta.drained:
+			pro.log.Warn("drain bound passed", zap.Int("jobs", len(sta.Runs)))
 			return
 		}
 	}
 }
 
-func (pro *Process) handle(work context.Context, sta *state, evt event) {
+func (pro *Process) handle(work context.Context, sta *State, evt Event) {
 	now := time.Now()
 	switch evt := evt.(type) {
-	case announced:
+	case Announced:
 		pro.announce(work, sta, evt, now)
-	case disconnected:
+	case Disconnected:
 		pro.disconnect(sta, evt, now)
-	case reported:
-		pro.takeReport(sta, evt.report, now)
-		evt.reply <- newerRing(sta, evt.report.Generation)
-		pro.repair(work, sta, evt.report, now)
-	case sealAnswered:
+	case Reported:
+		pro.takeReport(sta, evt.Report, now)
+		evt.Reply <- newerRing(sta, evt.Report.Generation)
+		pro.repair(work, sta, evt.Report, now)
+	case SealAnswered:
 		pro.sealed(work, sta, evt)
-	case leaveAsked:
+	case LeaveAsked:
 		pro.leave(sta, evt)
-	case submitted:
+	case Submitted:
 		pro.submit(work, sta, evt, now)
-	case replanned:
-		evt.reply <- pro.replan(sta, evt, now)
-	case partEnded:
-		pro.endPart(sta, evt.part.Sidecar)
-	case jobEnded:
+	case Replanned:
+		evt.Reply <- pro.replan(sta, evt, now)
+	case PartEnded:
+		pro.endPart(sta, evt.Part.Sidecar)
+	case JobEnded:
 		pro.endJob(sta, evt)
-	case peerAwaited:
+	case PeerAwaited:
 		pro.awaitPeer(sta, evt)
-	case ringRead:
-		pro.adoptRing(work, sta, evt.ring, now)
-	case teamsRead:
-		pro.adoptTeams(work, sta, evt.teams, now)
-	case ringOffered:
-		pro.adoptTeams(work, sta, evt.teams, now)
-		pro.adoptRing(work, sta, evt.ring, now)
-		evt.reply <- rgwire.ConfigureReply{Generation: sta.home.Ring.Ring.Generation}
-	case ringChecked:
-		pro.adoptRing(work, sta, evt.ring, now)
-		rgring.Checked(&sta.home.Ring, evt.ring.Generation, evt.sent)
-	case confirmed:
+	case RingRead:
+		pro.adoptRing(work, sta, evt.Ring, now)
+	case TeamsRead:
+		pro.adoptTeams(work, sta, evt.Teams, now)
+	case RingOffered:
+		pro.adoptTeams(work, sta, evt.Teams, now)
+		pro.adoptRing(work, sta, evt.Ring, now)
+		evt.Reply <- rgwire.ConfigureReply{Generation: sta.Home.Ring.Ring.Generation}
+	case RingChecked:
+		pro.adoptRing(work, sta, evt.Ring, now)
+		rgring.Checked(&sta.Home.Ring, evt.Ring.Generation, evt.Sent)
+	case Confirmed:
 		pro.confirm(work, sta, evt)
-	case learned:
+	case Learned:
 		pro.learn(work, sta, evt, now)
-	case usageHeard:
-		rgadmission.LearnUsage(&sta.home.Admission, evt.usage.Incarnation, evt.usage.Teams, now)
-	case configsAsked:
-		evt.reply <- rgfleet.Configs(&sta.home.Fleet)
-	case membersAsked:
-		pro.adoptRing(work, sta, evt.ring, now)
-		evt.reply <- rgwire.MembersReply{Knowledge: rghome.Tell(&sta.home)}
-	case stateAsked:
-		evt.reply <- jobState(sta, evt.id)
-	case cancelAsked:
-		evt.reply <- rgwire.CancelJobReply{Found: cancelJob(sta, evt.id)}
-	case jobFailed:
-		cancelRun(sta, sta.runs[evt.run])
-	case drainAsked:
-		sta.home.Draining, sta.home.DrainBegan = true, now
+	case UsageHeard:
+		rgadmission.LearnUsage(&sta.Home.Admission, evt.Usage.Incarnation, evt.Usage.Teams, now)
+	case ConfigsAsked:
+		evt.Reply <- rgfleet.Configs(&sta.Home.Fleet)
+	case MembersAsked:
+		pro.adoptRing(work, sta, evt.Ring, now)
+		evt.Reply <- rgwire.MembersReply{Knowledge: rghome.Tell(&sta.Home)}
+	case StateAsked:
+		evt.Reply <- jobState(sta, evt.Id)
+	case CancelAsked:
+		evt.Reply <- rgwire.CancelJobReply{Found: cancelJob(sta, evt.Id)}
+	case JobFailed:
+		cancelRun(sta, sta.Runs[evt.Run])
+	case DrainAsked:
+		sta.Home.Draining, sta.Home.DrainBegan = true, now
 		pro.publish(sta)
-		pro.log.Info("draining", zap.Int("jobs", len(sta.runs)))
+		pro.log.Info("draining", zap.Int("jobs", len(sta.Runs)))
 	}
 }
 
-func (pro *Process) tick(work context.Context, sta *state, now time.Time) {
-	for _, key := range rghome.Sweep(&sta.home, now) {
+func (pro *Process) tick(work context.Context, sta *State, now time.Time) {
+	for _, key := range rghome.Sweep(&sta.Home, now) {
 		pro.loseSidecar(work, sta, key)
 	}
 	pro.unpark(work, sta)
 	pro.expireParked(sta, now)
 	pro.tellUsage(work, sta, now)
-	if now.Sub(sta.expired) >= expireInterval {
-		sta.expired = now
-		rghome.Expire(&sta.home, now)
+	if now.Sub(sta.Expired) >= expireInterval {
+		sta.Expired = now
+		rghome.Expire(&sta.Home, now)
 	}
 	pro.observe(sta, now)
-	if sta.home.Draining {
+	if sta.Home.Draining {
 		pro.checkDrained(sta)
 	}
 }
 
 // checkDrained ends the process at the second tick without work, so that replies of the last tick are written.
-func (pro *Process) checkDrained(sta *state) {
-	handover := time.Since(sta.home.DrainBegan) < rghome.HandoverTime+handoverMargin
-	if handover || len(sta.runs) > 0 || len(sta.parked) > 0 || pro.callers.Load() > 0 {
-		sta.quiet = false
+func (pro *Process) checkDrained(sta *State) {
+	handover := time.Since(sta.Home.DrainBegan) < rghome.HandoverTime+handoverMargin
+	if handover || len(sta.Runs) > 0 || len(sta.Parked) > 0 || pro.callers.Load() > 0 {
+		sta.Quiet = false
 		return
 	}
-	if sta.quiet {
-		close(sta.drained)
-	}
-	sta.quiet = true
+	sta.Drained, sta.Quiet = sta.Quiet, true
 }
 
 // publish makes a new view for the traffic goroutines.
-func (pro *Process) publish(sta *state) {
-	teams := make(map[string]rgmodel.TeamConfig, len(sta.home.Teams))
-	for name, tc := range sta.home.Teams {
+func (pro *Process) publish(sta *State) {
+	teams := make(map[string]rgmodel.TeamConfig, len(sta.Home.Teams))
+	for name, tc := range sta.Home.Teams {
 		teams[name] = tc
 	}
 	pro.view.Store(&View{
-		Ring:     sta.home.Ring.Ring,
+		Ring:     sta.Home.Ring.Ring,
 		Teams:    teams,
-		Config:   sta.config,
-		Sidecars: rgfleet.Sidecars(&sta.home.Fleet),
-		Ready:    len(rgfleet.Usable(&sta.home.Fleet, time.Now())),
-		Draining: sta.home.Draining,
-		Burn:     sta.burnReport,
+		Config:   sta.Config,
+		Sidecars: rgfleet.Sidecars(&sta.Home.Fleet),
+		Ready:    len(rgfleet.Usable(&sta.Home.Fleet, time.Now())),
+		Draining: sta.Home.Draining,
+		Burn:     sta.BurnReport,
 	})
 }
 
 // newerRing makes sure that a sidecar in contact with this entry learns of a ring that this entry has adopted.
-func newerRing(sta *state, known uint64) rgwire.ReportReply {
-	if known >= sta.home.Ring.Ring.Generation {
+func newerRing(sta *State, known uint64) rgwire.ReportReply {
+	if known >= sta.Home.Ring.Ring.Generation {
 		return rgwire.ReportReply{}
 	}
-	return rgwire.ReportReply{Ring: sta.home.Ring.Ring}
+	return rgwire.ReportReply{Ring: sta.Home.Ring.Ring}
 }
 
 func teamList(teams map[string]rgmodel.TeamConfig) []rgmodel.TeamConfig {
--- a/io/rgentry/driver.go
+++ b/io/rgentry/driver.go
@@ -21,25 +21,26 @@
 )
 
 type (
-	// driver is the traffic goroutine of one job.
-	driver struct {
-		process    *Process
-		job        rgmodel.Job
-		run        uint64
-		generation uint64
-		deadline   time.Time
+	// Driver is the traffic goroutine of one job.
+	Driver struct {
+		Process    *Process
+		Job        rgmodel.Job
+		Run        uint64
+		Generation uint64
+		Deadline   time.Time
 	}
 
-	partResult struct {
-		part     rgjob.Part
-		outcomes []rgmodel.Outcome
+	// PartResult is what became of the tasks of a part.
+	PartResult struct {
+		Part     rgjob.Part
+		Outcomes []rgmodel.Outcome
 	}
 )
 
 // drive runs the parts of a job until all outcomes are final, and reports the answer to the control goroutine.
-func (drv driver) drive(ctx, work context.Context, pln rgjob.Plan) {
-	led := rgjob.Open(drv.job, pln)
-	results := make(chan partResult)
+func (drv Driver) drive(ctx, work context.Context, pln rgjob.Plan) {
+	led := rgjob.Open(drv.Job, pln)
+	results := make(chan PartResult)
 	var running conc.WaitGroup
 	pending := 0
 	launch := func(pts []rgjob.Part) {
@@ -47,8 +48,8 @@
 		for _, prt := range pts {
 			running.Go(func() {
 				outs := drv.runPart(ctx, prt)
-				drv.process.tell(work, partEnded{part: prt})
-				results <- partResult{part: prt, outcomes: outs}
+				drv.Process.tell(work, PartEnded{Part: prt})
+				results <- PartResult{Part: prt, Outcomes: outs}
 			})
 		}
 	}
@@ -59,37 +60,37 @@
 		launch(drv.settle(ctx, work, led, res))
 	}
 	running.Wait()
-	drv.process.tell(work, jobEnded{run: drv.run, answer: led.Answer(drv.job.ID), places: led.List()})
+	drv.Process.tell(work, JobEnded{Run: drv.Run, Answer: led.Answer(drv.Job.ID), Places: led.List()})
 }
 
 // settle enters the outcomes of a part and returns the parts that replace what was refused.
-func (drv driver) settle(ctx, work context.Context, led *rgjob.Ledger, res partResult) []rgjob.Part {
+func (drv Driver) settle(ctx, work context.Context, led *rgjob.Ledger, res PartResult) []rgjob.Part {
 	var pts []rgjob.Part
-	if again := rgjob.Settle(led, res.part, res.outcomes); len(again) > 0 {
+	if again := rgjob.Settle(led, res.Part, res.Outcomes); len(again) > 0 {
 		rep := make(chan []rgjob.Part, 1)
 		// An error means that ctx has ended, and then the outcomes stand as they are.
-		pts, _ = ask(ctx, drv.process, replanned{run: drv.run, job: drv.job, tasks: again, tried: maps.Clone(led.Tried), reply: rep}, rep)
+		pts, _ = ask(ctx, drv.Process, Replanned{Run: drv.Run, Job: drv.Job, Tasks: again, Tried: maps.Clone(led.Tried), Reply: rep}, rep)
 		if len(pts) == 0 {
 			rgjob.Fail(led)
 		}
 	}
 	if led.Failed {
-		drv.process.tell(work, jobFailed{run: drv.run})
+		drv.Process.tell(work, JobFailed{Run: drv.Run})
 	}
 	return pts
 }
 
 // runPart gets the outcomes of one part from one sidecar, over as many connections as that takes.
 // The message may be sent again to the same incarnation, whose record keeps a task from being started twice.
-func (drv driver) runPart(ctx context.Context, prt rgjob.Part) []rgmodel.Outcome {
+func (drv Driver) runPart(ctx context.Context, prt rgjob.Part) []rgmodel.Outcome {
 	unsure := prt.Recorded
 	for {
-		rep := make(chan peerState, 1)
-		pst, err := ask(ctx, drv.process, peerAwaited{key: prt.Sidecar, reply: rep}, rep)
+		rep := make(chan PeerState, 1)
+		pst, err := ask(ctx, drv.Process, PeerAwaited{Key: prt.Sidecar, Reply: rep}, rep)
 		if err != nil {
 			return rgjob.GiveUp(prt, unsure, rgmodel.ReasonDeadlineExceeded)
 		}
-		if pst.lost {
+		if pst.Lost {
 			return rgjob.GiveUp(prt, unsure, rgmodel.ReasonSidecarLost)
 		}
 		msg := drv.message(prt)
@@ -98,7 +99,7 @@
 			return rgjob.GiveUp(prt, unsure, rgmodel.ReasonDeadlineExceeded)
 		}
 		var ans rgwire.BatchReply
-		switch res := pst.peer.Call(ctx, msg, &ans).(type) {
+		switch res := pst.Peer.Call(ctx, msg, &ans).(type) {
 		case rgwire.Replied:
 			if res.Err != nil {
 				unsure = true
@@ -115,30 +116,30 @@
 		case rgwire.Unsent:
 		case rgwire.Unanswered:
 			unsure = true
-			drv.process.scope.Counter("unanswered").Inc(1)
+			drv.Process.scope.Counter("unanswered").Inc(1)
 		}
 		pause(ctx, resendPause)
 	}
 }
 
 // message reads the generation from the newest view: see moveAway for why before the check of the context.
-func (drv driver) message(prt rgjob.Part) rgwire.Message {
+func (drv Driver) message(prt rgjob.Part) rgwire.Message {
 	if prt.Recorded {
-		col := rgwire.Collect{ID: drv.job.ID}
+		col := rgwire.Collect{ID: drv.Job.ID}
 		for _, tsk := range prt.Tasks {
 			col.Indexes = append(col.Indexes, tsk.Index)
 		}
 		return col
 	}
-	vie := drv.process.View()
+	vie := drv.Process.View()
 	return rgwire.StartBatch{Batch: rgmodel.Batch{
-		ID:         drv.job.ID,
-		Digest:     drv.job.Digest,
-		Generation: rgring.Generation(vie.Ring, drv.process.self, drv.job.ID, drv.generation),
-		Flow:       drv.job.Flow,
-		Urgency:    drv.job.Urgency,
-		Remaining:  rgmodel.Duration{Duration: max(0, time.Until(drv.deadline))},
-		RunTime:    drv.job.RunTime,
+		ID:         drv.Job.ID,
+		Digest:     drv.Job.Digest,
+		Generation: rgring.Generation(vie.Ring, drv.Process.self, drv.Job.ID, drv.Generation),
+		Flow:       drv.Job.Flow,
+		Urgency:    drv.Job.Urgency,
+		Remaining:  rgmodel.Duration{Duration: max(0, time.Until(drv.Deadline))},
+		RunTime:    drv.Job.RunTime,
 		Tasks:      prt.Tasks,
 	}}
 }
--- a/io/rgentry/entries.go
+++ b/io/rgentry/entries.go
@@ -66,15 +66,15 @@
 
 // tellUsage tells the other entries what this one has admitted, at most once in UsageInterval. An empty message says
 // that this entry is there and has admitted nothing.
-func (pro *Process) tellUsage(work context.Context, sta *state, now time.Time) {
-	if now.Sub(sta.told) < rgadmission.UsageInterval {
+func (pro *Process) tellUsage(work context.Context, sta *State, now time.Time) {
+	if now.Sub(sta.Told) < rgadmission.UsageInterval {
 		return
 	}
-	sta.told = now
-	ents := sta.home.Ring.Ring.Entries
+	sta.Told = now
+	ents := sta.Home.Ring.Ring.Entries
 	msg := rgwire.Usage{
 		Incarnation: pro.self.Incarnation,
-		Teams:       rgadmission.TellUsage(&sta.home.Admission, sta.home.Teams, len(ents), now),
+		Teams:       rgadmission.TellUsage(&sta.Home.Admission, sta.Home.Teams, len(ents), now),
 	}
 	for _, ent := range ents {
 		if ent.Incarnation == pro.self.Incarnation {
--- a/io/rgentry/event.go
+++ b/io/rgentry/event.go
@@ -12,191 +12,204 @@
 )
 
 type (
-	// event is what other goroutines tell the control goroutine.
-	event interface{ isEvent() }
+	// Event is what other goroutines tell the control goroutine.
+	Event interface{ isEvent() }
 
-	announced struct {
-		sidecar rgmodel.Sidecar
-		peer    *rgwire.Peer
-		reply   chan<- rgwire.AnnounceReply
+	// Announced is a new connection of a sidecar.
+	Announced struct {
+		Sidecar rgmodel.Sidecar
+		Peer    *rgwire.Peer
+		Reply   chan<- rgwire.AnnounceReply
 	}
 
-	disconnected struct {
-		key  rgmodel.SidecarKey
-		peer *rgwire.Peer
+	// Disconnected says that a connection of a sidecar is lost.
+	Disconnected struct {
+		Key  rgmodel.SidecarKey
+		Peer *rgwire.Peer
 	}
 
-	reported struct {
-		report rgmodel.Report
-		reply  chan<- rgwire.ReportReply
+	// Reported is a load report of a sidecar.
+	Reported struct {
+		Report rgmodel.Report
+		Reply  chan<- rgwire.ReportReply
 	}
 
-	sealAnswered struct {
-		key        rgmodel.SidecarKey
-		peer       *rgwire.Peer
-		generation uint64
-		records    []rgmodel.Record
+	// SealAnswered carries the records of a sidecar that was sealed over the connection named.
+	SealAnswered struct {
+		Key        rgmodel.SidecarKey
+		Peer       *rgwire.Peer
+		Generation uint64
+		Records    []rgmodel.Record
 	}
 
-	leaveAsked struct {
-		key   rgmodel.SidecarKey
-		reply chan<- struct{}
+	// LeaveAsked says that a sidecar has drained and waits for the entry to have all its answers.
+	LeaveAsked struct {
+		Key   rgmodel.SidecarKey
+		Reply chan<- struct{}
 	}
 
-	// submitted asks what to do with a job. Own says that this entry has just generated its id.
-	submitted struct {
-		job   rgmodel.Job
-		own   bool
-		reply chan<- decision
+	// Submitted asks what to do with a job. Own says that this entry has just generated its id.
+	Submitted struct {
+		Job   rgmodel.Job
+		Own   bool
+		Reply chan<- Decision
 		// arrived is set when the submission has to wait for sidecars to answer a seal.
-		arrived time.Time
+		Arrived time.Time
 	}
 
-	// replanned asks for other sidecars for tasks that are known not to have run.
-	replanned struct {
-		run   uint64
-		job   rgmodel.Job
-		tasks []rgmodel.Task
-		tried map[rgmodel.SidecarKey]bool
-		reply chan<- []rgjob.Part
+	// Replanned asks for other sidecars for tasks that are known not to have run.
+	Replanned struct {
+		Run   uint64
+		Job   rgmodel.Job
+		Tasks []rgmodel.Task
+		Tried map[rgmodel.SidecarKey]bool
+		Reply chan<- []rgjob.Part
 	}
 
-	// partEnded says that no call for the part is outstanding any more.
-	partEnded struct{ part rgjob.Part }
+	// PartEnded says that no call for the part is outstanding any more.
+	PartEnded struct{ Part rgjob.Part }
 
-	jobEnded struct {
-		run    uint64
-		answer rgmodel.Answer
-		places []rgsubmission.Place
+	// JobEnded carries the outcomes of a job when all are final.
+	JobEnded struct {
+		Run    uint64
+		Answer rgmodel.Answer
+		Places []rgsubmission.Place
 	}
 
-	peerAwaited struct {
-		key   rgmodel.SidecarKey
-		reply chan<- peerState
+	// PeerAwaited asks for the connection to a sidecar, now or when it is back.
+	PeerAwaited struct {
+		Key   rgmodel.SidecarKey
+		Reply chan<- PeerState
 	}
 
-	ringRead struct{ ring rgmodel.Ring }
+	// RingRead is a ring from the store or from another entry.
+	RingRead struct{ Ring rgmodel.Ring }
 
-	teamsRead struct{ teams []rgmodel.TeamConfig }
+	// TeamsRead holds configurations from the store or from another entry.
+	TeamsRead struct{ Teams []rgmodel.TeamConfig }
 
-	// learned is what other entries know, and which of those asked have neither answered nor ended.
-	learned struct {
-		known       []rghome.Knowledge
-		unaccounted []rgmodel.Entry
+	// Learned is what other entries know, and which of those asked have neither answered nor ended.
+	Learned struct {
+		Known       []rghome.Knowledge
+		Unaccounted []rgmodel.Entry
 		// generation is that of the ring for which entries were asked, or zero for a poll while the store is down.
-		generation uint64
+		Generation uint64
 	}
 
-	membersAsked struct {
-		ring  rgmodel.Ring
-		reply chan<- rgwire.MembersReply
+	// MembersAsked asks what this entry knows, after it has adopted the ring if that is newer.
+	MembersAsked struct {
+		Ring  rgmodel.Ring
+		Reply chan<- rgwire.MembersReply
 	}
 
-	// ringOffered is a ring that another entry passes on.
-	ringOffered struct {
-		ring  rgmodel.Ring
-		teams []rgmodel.TeamConfig
-		reply chan<- rgwire.ConfigureReply
+	// RingOffered is a ring that another entry passes on.
+	RingOffered struct {
+		Ring  rgmodel.Ring
+		Teams []rgmodel.TeamConfig
+		Reply chan<- rgwire.ConfigureReply
 	}
 
-	// ringChecked is the ring that the store returned to a read sent at the time given.
-	ringChecked struct {
-		ring rgmodel.Ring
-		sent time.Time
+	// RingChecked is the ring that the store returned to a read sent at the time given.
+	RingChecked struct {
+		Ring rgmodel.Ring
+		Sent time.Time
 	}
 
-	// confirmed says that another entry has a ring of the generation given, or that its process has ended.
-	confirmed struct {
-		incarnation string
-		generation  uint64
-		ended       bool
+	// Confirmed says that another entry has a ring of the generation given, or that its process has ended.
+	Confirmed struct {
+		Incarnation string
+		Generation  uint64
+		Ended       bool
 	}
 
-	// configsAsked asks for the configurations in force at the sidecars.
-	configsAsked struct {
-		reply chan<- map[rgmodel.SidecarKey]rgmodel.ConfigVersion
+	// ConfigsAsked asks for the configurations in force at the sidecars.
+	ConfigsAsked struct {
+		Reply chan<- map[rgmodel.SidecarKey]rgmodel.ConfigVersion
 	}
 
-	// usageHeard says what another entry has admitted of the teams' quotas.
-	usageHeard struct{ usage rgwire.Usage }
+	// UsageHeard says what another entry has admitted of the teams' quotas.
+	UsageHeard struct{ Usage rgwire.Usage }
 
-	stateAsked struct {
-		id    rgmodel.SubmissionID
-		reply chan<- rgwire.JobStateReply
+	// StateAsked asks how far a submission is.
+	StateAsked struct {
+		Id    rgmodel.SubmissionID
+		Reply chan<- rgwire.JobStateReply
 	}
 
-	// jobFailed says that a part of the job cannot be placed, so that the queued rest is of no use.
-	jobFailed struct{ run uint64 }
+	// JobFailed says that a part of the job cannot be placed, so that the queued rest is of no use.
+	JobFailed struct{ Run uint64 }
 
-	cancelAsked struct {
-		id    rgmodel.SubmissionID
-		reply chan<- rgwire.CancelJobReply
+	// CancelAsked asks to cancel a running job.
+	CancelAsked struct {
+		Id    rgmodel.SubmissionID
+		Reply chan<- rgwire.CancelJobReply
 	}
 
-	drainAsked struct{}
+	// DrainAsked begins a planned stop.
+	DrainAsked struct{}
 )
 
-func (announced) isEvent()    {}
-func (disconnected) isEvent() {}
-func (reported) isEvent()     {}
-func (sealAnswered) isEvent() {}
-func (leaveAsked) isEvent()   {}
-func (submitted) isEvent()    {}
-func (replanned) isEvent()    {}
-func (partEnded) isEvent()    {}
-func (jobEnded) isEvent()     {}
-func (peerAwaited) isEvent()  {}
-func (ringRead) isEvent()     {}
-func (teamsRead) isEvent()    {}
-func (learned) isEvent()      {}
-func (ringOffered) isEvent()  {}
-func (ringChecked) isEvent()  {}
-func (confirmed) isEvent()    {}
-func (membersAsked) isEvent() {}
-func (configsAsked) isEvent() {}
-func (usageHeard) isEvent()   {}
-func (stateAsked) isEvent()   {}
-func (jobFailed) isEvent()    {}
-func (cancelAsked) isEvent()  {}
-func (drainAsked) isEvent()   {}
+func (Announced) isEvent()    {}
+func (Disconnected) isEvent() {}
+func (Reported) isEvent()     {}
+func (SealAnswered) isEvent() {}
+func (LeaveAsked) isEvent()   {}
+func (Submitted) isEvent()    {}
+func (Replanned) isEvent()    {}
+func (PartEnded) isEvent()    {}
+func (JobEnded) isEvent()     {}
+func (PeerAwaited) isEvent()  {}
+func (RingRead) isEvent()     {}
+func (TeamsRead) isEvent()    {}
+func (Learned) isEvent()      {}
+func (RingOffered) isEvent()  {}
+func (RingChecked) isEvent()  {}
+func (Confirmed) isEvent()    {}
+func (MembersAsked) isEvent() {}
+func (ConfigsAsked) isEvent() {}
+func (UsageHeard) isEvent()   {}
+func (StateAsked) isEvent()   {}
+func (JobFailed) isEvent()    {}
+func (CancelAsked) isEvent()  {}
+func (DrainAsked) isEvent()   {}
 
 type (
-	// run is a job in flight, as the control goroutine sees it.
-	run struct {
-		id    rgmodel.SubmissionID
-		flow  rgmodel.Flow
-		began time.Time
+	// Run is a job in flight, as the control goroutine sees it.
+	Run struct {
+		Id    rgmodel.SubmissionID
+		Flow  rgmodel.Flow
+		Began time.Time
 		// again is set when the job was counted before, and only its answer is collected again.
-		again    bool
-		sidecars map[rgmodel.SidecarKey]bool
+		Again    bool
+		Sidecars map[rgmodel.SidecarKey]bool
 		// stop ends the traffic goroutine of a job whose home has moved.
-		stop      context.CancelFunc
-		moved     bool
-		cancelled bool
+		Stop      context.CancelFunc
+		Moved     bool
+		Cancelled bool
 	}
 
-	// decision answers a submission.
-	decision interface{ isDecision() }
+	// Decision answers a submission.
+	Decision interface{ isDecision() }
 
-	// wait says that the answer will come on the channel. A closed channel means that the home has moved.
-	wait struct{ answer <-chan rgmodel.Answer }
+	// Wait says that the answer will come on the channel. A closed channel means that the home has moved.
+	Wait struct{ Answer <-chan rgmodel.Answer }
 
-	// forward says that another entry is the home.
-	forward struct{ home rgmodel.Entry }
+	// Forward says that another entry is the home.
+	Forward struct{ Home rgmodel.Entry }
 
-	// settled carries the final answer.
-	settled struct {
-		answer     rgmodel.Answer
-		retryAfter time.Duration
+	// Settled carries the final answer.
+	Settled struct {
+		Answer     rgmodel.Answer
+		RetryAfter time.Duration
 	}
 
-	// peerState is what became of a sidecar whose connection was awaited.
-	peerState struct {
-		peer *rgwire.Peer
-		lost bool
+	// PeerState is what became of a sidecar whose connection was awaited.
+	PeerState struct {
+		Peer *rgwire.Peer
+		Lost bool
 	}
 )
 
-func (wait) isDecision()    {}
-func (forward) isDecision() {}
-func (settled) isDecision() {}
+func (Wait) isDecision()    {}
+func (Forward) isDecision() {}
+func (Settled) isDecision() {}
--- a/io/rgentry/observe.go
+++ b/io/rgentry/observe.go
@@ -22,50 +22,50 @@
 }
 
 // countAnswer enters a job's final answer in the metrics and in the error budget of its flow.
-func (pro *Process) countAnswer(sta *state, flow rgmodel.Flow, ans rgmodel.Answer, began, now time.Time) {
+func (pro *Process) countAnswer(sta *State, flow rgmodel.Flow, ans rgmodel.Answer, began, now time.Time) {
 	pro.scope.Tagged(map[string]string{"verdict": jobVerdict(ans).String()}).Counter("jobs").Inc(1)
 	pro.scope.Timer("jobTime").Record(now.Sub(began))
-	kc, _ := sta.home.Teams[flow.Team].Kind(flow.Kind)
-	rgburn.Count(&sta.burn, flow, rgburn.Classify(ans, now.Sub(began), kc.CallerWait.Duration), now)
+	kc, _ := sta.Home.Teams[flow.Team].Kind(flow.Kind)
+	rgburn.Count(&sta.Burn, flow, rgburn.Classify(ans, now.Sub(began), kc.CallerWait.Duration), now)
 }
 
 // countRefusal enters the answer to a job that has not been started by this request.
-func (pro *Process) countRefusal(sta *state, evt submitted, ans rgmodel.Answer, now time.Time) {
+func (pro *Process) countRefusal(sta *State, evt Submitted, ans rgmodel.Answer, now time.Time) {
 	if len(ans.Outcomes) > 0 {
 		rsn := string(ans.Outcomes[0].Reason)
 		pro.scope.Tagged(map[string]string{"reason": rsn}).Counter("refusals").Inc(1)
 	}
-	pro.countAnswer(sta, evt.job.Flow, ans, evt.since(now), now)
+	pro.countAnswer(sta, evt.Job.Flow, ans, evt.since(now), now)
 }
 
 // observe updates the gauges, and the burn report at its own slower interval.
-func (pro *Process) observe(sta *state, now time.Time) {
-	pro.scope.Gauge("ringGeneration").Update(float64(sta.home.Ring.Ring.Generation))
-	pro.scope.Gauge("ringEntries").Update(float64(len(sta.home.Ring.Ring.Entries)))
-	pro.scope.Gauge("sidecarsKnown").Update(float64(len(sta.home.Fleet.Members)))
-	pro.scope.Gauge("sidecarsUsable").Update(float64(len(rgfleet.Usable(&sta.home.Fleet, now))))
-	pro.scope.Gauge("sidecarsDeparted").Update(float64(len(sta.home.Fleet.Departed)))
-	pro.scope.Gauge("jobsRunning").Update(float64(len(sta.runs)))
-	pro.scope.Gauge("jobsParked").Update(float64(len(sta.parked)))
-	pro.scope.Gauge("submissionsKept").Update(float64(len(sta.home.Submissions.Submissions)))
-	pro.scope.Gauge("teams").Update(float64(len(sta.home.Teams)))
+func (pro *Process) observe(sta *State, now time.Time) {
+	pro.scope.Gauge("ringGeneration").Update(float64(sta.Home.Ring.Ring.Generation))
+	pro.scope.Gauge("ringEntries").Update(float64(len(sta.Home.Ring.Ring.Entries)))
+	pro.scope.Gauge("sidecarsKnown").Update(float64(len(sta.Home.Fleet.Members)))
+	pro.scope.Gauge("sidecarsUsable").Update(float64(len(rgfleet.Usable(&sta.Home.Fleet, now))))
+	pro.scope.Gauge("sidecarsDeparted").Update(float64(len(sta.Home.Fleet.Departed)))
+	pro.scope.Gauge("jobsRunning").Update(float64(len(sta.Runs)))
+	pro.scope.Gauge("jobsParked").Update(float64(len(sta.Parked)))
+	pro.scope.Gauge("submissionsKept").Update(float64(len(sta.Home.Submissions.Submissions)))
+	pro.scope.Gauge("teams").Update(float64(len(sta.Home.Teams)))
 	pro.scope.Gauge("callersWaiting").Update(float64(pro.callers.Load()))
-	pro.scope.Gauge("draining").Update(flag(sta.home.Draining))
-	if now.Sub(sta.burned) < burnInterval {
+	pro.scope.Gauge("draining").Update(flag(sta.Home.Draining))
+	if now.Sub(sta.Burned) < burnInterval {
 		return
 	}
-	sta.burned = now
-	rgburn.Expire(&sta.burn, now)
-	sta.burnReport = rgburn.Report(&sta.burn, sta.home.Teams, now)
+	sta.Burned = now
+	rgburn.Expire(&sta.Burn, now)
+	sta.BurnReport = rgburn.Report(&sta.Burn, sta.Home.Teams, now)
 	pro.publish(sta)
 }
 
 // since is when the submission arrived, for one that has waited for sidecars, or else now.
-func (evt submitted) since(now time.Time) time.Time {
-	if evt.arrived.IsZero() {
+func (evt Submitted) since(now time.Time) time.Time {
+	if evt.Arrived.IsZero() {
 		return now
 	}
-	return evt.arrived
+	return evt.Arrived
 }
 
 // jobVerdict is the verdict of the task that leaves the caller with the least knowledge.
--- a/io/rgentry/observe_test.go
+++ b/io/rgentry/observe_test.go
@@ -18,26 +18,26 @@
 	flow := rgmodel.Flow{Team: "kitapDostu", Kind: "signUps"}
 	jb := rgmodel.Job{ID: "id", Flow: flow, Tasks: make([]rgmodel.Task, 2)}
 	complete := rgmodel.Answer{Outcomes: []rgmodel.Outcome{{Verdict: rgmodel.RanOK}}}
-	end := func(rn run) func(*Process, *state) {
-		return func(pro *Process, sta *state) {
-			sta.runs = map[uint64]*run{1: &rn}
-			pro.endJob(sta, jobEnded{run: 1, answer: complete})
+	end := func(rn Run) func(*Process, *State) {
+		return func(pro *Process, sta *State) {
+			sta.Runs = map[uint64]*Run{1: &rn}
+			pro.endJob(sta, JobEnded{Run: 1, Answer: complete})
 		}
 	}
-	refused := func(vd rgmodel.Verdict, rsn rgmodel.Reason) func(*Process, *state) {
-		return func(pro *Process, sta *state) {
-			pro.countRefusal(sta, submitted{job: jb}, rgmodel.RefuseAll(jb, vd, rsn, ""), now)
+	refused := func(vd rgmodel.Verdict, rsn rgmodel.Reason) func(*Process, *State) {
+		return func(pro *Process, sta *State) {
+			pro.countRefusal(sta, Submitted{Job: jb}, rgmodel.RefuseAll(jb, vd, rsn, ""), now)
 		}
 	}
 	tests := map[string]struct {
-		event func(*Process, *state)
+		event func(*Process, *State)
 		want  rgburn.Counts
 		jobs  string
 	}{
-		"complete in time":   {end(run{flow: flow, began: time.Now()}), rgburn.Counts{Good: 1}, "ranOK"},
-		"complete too late":  {end(run{flow: flow, began: time.Now().Add(-time.Hour)}), rgburn.Counts{Late: 1}, "ranOK"},
-		"collected again":    {end(run{flow: flow, began: time.Now(), again: true}), rgburn.Counts{}, ""},
-		"moved to a home":    {end(run{flow: flow, began: time.Now(), moved: true}), rgburn.Counts{}, ""},
+		"complete in time":   {end(Run{Flow: flow, Began: time.Now()}), rgburn.Counts{Good: 1}, "ranOK"},
+		"complete too late":  {end(Run{Flow: flow, Began: time.Now().Add(-time.Hour)}), rgburn.Counts{Late: 1}, "ranOK"},
+		"collected again":    {end(Run{Flow: flow, Began: time.Now(), Again: true}), rgburn.Counts{}, ""},
+		"moved to a home":    {end(Run{Flow: flow, Began: time.Now(), Moved: true}), rgburn.Counts{}, ""},
 		"over quota":         {refused(rgmodel.NotRun, rgmodel.ReasonQuota), rgburn.Counts{Refused: 1}, "notRun"},
 		"records lost":       {refused(rgmodel.MayHaveRun, rgmodel.ReasonRecordLost), rgburn.Counts{MayHaveRun: 1}, "mayHaveRun"},
 		"never runnable":     {refused(rgmodel.NotRun, rgmodel.ReasonNeverRunnable), rgburn.Counts{}, "notRun"},
@@ -46,12 +46,12 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			sco := tally.NewTestScope("", nil)
-			sta := &state{home: rghome.State{Teams: map[string]rgmodel.TeamConfig{flow.Team: {Kinds: []rgmodel.KindConfig{
+			sta := &State{Home: rghome.State{Teams: map[string]rgmodel.TeamConfig{flow.Team: {Kinds: []rgmodel.KindConfig{
 				{Kind: flow.Kind, CallerWait: rgmodel.Duration{Duration: time.Minute}},
 			}}}}}
 			tc.event(&Process{scope: sco}, sta)
 			var got rgburn.Counts
-			for _, flo := range sta.burn.Flows {
+			for _, flo := range sta.Burn.Flows {
 				for _, slo := range flo.Slots {
 					if slo.Counts != (rgburn.Counts{}) {
 						got = slo.Counts
--- a/io/rgentry/process.go
+++ b/io/rgentry/process.go
@@ -43,7 +43,7 @@
 		store    rgstore.Client
 		listener net.Listener
 		identity *rgtls.Identity
-		events   chan event
+		events   chan Event
 		view     atomic.Pointer[View]
 		// stopped is closed when the control goroutine has ended.
 		stopped chan struct{}
@@ -94,7 +94,7 @@
 		store:    rgstore.Client{Base: set.Store},
 		listener: lis,
 		identity: ide,
-		events:   make(chan event, eventBuffer),
+		events:   make(chan Event, eventBuffer),
 		stopped:  make(chan struct{}),
 	}
 	pro.view.Store(&View{})
@@ -159,7 +159,7 @@
 }
 
 // tell passes an event to the control goroutine unless ctx or the process ends first.
-func (pro *Process) tell(ctx context.Context, evt event) bool {
+func (pro *Process) tell(ctx context.Context, evt Event) bool {
 	select {
 	case pro.events <- evt:
 		return true
@@ -171,7 +171,7 @@
 }
 
 // ask passes an event to the control goroutine and waits for the reply.
-func ask[Rep any](ctx context.Context, pro *Process, evt event, rep <-chan Rep) (Rep, error) {
+func ask[Rep any](ctx context.Context, pro *Process, evt Event, rep <-chan Rep) (Rep, error) {
 	var zero Rep
 	if !pro.tell(ctx, evt) {
 		return zero, errors.New("entry is stopping")
--- a/io/rgentry/ring.go
+++ b/io/rgentry/ring.go
@@ -27,19 +27,19 @@
 )
 
 // adoptRing takes in a newer ring, seals all sidecars and gives up the submissions that have moved.
-func (pro *Process) adoptRing(work context.Context, sta *state, rng rgmodel.Ring, now time.Time) {
-	old := sta.home.Ring.Ring
-	moved, ok := rghome.AdoptRing(&sta.home, rng, now)
+func (pro *Process) adoptRing(work context.Context, sta *State, rng rgmodel.Ring, now time.Time) {
+	old := sta.Home.Ring.Ring
+	moved, ok := rghome.AdoptRing(&sta.Home, rng, now)
 	if !ok {
 		return
 	}
-	clear(sta.near)
-	rgadmission.ForgetUsage(&sta.home.Admission, rng)
+	clear(sta.Near)
+	rgadmission.ForgetUsage(&sta.Home.Admission, rng)
 	pro.log.Info("ring changed", zap.Uint64("generation", rng.Generation), zap.Int("entries", len(rng.Entries)))
 	for _, id := range moved {
 		pro.moveAway(sta, id)
 	}
-	for key := range sta.peers {
+	for key := range sta.Peers {
 		pro.seal(work, sta, key)
 	}
 	pro.publish(sta)
@@ -52,23 +52,23 @@
 
 // moveAway stops the traffic of a submission and sends its callers to the new home.
 // The traffic must stop before a view is published in which this entry may be the home again.
-func (pro *Process) moveAway(sta *state, id rgmodel.SubmissionID) {
-	for _, rn := range sta.runs {
-		if rn.id == id {
-			rn.moved = true
-			rn.stop()
+func (pro *Process) moveAway(sta *State, id rgmodel.SubmissionID) {
+	for _, rn := range sta.Runs {
+		if rn.Id == id {
+			rn.Moved = true
+			rn.Stop()
 		}
 	}
-	for _, cal := range sta.callers[id] {
+	for _, cal := range sta.Callers[id] {
 		close(cal)
 	}
-	delete(sta.callers, id)
+	delete(sta.Callers, id)
 }
 
 // tellEntries passes the ring on to the entries of the old and the new one until they confirm it, because some may
 // not reach the store and would go on as homes under the old ring.
-func (pro *Process) tellEntries(work context.Context, sta *state, old rgmodel.Ring) {
-	rng := sta.home.Ring.Ring
+func (pro *Process) tellEntries(work context.Context, sta *State, old rgmodel.Ring) {
+	rng := sta.Home.Ring.Ring
 	told := map[string]bool{pro.self.Incarnation: true}
 	for _, ent := range slices.Concat(old.Entries, rng.Entries) {
 		if !told[ent.Incarnation] {
@@ -87,42 +87,42 @@
 		err := pro.entries.ask(ctx, pro, ent, rgwire.Configure{Ring: rng}, &rep)
 		switch {
 		case err == nil:
-			pro.tell(work, confirmed{incarnation: ent.Incarnation, generation: rep.Generation})
+			pro.tell(work, Confirmed{Incarnation: ent.Incarnation, Generation: rep.Generation})
 			return
 		case errors.Is(err, syscall.ECONNREFUSED):
-			pro.tell(work, confirmed{incarnation: ent.Incarnation, ended: true})
+			pro.tell(work, Confirmed{Incarnation: ent.Incarnation, Ended: true})
 			return
 		}
 		pause(ctx, tellPause)
 	}
 }
 
-func (pro *Process) confirm(work context.Context, sta *state, evt confirmed) {
-	if evt.ended {
-		rgring.Ended(&sta.home.Ring, evt.incarnation)
+func (pro *Process) confirm(work context.Context, sta *State, evt Confirmed) {
+	if evt.Ended {
+		rgring.Ended(&sta.Home.Ring, evt.Incarnation)
 	} else {
-		rgring.Confirmed(&sta.home.Ring, evt.incarnation, evt.generation)
+		rgring.Confirmed(&sta.Home.Ring, evt.Incarnation, evt.Generation)
 	}
 	pro.unpark(work, sta)
 }
 
 // startLearning asks other entries for their sidecars if this entry may not know them all.
-func (pro *Process) startLearning(work context.Context, sta *state, old rgmodel.Ring) {
-	rng := sta.home.Ring.Ring
-	if sta.learning || rgring.Complete(&sta.home.Ring) || !contains(rng, pro.self) {
+func (pro *Process) startLearning(work context.Context, sta *State, old rgmodel.Ring) {
+	rng := sta.Home.Ring.Ring
+	if sta.Learning || rgring.Complete(&sta.Home.Ring) || !contains(rng, pro.self) {
 		return
 	}
-	if sta.learnBegan.IsZero() {
-		sta.learnBegan = time.Now()
+	if sta.LearnBegan.IsZero() {
+		sta.LearnBegan = time.Now()
 	}
-	sta.learning = true
-	asked := slices.Concat(old.Entries, rng.Entries, sta.home.Ring.Unaccounted)
+	sta.Learning = true
+	asked := slices.Concat(old.Entries, rng.Entries, sta.Home.Ring.Unaccounted)
 	pro.traffic.Go(func() { pro.askEntries(work, rng, asked) })
 }
 
 // askEntries asks each entry once and reports what they know, and which have neither answered nor ended.
 func (pro *Process) askEntries(work context.Context, rng rgmodel.Ring, asked []rgmodel.Entry) {
-	evt := learned{generation: rng.Generation}
+	evt := Learned{Generation: rng.Generation}
 	seen := map[string]bool{pro.self.Incarnation: true}
 	for _, ent := range asked {
 		if seen[ent.Incarnation] {
@@ -135,9 +135,9 @@
 		stop()
 		switch {
 		case err == nil:
-			evt.known = append(evt.known, rep.Knowledge)
+			evt.Known = append(evt.Known, rep.Knowledge)
 		case !errors.Is(err, syscall.ECONNREFUSED):
-			evt.unaccounted = append(evt.unaccounted, ent)
+			evt.Unaccounted = append(evt.Unaccounted, ent)
 		}
 	}
 	pro.tell(work, evt)
@@ -145,43 +145,43 @@
 
 // learn takes in what other entries know. Without one that knows all sidecars, ids are uncertain until every entry of
 // earlier rings is accounted for, and at most for the resubmission window.
-func (pro *Process) learn(work context.Context, sta *state, evt learned, now time.Time) {
-	for _, kno := range evt.known {
-		rghome.Learn(&sta.home, kno, now)
+func (pro *Process) learn(work context.Context, sta *State, evt Learned, now time.Time) {
+	for _, kno := range evt.Known {
+		rghome.Learn(&sta.Home, kno, now)
 		pro.adoptTeams(work, sta, kno.Teams, now)
 		pro.adoptRing(work, sta, kno.Ring, now)
-		evt.unaccounted = append(evt.unaccounted, kno.Unaccounted...)
+		evt.Unaccounted = append(evt.Unaccounted, kno.Unaccounted...)
 	}
-	if evt.generation == 0 {
+	if evt.Generation == 0 {
 		return
 	}
-	sta.learning = false
+	sta.Learning = false
 	switch {
-	case rgring.Complete(&sta.home.Ring) || !contains(sta.home.Ring.Ring, pro.self):
-	case evt.generation < sta.home.Ring.Ring.Generation:
+	case rgring.Complete(&sta.Home.Ring) || !contains(sta.Home.Ring.Ring, pro.self):
+	case evt.Generation < sta.Home.Ring.Ring.Generation:
 		// The ring has changed since; an entry that was asked then may not have adopted the new one.
-		pro.startLearning(work, sta, sta.home.Ring.Ring)
+		pro.startLearning(work, sta, sta.Home.Ring.Ring)
 	default:
-		pro.goAlone(work, sta, evt.unaccounted, now)
+		pro.goAlone(work, sta, evt.Unaccounted, now)
 	}
-	if rgring.Complete(&sta.home.Ring) {
-		sta.learnBegan = time.Time{}
+	if rgring.Complete(&sta.Home.Ring) {
+		sta.LearnBegan = time.Time{}
 	}
 	pro.publish(sta)
 	pro.unpark(work, sta)
 }
 
-func (pro *Process) goAlone(work context.Context, sta *state, unaccounted []rgmodel.Entry, now time.Time) {
-	if now.Sub(sta.learnBegan) > rgmodel.MaxResubmissionWindow {
+func (pro *Process) goAlone(work context.Context, sta *State, unaccounted []rgmodel.Entry, now time.Time) {
+	if now.Sub(sta.LearnBegan) > rgmodel.MaxResubmissionWindow {
 		unaccounted = nil
 	}
-	if sta.home.Ring.Since == 0 {
+	if sta.Home.Ring.Since == 0 {
 		pro.log.Warn("no other entry knows all sidecars; older submission ids are uncertain", zap.Int("unaccounted", len(unaccounted)))
 	}
-	rgring.Alone(&sta.home.Ring, now.Add(2*learnInterval), unaccounted)
+	rgring.Alone(&sta.Home.Ring, now.Add(2*learnInterval), unaccounted)
 	if len(unaccounted) > 0 {
-		sta.learning = true
-		rng := sta.home.Ring.Ring
+		sta.Learning = true
+		rng := sta.Home.Ring.Ring
 		pro.traffic.Go(func() {
 			pause(work, learnInterval)
 			pro.askEntries(work, rng, slices.Concat(rng.Entries, unaccounted))
@@ -190,15 +190,15 @@
 }
 
 // adoptTeams takes in newer configurations and pushes them on.
-func (pro *Process) adoptTeams(work context.Context, sta *state, teams []rgmodel.TeamConfig, now time.Time) {
+func (pro *Process) adoptTeams(work context.Context, sta *State, teams []rgmodel.TeamConfig, now time.Time) {
 	// Operators read the sources of settings in the store; here they would only make messages longer.
-	newer := rgconfig.Merge(sta.home.Teams, rgconfig.Compact(teams))
+	newer := rgconfig.Merge(sta.Home.Teams, rgconfig.Compact(teams))
 	if len(newer) == 0 {
 		return
 	}
-	before := sta.config.Revisions
-	sta.config = rgconfig.VersionOf(sta.home.Teams)
-	rgconfig.Note(&sta.history, newer, before, sta.config.Revisions, now)
+	before := sta.Config.Revisions
+	sta.Config = rgconfig.VersionOf(sta.Home.Teams)
+	rgconfig.Note(&sta.History, newer, before, sta.Config.Revisions, now)
 	pro.publish(sta)
 	pro.pushTeams(work, sta, newer)
 }
--- a/io/rgentry/serve.go
+++ b/io/rgentry/serve.go
@@ -15,24 +15,24 @@
 	switch msg := msg.(type) {
 	case rgwire.Announce:
 		rep := make(chan rgwire.AnnounceReply, 1)
-		return ask(ctx, pro, announced{sidecar: msg.Sidecar, peer: per, reply: rep}, rep)
+		return ask(ctx, pro, Announced{Sidecar: msg.Sidecar, Peer: per, Reply: rep}, rep)
 	case rgwire.Report:
 		rep := make(chan rgwire.ReportReply, 1)
-		return ask(ctx, pro, reported{report: msg.Report, reply: rep}, rep)
+		return ask(ctx, pro, Reported{Report: msg.Report, Reply: rep}, rep)
 	case rgwire.Configure:
 		rep := make(chan rgwire.ConfigureReply, 1)
-		return ask(ctx, pro, ringOffered{ring: msg.Ring, teams: msg.Teams, reply: rep}, rep)
+		return ask(ctx, pro, RingOffered{Ring: msg.Ring, Teams: msg.Teams, Reply: rep}, rep)
 	case rgwire.Leave:
 		rep := make(chan struct{}, 1)
-		return ask(ctx, pro, leaveAsked{key: msg.Sidecar, reply: rep}, rep)
+		return ask(ctx, pro, LeaveAsked{Key: msg.Sidecar, Reply: rep}, rep)
 	case rgwire.Members:
 		rep := make(chan rgwire.MembersReply, 1)
-		return ask(ctx, pro, membersAsked{ring: msg.Ring, reply: rep}, rep)
+		return ask(ctx, pro, MembersAsked{Ring: msg.Ring, Reply: rep}, rep)
 	case rgwire.ConfigsSince:
 		vie := pro.View()
 		return rgwire.ConfigsReply{Ring: vie.Ring, Teams: rgconfig.Newer(vie.Teams, msg.Revisions)}, nil
 	case rgwire.Usage:
-		pro.tell(ctx, usageHeard{usage: msg})
+		pro.tell(ctx, UsageHeard{Usage: msg})
 		return struct{}{}, nil
 	case rgwire.Forward:
 		rep := pro.submitJob(ctx, msg.Job, false, msg.Hops)
@@ -48,16 +48,16 @@
 
 func (pro *Process) localState(ctx context.Context, id rgmodel.SubmissionID) (rgwire.JobStateReply, error) {
 	rep := make(chan rgwire.JobStateReply, 1)
-	return ask(ctx, pro, stateAsked{id: id, reply: rep}, rep)
+	return ask(ctx, pro, StateAsked{Id: id, Reply: rep}, rep)
 }
 
 func (pro *Process) localCancel(ctx context.Context, id rgmodel.SubmissionID) (rgwire.CancelJobReply, error) {
 	rep := make(chan rgwire.CancelJobReply, 1)
-	return ask(ctx, pro, cancelAsked{id: id, reply: rep}, rep)
+	return ask(ctx, pro, CancelAsked{Id: id, Reply: rep}, rep)
 }
 
-func jobState(sta *state, id rgmodel.SubmissionID) rgwire.JobStateReply {
-	sub := sta.home.Submissions.Submissions[id]
+func jobState(sta *State, id rgmodel.SubmissionID) rgwire.JobStateReply {
+	sub := sta.Home.Submissions.Submissions[id]
 	if sub == nil {
 		return rgwire.JobStateReply{}
 	}
--- a/io/rgentry/sidecars.go
+++ b/io/rgentry/sidecars.go
@@ -25,40 +25,40 @@
 )
 
 // announce takes in a sidecar's connection and seals it before it gets work.
-func (pro *Process) announce(work context.Context, sta *state, evt announced, now time.Time) {
-	key := evt.sidecar.Key()
-	if old, ok := rghome.Announce(&sta.home, evt.sidecar, now); ok {
+func (pro *Process) announce(work context.Context, sta *State, evt Announced, now time.Time) {
+	key := evt.Sidecar.Key()
+	if old, ok := rghome.Announce(&sta.Home, evt.Sidecar, now); ok {
 		pro.loseSidecar(work, sta, old)
 	}
-	sta.peers[key] = evt.peer
+	sta.Peers[key] = evt.Peer
 	// The reply holds all configurations, and a report that was made before it came is no reason to repair.
-	sta.repaired[key] = now
-	evt.reply <- rgwire.AnnounceReply{Entry: pro.self, Ring: sta.home.Ring.Ring, Teams: teamList(sta.home.Teams)}
+	sta.Repaired[key] = now
+	evt.Reply <- rgwire.AnnounceReply{Entry: pro.self, Ring: sta.Home.Ring.Ring, Teams: teamList(sta.Home.Teams)}
 	pro.publish(sta)
 	pro.log.Info("sidecar connected", logSidecar(key))
 	pro.seal(work, sta, key)
 	pro.traffic.Go(func() {
-		<-evt.peer.Done
-		pro.tell(work, disconnected{key: key, peer: evt.peer})
+		<-evt.Peer.Done
+		pro.tell(work, Disconnected{Key: key, Peer: evt.Peer})
 	})
 }
 
-func (pro *Process) takeReport(sta *state, rep rgmodel.Report, now time.Time) {
-	if !rgfleet.Report(&sta.home.Fleet, rep, now) {
+func (pro *Process) takeReport(sta *State, rep rgmodel.Report, now time.Time) {
+	if !rgfleet.Report(&sta.Home.Fleet, rep, now) {
 		return
 	}
-	hea := sta.home.Fleet.Members[rep.Sidecar].Health
+	hea := sta.Home.Fleet.Members[rep.Sidecar].Health
 	pro.scope.Counter("ejections").Inc(1)
 	pro.log.Warn("sidecar ejected", zap.String("sidecar", rep.Sidecar), zap.Duration("duration", hea.EjectedUntil.Sub(now)))
 }
 
 // seal asks one sidecar for its records under the current ring; the answer comes as an event.
-func (pro *Process) seal(work context.Context, sta *state, key rgmodel.SidecarKey) {
-	per := sta.peers[key]
-	if per == nil || sta.home.Ring.Ring.Generation == 0 {
+func (pro *Process) seal(work context.Context, sta *State, key rgmodel.SidecarKey) {
+	per := sta.Peers[key]
+	if per == nil || sta.Home.Ring.Ring.Generation == 0 {
 		return
 	}
-	msg := rgwire.Seal{Ring: sta.home.Ring.Ring, Home: pro.self}
+	msg := rgwire.Seal{Ring: sta.Home.Ring.Ring, Home: pro.self}
 	pro.traffic.Go(func() {
 		ctx, stop := context.WithTimeout(work, callTimeout)
 		defer stop()
@@ -68,103 +68,103 @@
 			per.Close()
 			return
 		}
-		pro.tell(work, sealAnswered{key: key, peer: per, generation: msg.Ring.Generation, records: rep.Records})
+		pro.tell(work, SealAnswered{Key: key, Peer: per, Generation: msg.Ring.Generation, Records: rep.Records})
 	})
 }
 
-func (pro *Process) sealed(work context.Context, sta *state, evt sealAnswered) {
-	if sta.peers[evt.key] != evt.peer || !rghome.Sealed(&sta.home, evt.key, evt.generation, evt.records) {
+func (pro *Process) sealed(work context.Context, sta *State, evt SealAnswered) {
+	if sta.Peers[evt.Key] != evt.Peer || !rghome.Sealed(&sta.Home, evt.Key, evt.Generation, evt.Records) {
 		return
 	}
 	pro.publish(sta)
-	for _, rep := range sta.awaiting[evt.key] {
-		rep <- peerState{peer: evt.peer}
+	for _, rep := range sta.Awaiting[evt.Key] {
+		rep <- PeerState{Peer: evt.Peer}
 	}
-	delete(sta.awaiting, evt.key)
+	delete(sta.Awaiting, evt.Key)
 	pro.unpark(work, sta)
 }
 
-func (pro *Process) disconnect(sta *state, evt disconnected, now time.Time) {
-	if sta.peers[evt.key] != evt.peer {
+func (pro *Process) disconnect(sta *State, evt Disconnected, now time.Time) {
+	if sta.Peers[evt.Key] != evt.Peer {
 		return
 	}
-	delete(sta.peers, evt.key)
-	delete(sta.near, evt.key)
-	delete(sta.repaired, evt.key)
-	rgfleet.Disconnect(&sta.home.Fleet, evt.key, now)
-	pro.log.Info("sidecar disconnected", logSidecar(evt.key))
+	delete(sta.Peers, evt.Key)
+	delete(sta.Near, evt.Key)
+	delete(sta.Repaired, evt.Key)
+	rgfleet.Disconnect(&sta.Home.Fleet, evt.Key, now)
+	pro.log.Info("sidecar disconnected", logSidecar(evt.Key))
 }
 
 // loseSidecar gives up on an incarnation for good.
-func (pro *Process) loseSidecar(work context.Context, sta *state, key rgmodel.SidecarKey) {
-	if per := sta.peers[key]; per != nil {
+func (pro *Process) loseSidecar(work context.Context, sta *State, key rgmodel.SidecarKey) {
+	if per := sta.Peers[key]; per != nil {
 		per.Close()
-		delete(sta.peers, key)
+		delete(sta.Peers, key)
 	}
-	for _, rep := range sta.awaiting[key] {
-		rep <- peerState{lost: true}
+	for _, rep := range sta.Awaiting[key] {
+		rep <- PeerState{Lost: true}
 	}
-	delete(sta.awaiting, key)
-	delete(sta.near, key)
-	delete(sta.repaired, key)
-	delete(sta.leaving, key)
-	delete(sta.outstanding, key)
+	delete(sta.Awaiting, key)
+	delete(sta.Near, key)
+	delete(sta.Repaired, key)
+	delete(sta.Leaving, key)
+	delete(sta.Outstanding, key)
 	pro.publish(sta)
 	pro.unpark(work, sta)
 	pro.log.Info("sidecar lost", logSidecar(key))
 }
 
 // awaitPeer answers when the sidecar is connected and sealed, or lost.
-func (pro *Process) awaitPeer(sta *state, evt peerAwaited) {
-	mem := sta.home.Fleet.Members[evt.key.Name]
+func (pro *Process) awaitPeer(sta *State, evt PeerAwaited) {
+	mem := sta.Home.Fleet.Members[evt.Key.Name]
 	switch {
-	case mem == nil || mem.Sidecar.Incarnation != evt.key.Incarnation:
-		evt.reply <- peerState{lost: true}
+	case mem == nil || mem.Sidecar.Incarnation != evt.Key.Incarnation:
+		evt.Reply <- PeerState{Lost: true}
 	case mem.Connected && mem.Sealed:
-		evt.reply <- peerState{peer: sta.peers[evt.key]}
+		evt.Reply <- PeerState{Peer: sta.Peers[evt.Key]}
 	default:
-		sta.awaiting[evt.key] = append(sta.awaiting[evt.key], evt.reply)
+		sta.Awaiting[evt.Key] = append(sta.Awaiting[evt.Key], evt.Reply)
 	}
 }
 
 // leave answers a draining sidecar once no answer of it is outstanding.
-func (pro *Process) leave(sta *state, evt leaveAsked) {
-	rgfleet.Leave(&sta.home.Fleet, evt.key)
-	if sta.outstanding[evt.key] == 0 {
-		evt.reply <- struct{}{}
+func (pro *Process) leave(sta *State, evt LeaveAsked) {
+	rgfleet.Leave(&sta.Home.Fleet, evt.Key)
+	if sta.Outstanding[evt.Key] == 0 {
+		evt.Reply <- struct{}{}
 		return
 	}
-	sta.leaving[evt.key] = evt.reply
+	sta.Leaving[evt.Key] = evt.Reply
 }
 
-func (pro *Process) endPart(sta *state, key rgmodel.SidecarKey) {
-	if sta.outstanding[key] > 0 {
-		sta.outstanding[key]--
+func (pro *Process) endPart(sta *State, key rgmodel.SidecarKey) {
+	if sta.Outstanding[key] > 0 {
+		sta.Outstanding[key]--
 	}
-	if sta.outstanding[key] == 0 {
-		delete(sta.outstanding, key)
-		if rep := sta.leaving[key]; rep != nil {
+	if sta.Outstanding[key] == 0 {
+		delete(sta.Outstanding, key)
+		if rep := sta.Leaving[key]; rep != nil {
 			rep <- struct{}{}
-			delete(sta.leaving, key)
+			delete(sta.Leaving, key)
 		}
 	}
 }
 
 // pushRing sends the ring to all sidecars.
-func (pro *Process) pushRing(work context.Context, sta *state) {
-	for _, per := range sta.peers {
-		pro.configure(work, per, rgwire.Configure{Ring: sta.home.Ring.Ring})
+func (pro *Process) pushRing(work context.Context, sta *State) {
+	for _, per := range sta.Peers {
+		pro.configure(work, per, rgwire.Configure{Ring: sta.Home.Ring.Ring})
 	}
 }
 
 // pushTeams sends changed configurations to the sidecars that this entry is near to. If each entry pushed each change,
 // a sidecar would get it as often as there are entries. The ring is left out, because it is larger than a change.
-func (pro *Process) pushTeams(work context.Context, sta *state, teams []rgmodel.TeamConfig) {
-	for key, per := range sta.peers {
-		near, ok := sta.near[key]
+func (pro *Process) pushTeams(work context.Context, sta *State, teams []rgmodel.TeamConfig) {
+	for key, per := range sta.Peers {
+		near, ok := sta.Near[key]
 		if !ok {
-			near = rgring.Near(sta.home.Ring.Ring, pro.self, key.Name, pushCopies)
-			sta.near[key] = near
+			near = rgring.Near(sta.Home.Ring.Ring, pro.self, key.Name, pushCopies)
+			sta.Near[key] = near
 		}
 		if near {
 			pro.configure(work, per, rgwire.Configure{Teams: teams})
@@ -173,17 +173,17 @@
 }
 
 // repair sends a sidecar what it lacks according to its report, whoever should have sent it.
-func (pro *Process) repair(work context.Context, sta *state, rep rgmodel.Report, now time.Time) {
+func (pro *Process) repair(work context.Context, sta *State, rep rgmodel.Report, now time.Time) {
 	key := rgmodel.SidecarKey{Name: rep.Sidecar, Incarnation: rep.Incarnation}
-	per := sta.peers[key]
-	if per == nil || now.Sub(sta.repaired[key]) < repairPause {
+	per := sta.Peers[key]
+	if per == nil || now.Sub(sta.Repaired[key]) < repairPause {
 		return
 	}
-	tcs := rgconfig.Missing(&sta.history, sta.home.Teams, sta.config, rep.Config, now)
+	tcs := rgconfig.Missing(&sta.History, sta.Home.Teams, sta.Config, rep.Config, now)
 	if len(tcs) == 0 {
 		return
 	}
-	sta.repaired[key] = now
+	sta.Repaired[key] = now
 	pro.scope.Counter("configRepairs").Inc(1)
 	pro.configure(work, per, rgwire.Configure{Teams: tcs})
 }
--- a/io/rgentry/store.go
+++ b/io/rgentry/store.go
@@ -39,20 +39,20 @@
 	storeRetry = 250 * time.Millisecond
 )
 
-// follower is the traffic goroutine that watches the store.
-type follower struct {
-	process *Process
-	items   map[string]rgstore.Item
-	version uint64
+// Follower is the traffic goroutine that watches the store.
+type Follower struct {
+	Process *Process
+	Items   map[string]rgstore.Item
+	Version uint64
 	// down is set while the store does not answer, and back is when it last answered again.
-	down bool
-	back time.Time
+	Down bool
+	Back time.Time
 }
 
 // followStore joins the ring and follows the store. When ctx ends, the entry gives its lease back, so that other
 // entries become the homes of its jobs; it goes on following until work ends, because it passes its callers on to them.
 func (pro *Process) followStore(ctx, work context.Context) {
-	fol := follower{process: pro}
+	fol := Follower{Process: pro}
 	fol.read(work)
 	// The ring that is in force before this entry joins tells whom to ask for sidecars.
 	fol.adopt(work)
@@ -74,23 +74,23 @@
 }
 
 // read takes the whole state from the store, or from another entry while the store is down.
-func (fol *follower) read(ctx context.Context) {
+func (fol *Follower) read(ctx context.Context) {
 	var asked time.Time
 	for ctx.Err() == nil {
-		lis, err := fol.process.store.List(ctx, KeyPrefix)
+		lis, err := fol.Process.store.List(ctx, KeyPrefix)
 		if ctx.Err() == nil {
 			fol.noteCall(err)
 		}
 		if err == nil {
-			fol.items = map[string]rgstore.Item{}
-			fol.version = lis.Version
+			fol.Items = map[string]rgstore.Item{}
+			fol.Version = lis.Version
 			fol.merge(lis.Items)
 			return
 		}
-		fol.process.scope.Counter("storeErrors").Inc(1)
+		fol.Process.scope.Counter("storeErrors").Inc(1)
 		if time.Since(asked) >= peerInterval {
 			asked = time.Now()
-			if fol.process.View().Ring.Generation == 0 {
+			if fol.Process.View().Ring.Generation == 0 {
 				fol.askPeer(ctx)
 			} else {
 				fol.syncPeer(ctx)
@@ -100,58 +100,58 @@
 	}
 }
 
-func (fol *follower) watch(ctx context.Context) error {
+func (fol *Follower) watch(ctx context.Context) error {
 	wait := watchWait
 	if fol.settling() {
 		wait = settleWait
 	}
-	lis, err := fol.process.store.Watch(ctx, KeyPrefix, fol.version, wait)
+	lis, err := fol.Process.store.Watch(ctx, KeyPrefix, fol.Version, wait)
 	if err != nil {
 		return err
 	}
-	if lis.Version < fol.version {
-		return errors.NotValidf("store version %d after %d", lis.Version, fol.version)
+	if lis.Version < fol.Version {
+		return errors.NotValidf("store version %d after %d", lis.Version, fol.Version)
 	}
-	fol.version = lis.Version
+	fol.Version = lis.Version
 	fol.merge(lis.Items)
 	return nil
 }
 
 // noteCall counts a failed call, and logs when the store stops or begins to answer.
-func (fol *follower) noteCall(err error) {
+func (fol *Follower) noteCall(err error) {
 	if err != nil {
-		fol.process.scope.Counter("storeErrors").Inc(1)
+		fol.Process.scope.Counter("storeErrors").Inc(1)
 	}
 	switch {
-	case err != nil && !fol.down:
-		fol.process.log.Warn("store unavailable", zap.Error(err))
-	case err == nil && fol.down:
-		fol.back = time.Now()
-		fol.process.log.Info("store available")
+	case err != nil && !fol.Down:
+		fol.Process.log.Warn("store unavailable", zap.Error(err))
+	case err == nil && fol.Down:
+		fol.Back = time.Now()
+		fol.Process.log.Info("store available")
 	}
-	fol.down = err != nil
-	fol.process.scope.Gauge("storeAvailable").Update(flag(err == nil))
+	fol.Down = err != nil
+	fol.Process.scope.Gauge("storeAvailable").Update(flag(err == nil))
 }
 
-func (fol *follower) merge(itms []rgstore.Item) {
+func (fol *Follower) merge(itms []rgstore.Item) {
 	for _, itm := range itms {
 		if itm.Deleted {
-			delete(fol.items, itm.Key)
+			delete(fol.Items, itm.Key)
 			continue
 		}
-		fol.items[itm.Key] = itm
+		fol.Items[itm.Key] = itm
 	}
 }
 
 // peers returns the addresses of other entries: those of the ring, or those of the settings before a ring is known.
-func (fol *follower) peers() []string {
-	rng := fol.process.View().Ring
+func (fol *Follower) peers() []string {
+	rng := fol.Process.View().Ring
 	if rng.Generation == 0 {
-		return fol.process.settings.Peers
+		return fol.Process.settings.Peers
 	}
 	var adrs []string
 	for _, ent := range rng.Entries {
-		if ent.Address != fol.process.self.Address {
+		if ent.Address != fol.Process.self.Address {
 			adrs = append(adrs, ent.Address)
 		}
 	}
@@ -159,22 +159,22 @@
 }
 
 // askPeer passes on what one other entry knows.
-func (fol *follower) askPeer(ctx context.Context) {
+func (fol *Follower) askPeer(ctx context.Context) {
 	for _, adr := range fol.peers() {
 		call, stop := context.WithTimeout(ctx, callTimeout)
 		var rep rgwire.MembersReply
-		err := fol.process.entries.ask(call, fol.process, rgmodel.Entry{Address: adr}, rgwire.Members{}, &rep)
+		err := fol.Process.entries.ask(call, fol.Process, rgmodel.Entry{Address: adr}, rgwire.Members{}, &rep)
 		stop()
 		if err == nil && rep.Ring.Generation > 0 {
-			fol.process.tell(ctx, learned{known: []rghome.Knowledge{rep.Knowledge}})
+			fol.Process.tell(ctx, Learned{Known: []rghome.Knowledge{rep.Knowledge}})
 			return
 		}
 	}
 }
 
 // syncPeer asks one other entry, chosen at random, for what this one has missed while only it is cut off from the store.
-func (fol *follower) syncPeer(ctx context.Context) {
-	pro := fol.process
+func (fol *Follower) syncPeer(ctx context.Context) {
+	pro := fol.Process
 	vie := pro.View()
 	adrs := fol.peers()
 	if len(adrs) == 0 {
@@ -188,38 +188,38 @@
 		pro.scope.Counter("peerSyncErrors").Inc(1)
 		return
 	}
-	pro.tell(ctx, teamsRead{teams: rep.Teams})
-	pro.tell(ctx, ringRead{ring: rep.Ring})
+	pro.tell(ctx, TeamsRead{Teams: rep.Teams})
+	pro.tell(ctx, RingRead{Ring: rep.Ring})
 }
 
 // adopt passes the ring and the configurations on to the control goroutine, which ignores what is not newer.
-func (fol *follower) adopt(ctx context.Context) {
+func (fol *Follower) adopt(ctx context.Context) {
 	var teams []rgmodel.TeamConfig
-	for key, itm := range fol.items {
+	for key, itm := range fol.Items {
 		if !strings.HasPrefix(key, KeyConfig) {
 			continue
 		}
 		var tc rgmodel.TeamConfig
 		if err := json.Unmarshal(itm.Value, &tc); err != nil {
-			fol.process.log.Error("configuration not readable", zap.String("key", key), zap.Error(err))
+			fol.Process.log.Error("configuration not readable", zap.String("key", key), zap.Error(err))
 			continue
 		}
 		teams = append(teams, tc)
 	}
-	fol.process.tell(ctx, teamsRead{teams: teams})
+	fol.Process.tell(ctx, TeamsRead{Teams: teams})
 	if rng, ok := fol.ring(); ok {
-		fol.process.tell(ctx, ringRead{ring: rng})
+		fol.Process.tell(ctx, RingRead{Ring: rng})
 	}
 }
 
-func (fol *follower) ring() (rgmodel.Ring, bool) {
-	itm, ok := fol.items[KeyRing]
+func (fol *Follower) ring() (rgmodel.Ring, bool) {
+	itm, ok := fol.Items[KeyRing]
 	if !ok {
 		return rgmodel.Ring{}, false
 	}
 	var rng rgmodel.Ring
 	if err := json.Unmarshal(itm.Value, &rng); err != nil {
-		fol.process.log.Error("ring not readable", zap.Error(err))
+		fol.Process.log.Error("ring not readable", zap.Error(err))
 		return rgmodel.Ring{}, false
 	}
 	return rng, true
@@ -227,7 +227,7 @@
 
 // proposeRing writes the next ring when the live entries are not those of the current one. Losing the race is no
 // error: the watch brings the winner's ring.
-func (fol *follower) proposeRing(ctx context.Context) {
+func (fol *Follower) proposeRing(ctx context.Context) {
 	live := fol.live()
 	cur, _ := fol.ring()
 	if fol.settling() {
@@ -236,26 +236,26 @@
 	if len(live) == 0 || slices.Equal(live, cur.Entries) {
 		return
 	}
-	gen := max(cur.Generation, fol.process.View().Ring.Generation) + 1
+	gen := max(cur.Generation, fol.Process.View().Ring.Generation) + 1
 	raw, err := json.Marshal(rgmodel.Ring{Generation: gen, Entries: live})
 	if err != nil {
-		fol.process.log.Error("encode ring", zap.Error(err))
+		fol.Process.log.Error("encode ring", zap.Error(err))
 		return
 	}
-	res := fol.process.store.Put(ctx, KeyRing, rgstore.Write{Value: raw, Expected: fol.items[KeyRing].Version})
+	res := fol.Process.store.Put(ctx, KeyRing, rgstore.Write{Value: raw, Expected: fol.Items[KeyRing].Version})
 	switch res := res.(type) {
 	case rgstore.Written:
-		fol.process.log.Info("ring written", zap.Uint64("generation", gen))
+		fol.Process.log.Info("ring written", zap.Uint64("generation", gen))
 	case rgstore.Conflicted:
 	case rgstore.Unknown:
-		fol.process.scope.Counter("storeErrors").Inc(1)
-		fol.process.log.Warn("ring write not answered", zap.Error(res.Err))
+		fol.Process.scope.Counter("storeErrors").Inc(1)
+		fol.Process.log.Warn("ring write not answered", zap.Error(res.Err))
 	}
 }
 
 // settling reports whether entries whose leases have expired in a store outage may still take new ones.
-func (fol *follower) settling() bool {
-	return time.Since(fol.back) < fol.process.settings.LeaseTime.Duration
+func (fol *Follower) settling() bool {
+	return time.Since(fol.Back) < fol.Process.settings.LeaseTime.Duration
 }
 
 // withReturning adds the entries of the ring that no other incarnation replaces. Without it, the first entry to take
@@ -275,15 +275,15 @@
 }
 
 // live returns the entries that hold a lease, ordered by name.
-func (fol *follower) live() []rgmodel.Entry {
+func (fol *Follower) live() []rgmodel.Entry {
 	var ents []rgmodel.Entry
-	for key, itm := range fol.items {
+	for key, itm := range fol.Items {
 		if !strings.HasPrefix(key, KeyEntries) {
 			continue
 		}
 		var ent rgmodel.Entry
 		if err := json.Unmarshal(itm.Value, &ent); err != nil {
-			fol.process.log.Error("entry not readable", zap.String("key", key), zap.Error(err))
+			fol.Process.log.Error("entry not readable", zap.String("key", key), zap.Error(err))
 			continue
 		}
 		ents = append(ents, ent)
@@ -330,7 +330,7 @@
 		pro.log.Error("ring not readable", zap.Error(err))
 		return
 	}
-	pro.tell(ctx, ringChecked{ring: rng, sent: sent})
+	pro.tell(ctx, RingChecked{Ring: rng, Sent: sent})
 }
 
 // takeLease writes the entry's key under a new lease and returns the lease, or nothing if the store did not answer.
--- a/io/rgentry/submit.go
+++ b/io/rgentry/submit.go
@@ -16,39 +16,39 @@
 const cancelDelay = 10 * time.Millisecond
 
 // submit carries out the decision on a submission.
-func (pro *Process) submit(work context.Context, sta *state, evt submitted, now time.Time) {
-	switch dec := rghome.Submit(&sta.home, evt.job, evt.own, now, sta.random).(type) {
+func (pro *Process) submit(work context.Context, sta *State, evt Submitted, now time.Time) {
+	switch dec := rghome.Submit(&sta.Home, evt.Job, evt.Own, now, sta.Random).(type) {
 	case rghome.Forward:
-		evt.reply <- forward{home: dec.Home}
+		evt.Reply <- Forward{Home: dec.Home}
 	case rghome.Park:
-		if evt.arrived.IsZero() {
-			evt.arrived = now
+		if evt.Arrived.IsZero() {
+			evt.Arrived = now
 		}
-		sta.parked = append(sta.parked, evt)
+		sta.Parked = append(sta.Parked, evt)
 	case rghome.Attach:
-		evt.reply <- sta.attach(evt.job.ID)
+		evt.Reply <- sta.attach(evt.Job.ID)
 	case rghome.Settled:
 		if !dec.Again {
 			pro.countRefusal(sta, evt, dec.Answer, now)
 		}
-		evt.reply <- settled{answer: dec.Answer, retryAfter: dec.RetryAfter}
+		evt.Reply <- Settled{Answer: dec.Answer, RetryAfter: dec.RetryAfter}
 	case rghome.Begin:
 		pro.startJob(work, sta, evt, dec, now)
 	}
 }
 
 // startJob hands a registered job to a traffic goroutine.
-func (pro *Process) startJob(work context.Context, sta *state, evt submitted, beg rghome.Begin, now time.Time) {
-	jb := evt.job
-	sta.runCount++
+func (pro *Process) startJob(work context.Context, sta *State, evt Submitted, beg rghome.Begin, now time.Time) {
+	jb := evt.Job
+	sta.RunCount++
 	ctx, stop := context.WithTimeout(work, jb.Deadline.Duration+answerGrace)
-	rn := &run{id: jb.ID, flow: jb.Flow, began: evt.since(now), again: beg.Again, sidecars: map[rgmodel.SidecarKey]bool{}, stop: stop}
-	sta.runs[sta.runCount] = rn
+	rn := &Run{Id: jb.ID, Flow: jb.Flow, Began: evt.since(now), Again: beg.Again, Sidecars: map[rgmodel.SidecarKey]bool{}, Stop: stop}
+	sta.Runs[sta.RunCount] = rn
 	countParts(sta, rn, beg.Plan.Parts)
-	evt.reply <- sta.attach(jb.ID)
-	drv := driver{
-		process: pro, job: jb, run: sta.runCount, generation: sta.home.Ring.Ring.Generation,
-		deadline: now.Add(jb.Deadline.Duration),
+	evt.Reply <- sta.attach(jb.ID)
+	drv := Driver{
+		Process: pro, Job: jb, Run: sta.RunCount, Generation: sta.Home.Ring.Ring.Generation,
+		Deadline: now.Add(jb.Deadline.Duration),
 	}
 	pro.traffic.Go(func() {
 		defer stop()
@@ -56,19 +56,19 @@
 	})
 }
 
-func countParts(sta *state, rn *run, pts []rgjob.Part) {
+func countParts(sta *State, rn *Run, pts []rgjob.Part) {
 	for _, prt := range pts {
-		rn.sidecars[prt.Sidecar] = true
-		sta.outstanding[prt.Sidecar]++
+		rn.Sidecars[prt.Sidecar] = true
+		sta.Outstanding[prt.Sidecar]++
 	}
 }
 
-func (pro *Process) replan(sta *state, evt replanned, now time.Time) []rgjob.Part {
-	rn := sta.runs[evt.run]
-	if rn == nil || rn.moved || rn.cancelled {
+func (pro *Process) replan(sta *State, evt Replanned, now time.Time) []rgjob.Part {
+	rn := sta.Runs[evt.Run]
+	if rn == nil || rn.Moved || rn.Cancelled {
 		return nil
 	}
-	pts := rghome.Replan(&sta.home, evt.job, evt.tasks, evt.tried, now, sta.random)
+	pts := rghome.Replan(&sta.Home, evt.Job, evt.Tasks, evt.Tried, now, sta.Random)
 	if len(pts) == 0 {
 		pro.scope.Counter("retriesRefused").Inc(1)
 	}
@@ -77,57 +77,57 @@
 	return pts
 }
 
-func (pro *Process) endJob(sta *state, evt jobEnded) {
-	rn := sta.runs[evt.run]
-	delete(sta.runs, evt.run)
-	if rn.moved {
+func (pro *Process) endJob(sta *State, evt JobEnded) {
+	rn := sta.Runs[evt.Run]
+	delete(sta.Runs, evt.Run)
+	if rn.Moved {
 		return
 	}
-	ans := rghome.Finish(&sta.home, evt.answer, evt.places, time.Now())
-	for _, cal := range sta.callers[rn.id] {
+	ans := rghome.Finish(&sta.Home, evt.Answer, evt.Places, time.Now())
+	for _, cal := range sta.Callers[rn.Id] {
 		cal <- ans
 	}
-	delete(sta.callers, rn.id)
-	if !rn.again {
-		pro.countAnswer(sta, rn.flow, ans, rn.began, time.Now())
+	delete(sta.Callers, rn.Id)
+	if !rn.Again {
+		pro.countAnswer(sta, rn.Flow, ans, rn.Began, time.Now())
 	}
 }
 
 // attach adds a caller to those who get the answer of a running job.
-func (sta *state) attach(id rgmodel.SubmissionID) wait {
+func (sta *State) attach(id rgmodel.SubmissionID) Wait {
 	ans := make(chan rgmodel.Answer, 1)
-	sta.callers[id] = append(sta.callers[id], ans)
-	return wait{answer: ans}
+	sta.Callers[id] = append(sta.Callers[id], ans)
+	return Wait{Answer: ans}
 }
 
 // unpark decides anew on the submissions that waited for sidecars to answer a seal.
-func (pro *Process) unpark(work context.Context, sta *state) {
-	evts := sta.parked
-	sta.parked = nil
+func (pro *Process) unpark(work context.Context, sta *State) {
+	evts := sta.Parked
+	sta.Parked = nil
 	// Submissions that still have to wait are parked again, with the time of their arrival.
 	for _, evt := range evts {
 		pro.submit(work, sta, evt, time.Now())
 	}
 }
 
-func (pro *Process) expireParked(sta *state, now time.Time) {
-	var kept []submitted
-	for _, evt := range sta.parked {
-		if now.Sub(evt.arrived) < evt.job.Deadline.Duration {
+func (pro *Process) expireParked(sta *State, now time.Time) {
+	var kept []Submitted
+	for _, evt := range sta.Parked {
+		if now.Sub(evt.Arrived) < evt.Job.Deadline.Duration {
 			kept = append(kept, evt)
 			continue
 		}
 		detail := "sidecars have not answered for earlier work"
-		ans := rgmodel.RefuseAll(evt.job, rgmodel.MayHaveRun, rgmodel.ReasonNotReady, detail)
+		ans := rgmodel.RefuseAll(evt.Job, rgmodel.MayHaveRun, rgmodel.ReasonNotReady, detail)
 		pro.countRefusal(sta, evt, ans, now)
-		evt.reply <- settled{answer: ans}
+		evt.Reply <- Settled{Answer: ans}
 	}
-	sta.parked = kept
+	sta.Parked = kept
 }
 
-func cancelJob(sta *state, id rgmodel.SubmissionID) bool {
-	for _, rn := range sta.runs {
-		if rn.id == id && !rn.moved {
+func cancelJob(sta *State, id rgmodel.SubmissionID) bool {
+	for _, rn := range sta.Runs {
+		if rn.Id == id && !rn.Moved {
 			cancelRun(sta, rn)
 			return true
 		}
@@ -135,28 +135,28 @@
 	return false
 }
 
-func cancelRun(sta *state, rn *run) {
-	if rn == nil || rn.cancelled {
+func cancelRun(sta *State, rn *Run) {
+	if rn == nil || rn.Cancelled {
 		return
 	}
-	rn.cancelled = true
-	for key := range rn.sidecars {
-		sta.cancels[key] = append(sta.cancels[key], rn.id)
+	rn.Cancelled = true
+	for key := range rn.Sidecars {
+		sta.Cancels[key] = append(sta.Cancels[key], rn.Id)
 	}
-	if sta.flush == nil {
-		sta.flush = time.After(cancelDelay)
+	if sta.Flush == nil {
+		sta.Flush = time.After(cancelDelay)
 	}
 }
 
 // flushCancels sends the gathered cancellations, one message to each sidecar.
-func (pro *Process) flushCancels(work context.Context, sta *state) {
-	sta.flush = nil
-	for key, ids := range sta.cancels {
-		if per := sta.peers[key]; per != nil {
+func (pro *Process) flushCancels(work context.Context, sta *State) {
+	sta.Flush = nil
+	for key, ids := range sta.Cancels {
+		if per := sta.Peers[key]; per != nil {
 			pro.traffic.Go(func() { pro.sendCancel(work, per, key, ids) })
 		}
 	}
-	clear(sta.cancels)
+	clear(sta.Cancels)
 }
 
 func (pro *Process) sendCancel(work context.Context, per *rgwire.Peer, key rgmodel.SidecarKey, ids []rgmodel.SubmissionID) {
--- a/io/rgsidecar/control.go
+++ b/io/rgsidecar/control.go
@@ -25,53 +25,55 @@
 )
 
 type (
-	// state is owned by the control goroutine.
-	state struct {
-		queue    rgqueue.State
-		teams    map[string]rgmodel.TeamConfig
-		config   rgmodel.ConfigVersion
-		links    map[string]link
-		parked   []batchArrived
-		waiters  map[rgmodel.SubmissionID][]waiter
-		running  map[taskKey]context.CancelFunc
-		sequence uint64
-		changed  bool
+	// State is owned by the control goroutine.
+	State struct {
+		Queue    rgqueue.State
+		Teams    map[string]rgmodel.TeamConfig
+		Config   rgmodel.ConfigVersion
+		Links    map[string]Link
+		Parked   []BatchArrived
+		Waiters  map[rgmodel.SubmissionID][]Waiter
+		Running  map[TaskKey]context.CancelFunc
+		Sequence uint64
+		Changed  bool
 		// bootstrapping is set while a goroutine asks the configured addresses for the ring.
-		bootstrapping bool
+		Bootstrapping bool
 		// unreachable is set while none of the configured addresses answers.
-		unreachable bool
-		reported    time.Time
-		swept       time.Time
-		left        chan struct{}
+		Unreachable bool
+		Reported    time.Time
+		Swept       time.Time
+		Left        chan struct{}
 	}
 
-	link struct {
-		peer *rgwire.Peer
-		stop context.CancelFunc
+	// Link is the connection to one entry. Peer is nil while it is lost.
+	Link struct {
+		Peer *rgwire.Peer
+		Stop context.CancelFunc
 		// reports holds the newest report that has not been sent.
-		reports chan rgmodel.Report
+		Reports chan rgmodel.Report
 	}
 
-	// waiter is a batch or collect call that is answered once its tasks are final.
-	waiter struct {
-		indexes []int
-		reply   chan<- rgwire.BatchReply
+	// Waiter is a batch or collect call that is answered once its tasks are final.
+	Waiter struct {
+		Indexes []int
+		Reply   chan<- rgwire.BatchReply
 	}
 
-	taskKey struct {
-		id    rgmodel.SubmissionID
-		index int
+	// TaskKey names a task.
+	TaskKey struct {
+		Id    rgmodel.SubmissionID
+		Index int
 	}
 )
 
 // control is the control goroutine. It ends when the process has drained after ctx, or at the drain bound.
 func (pro *Process) control(ctx, work context.Context) {
-	sta := &state{
-		queue:   rgqueue.State{Self: pro.self},
-		teams:   map[string]rgmodel.TeamConfig{},
-		links:   map[string]link{},
-		waiters: map[rgmodel.SubmissionID][]waiter{},
-		running: map[taskKey]context.CancelFunc{},
+	sta := &State{
+		Queue:   rgqueue.State{Self: pro.self},
+		Teams:   map[string]rgmodel.TeamConfig{},
+		Links:   map[string]Link{},
+		Waiters: map[rgmodel.SubmissionID][]Waiter{},
+		Running: map[TaskKey]context.CancelFunc{},
 	}
 	tic := time.NewTicker(tickInterval)
 	defer tic.Stop()
@@ -86,11 +88,11 @@
 		case <-stopping:
 			stopping = nil
 			bound = time.After(pro.settings.DrainBound.Duration)
-			pro.handle(work, sta, drainAsked{})
-		case <-sta.left:
+			pro.handle(work, sta, DrainAsked{})
+		case <-sta.Left:
 			return
 		case <-bound:
-			pro.log.Warn("drain bound passed", zap.Int("running", sta.queue.Running), zap.Int("queued", sta.queue.Queued))
+			pro.log.Warn("drain bound passed", zap.Int("running", sta.Queue.Running), zap.Int("queued", sta.Queue.Queued))
 			return
 		}
 		pro.startNext(work, sta)
@@ -98,140 +100,140 @@
 	}
 }
 
-func (pro *Process) handle(work context.Context, sta *state, evt event) {
+func (pro *Process) handle(work context.Context, sta *State, evt Event) {
 	now := time.Now()
 	switch evt := evt.(type) {
-	case batchArrived:
+	case BatchArrived:
 		pro.acceptBatch(sta, evt, now)
-	case collectArrived:
-		pro.await(sta, evt.id, waiter{indexes: evt.indexes, reply: evt.reply})
-	case sealArrived:
-		rgqueue.AdoptRing(&sta.queue, evt.seal.Ring)
-		evt.reply <- rgwire.SealReply{Records: rgqueue.Seal(&sta.queue, evt.seal.Ring, evt.seal.Home)}
+	case CollectArrived:
+		pro.await(sta, evt.Id, Waiter{Indexes: evt.Indexes, Reply: evt.Reply})
+	case SealArrived:
+		rgqueue.AdoptRing(&sta.Queue, evt.Seal.Ring)
+		evt.Reply <- rgwire.SealReply{Records: rgqueue.Seal(&sta.Queue, evt.Seal.Ring, evt.Seal.Home)}
 		pro.relink(work, sta)
-	case cancelArrived:
-		pro.cancel(sta, evt.ids)
-	case configured:
+	case CancelArrived:
+		pro.cancel(sta, evt.Ids)
+	case Configured:
 		pro.configure(work, sta, evt)
-	case linked:
+	case Linked:
 		pro.link(sta, evt)
-	case unlinked:
-		pro.unlink(sta, evt.entry)
-	case contacted:
-		rgqueue.Contact(&sta.queue, evt.entry, evt.sent)
+	case Unlinked:
+		pro.unlink(sta, evt.Entry)
+	case Contacted:
+		rgqueue.Contact(&sta.Queue, evt.Entry, evt.Sent)
 		pro.unpark(sta, now)
-	case bootstrapped:
+	case Bootstrapped:
 		pro.endBootstrap(sta, evt)
-	case finished:
+	case Finished:
 		pro.finish(sta, evt)
-	case drainAsked:
-		ids := rgqueue.Drain(&sta.queue, pro.settings.DrainBound.Duration)
+	case DrainAsked:
+		ids := rgqueue.Drain(&sta.Queue, pro.settings.DrainBound.Duration)
 		pro.answer(sta, ids)
 		pro.report(sta, now)
-		pro.log.Info("draining", zap.Int("running", sta.queue.Running), zap.Int("queued", sta.queue.Queued))
+		pro.log.Info("draining", zap.Int("running", sta.Queue.Running), zap.Int("queued", sta.Queue.Queued))
 	}
 }
 
 // acceptBatch keeps a batch for a moment if an entry that is new in the ring has not been in contact yet, which takes
 // one dial after each change of the ring.
-func (pro *Process) acceptBatch(sta *state, evt batchArrived, now time.Time) {
-	if evt.arrived.IsZero() {
-		evt.arrived = now
+func (pro *Process) acceptBatch(sta *State, evt BatchArrived, now time.Time) {
+	if evt.Arrived.IsZero() {
+		evt.Arrived = now
 		pro.scope.Counter("batches").Inc(1)
 	}
-	if !rgqueue.InContact(&sta.queue, now) && now.Sub(evt.arrived) < contactWait {
-		sta.parked = append(sta.parked, evt)
+	if !rgqueue.InContact(&sta.Queue, now) && now.Sub(evt.Arrived) < contactWait {
+		sta.Parked = append(sta.Parked, evt)
 		return
 	}
-	bat := evt.batch
-	bat.Remaining.Duration -= now.Sub(evt.arrived)
-	if rsn := rgqueue.Accept(&sta.queue, bat, now); rsn != "" {
+	bat := evt.Batch
+	bat.Remaining.Duration -= now.Sub(evt.Arrived)
+	if rsn := rgqueue.Accept(&sta.Queue, bat, now); rsn != "" {
 		pro.scope.Tagged(map[string]string{"reason": string(rsn)}).Counter("batchesRefused").Inc(1)
-		evt.reply <- rgwire.BatchReply{Refused: rsn}
+		evt.Reply <- rgwire.BatchReply{Refused: rsn}
 		return
 	}
-	idxs := make([]int, len(evt.batch.Tasks))
-	for i, tsk := range evt.batch.Tasks {
+	idxs := make([]int, len(evt.Batch.Tasks))
+	for i, tsk := range evt.Batch.Tasks {
 		idxs[i] = tsk.Index
 	}
-	sta.changed = true
-	pro.await(sta, evt.batch.ID, waiter{indexes: idxs, reply: evt.reply})
+	sta.Changed = true
+	pro.await(sta, evt.Batch.ID, Waiter{Indexes: idxs, Reply: evt.Reply})
 }
 
 // unpark decides anew on the batches that waited for contact.
-func (pro *Process) unpark(sta *state, now time.Time) {
-	evts := sta.parked
-	sta.parked = nil
+func (pro *Process) unpark(sta *State, now time.Time) {
+	evts := sta.Parked
+	sta.Parked = nil
 	for _, evt := range evts {
 		pro.acceptBatch(sta, evt, now)
 	}
 }
 
 // await answers the waiter now if its tasks are final, and else keeps it.
-func (pro *Process) await(sta *state, id rgmodel.SubmissionID, wtr waiter) {
-	if outs, final := rgqueue.Outcomes(&sta.queue, id, wtr.indexes); final {
-		wtr.reply <- rgwire.BatchReply{Outcomes: outs}
+func (pro *Process) await(sta *State, id rgmodel.SubmissionID, wtr Waiter) {
+	if outs, final := rgqueue.Outcomes(&sta.Queue, id, wtr.Indexes); final {
+		wtr.Reply <- rgwire.BatchReply{Outcomes: outs}
 		return
 	}
-	sta.waiters[id] = append(sta.waiters[id], wtr)
+	sta.Waiters[id] = append(sta.Waiters[id], wtr)
 }
 
 // answer replies to the waiters of the submissions whose tasks have become final.
-func (pro *Process) answer(sta *state, ids []rgmodel.SubmissionID) {
+func (pro *Process) answer(sta *State, ids []rgmodel.SubmissionID) {
 	for _, id := range ids {
-		wtrs := sta.waiters[id]
-		delete(sta.waiters, id)
+		wtrs := sta.Waiters[id]
+		delete(sta.Waiters, id)
 		for _, wtr := range wtrs {
 			pro.await(sta, id, wtr)
 		}
 	}
 }
 
-func (pro *Process) cancel(sta *state, ids []rgmodel.SubmissionID) {
-	rgqueue.Cancel(&sta.queue, ids, time.Now())
-	for key, stop := range sta.running {
+func (pro *Process) cancel(sta *State, ids []rgmodel.SubmissionID) {
+	rgqueue.Cancel(&sta.Queue, ids, time.Now())
+	for key, stop := range sta.Running {
 		for _, id := range ids {
-			if key.id == id {
+			if key.Id == id {
 				stop()
 			}
 		}
 	}
-	sta.changed = true
+	sta.Changed = true
 	pro.answer(sta, ids)
 }
 
-func (pro *Process) finish(sta *state, evt finished) {
-	key := taskKey{id: evt.start.ID, index: evt.start.Task.Index}
-	if stop := sta.running[key]; stop != nil {
+func (pro *Process) finish(sta *State, evt Finished) {
+	key := TaskKey{Id: evt.Start.ID, Index: evt.Start.Task.Index}
+	if stop := sta.Running[key]; stop != nil {
 		stop()
 	}
-	delete(sta.running, key)
-	rgqueue.Finish(&sta.queue, evt.start, evt.outcome, evt.took)
-	pro.scope.Tagged(map[string]string{"verdict": evt.outcome.Verdict.String()}).Counter("tasks").Inc(1)
-	pro.scope.Timer("taskTime").Record(evt.took)
-	sta.changed = true
-	pro.answer(sta, []rgmodel.SubmissionID{evt.start.ID})
+	delete(sta.Running, key)
+	rgqueue.Finish(&sta.Queue, evt.Start, evt.Outcome, evt.Took)
+	pro.scope.Tagged(map[string]string{"verdict": evt.Outcome.Verdict.String()}).Counter("tasks").Inc(1)
+	pro.scope.Timer("taskTime").Record(evt.Took)
+	sta.Changed = true
+	pro.answer(sta, []rgmodel.SubmissionID{evt.Start.ID})
 }
 
 // startNext gives the free slots to queued tasks.
-func (pro *Process) startNext(work context.Context, sta *state) {
-	prg := rgqueue.StartNext(&sta.queue, time.Now())
+func (pro *Process) startNext(work context.Context, sta *State) {
+	prg := rgqueue.StartNext(&sta.Queue, time.Now())
 	pro.answer(sta, prg.Expired)
 	for _, stt := range prg.Starts {
 		ctx, stop := context.WithDeadline(work, stt.Deadline)
-		sta.running[taskKey{id: stt.ID, index: stt.Task.Index}] = stop
+		sta.Running[TaskKey{Id: stt.ID, Index: stt.Task.Index}] = stop
 		pro.runners.Go(func() { pro.runTask(ctx, work, stt) })
 	}
 }
 
-func (pro *Process) configure(work context.Context, sta *state, evt configured) {
-	if newer := rgconfig.Merge(sta.teams, evt.teams); len(newer) > 0 {
-		rgqueue.Configure(&sta.queue, weights(sta.teams))
-		sta.config = rgconfig.VersionOf(sta.teams)
+func (pro *Process) configure(work context.Context, sta *State, evt Configured) {
+	if newer := rgconfig.Merge(sta.Teams, evt.Teams); len(newer) > 0 {
+		rgqueue.Configure(&sta.Queue, weights(sta.Teams))
+		sta.Config = rgconfig.VersionOf(sta.Teams)
 		// The next report tells the entries what is in force.
-		sta.changed = true
+		sta.Changed = true
 	}
-	rgqueue.AdoptRing(&sta.queue, evt.ring)
+	rgqueue.AdoptRing(&sta.Queue, evt.Ring)
 	pro.relink(work, sta)
 }
 
@@ -245,28 +247,28 @@
 	return wgts
 }
 
-func (pro *Process) tick(work context.Context, sta *state, now time.Time) {
-	pro.answer(sta, rgqueue.ExpireQueued(&sta.queue, now))
-	if now.Sub(sta.swept) >= recordInterval {
-		sta.swept = now
-		rgqueue.ExpireRecords(&sta.queue, now)
+func (pro *Process) tick(work context.Context, sta *State, now time.Time) {
+	pro.answer(sta, rgqueue.ExpireQueued(&sta.Queue, now))
+	if now.Sub(sta.Swept) >= recordInterval {
+		sta.Swept = now
+		rgqueue.ExpireRecords(&sta.Queue, now)
 	}
 	pro.unpark(sta, now)
 	pro.startBootstrap(work, sta)
-	since := now.Sub(sta.reported)
-	if since >= rgfleet.ReportInterval || (sta.changed && since >= reportInterval) {
+	since := now.Sub(sta.Reported)
+	if since >= rgfleet.ReportInterval || (sta.Changed && since >= reportInterval) {
 		pro.report(sta, now)
 	}
 }
 
 // report passes the load to the goroutines of all links, so that an entry that does not read blocks nobody else.
-func (pro *Process) report(sta *state, now time.Time) {
-	sta.sequence++
-	sta.changed, sta.reported = false, now
-	rep := rgqueue.Report(&sta.queue)
-	rep.Sequence, rep.Config = sta.sequence, sta.config
-	for _, lnk := range sta.links {
-		replaceReport(lnk.reports, rep)
+func (pro *Process) report(sta *State, now time.Time) {
+	sta.Sequence++
+	sta.Changed, sta.Reported = false, now
+	rep := rgqueue.Report(&sta.Queue)
+	rep.Sequence, rep.Config = sta.Sequence, sta.Config
+	for _, lnk := range sta.Links {
+		replaceReport(lnk.Reports, rep)
 	}
 	pro.observe(sta)
 }
@@ -281,19 +283,19 @@
 }
 
 // leave ends a drain: when no task and no caller waits, it tells all entries and waits until they have all answers.
-func (pro *Process) leave(work context.Context, sta *state) {
-	if !sta.queue.Draining || sta.left != nil || sta.queue.Running > 0 || sta.queue.Queued > 0 || len(sta.waiters) > 0 ||
-		len(sta.parked) > 0 {
+func (pro *Process) leave(work context.Context, sta *State) {
+	if !sta.Queue.Draining || sta.Left != nil || sta.Queue.Running > 0 || sta.Queue.Queued > 0 || len(sta.Waiters) > 0 ||
+		len(sta.Parked) > 0 {
 		return
 	}
-	sta.left = make(chan struct{})
+	sta.Left = make(chan struct{})
 	var pers []*rgwire.Peer
-	for _, lnk := range sta.links {
-		if lnk.peer != nil {
-			pers = append(pers, lnk.peer)
+	for _, lnk := range sta.Links {
+		if lnk.Peer != nil {
+			pers = append(pers, lnk.Peer)
 		}
 	}
-	left := sta.left
+	left := sta.Left
 	pro.links.Go(func() {
 		defer close(left)
 		for _, per := range pers {
--- a/io/rgsidecar/event.go
+++ b/io/rgsidecar/event.go
@@ -9,68 +9,77 @@
 )
 
 type (
-	// event is what other goroutines tell the control goroutine.
-	event interface{ isEvent() }
+	// Event is what other goroutines tell the control goroutine.
+	Event interface{ isEvent() }
 
-	batchArrived struct {
-		batch rgmodel.Batch
-		reply chan<- rgwire.BatchReply
+	// BatchArrived is a batch from an entry.
+	BatchArrived struct {
+		Batch rgmodel.Batch
+		Reply chan<- rgwire.BatchReply
 		// arrived is set when the batch has to wait for contact with a new entry.
-		arrived time.Time
+		Arrived time.Time
 	}
 
-	collectArrived struct {
-		id      rgmodel.SubmissionID
-		indexes []int
-		reply   chan<- rgwire.BatchReply
+	// CollectArrived asks for the outcomes of recorded tasks.
+	CollectArrived struct {
+		Id      rgmodel.SubmissionID
+		Indexes []int
+		Reply   chan<- rgwire.BatchReply
 	}
 
-	sealArrived struct {
-		seal  rgwire.Seal
-		reply chan<- rgwire.SealReply
+	// SealArrived is a seal from an entry.
+	SealArrived struct {
+		Seal  rgwire.Seal
+		Reply chan<- rgwire.SealReply
 	}
 
-	cancelArrived struct{ ids []rgmodel.SubmissionID }
+	// CancelArrived is a wave of cancellations.
+	CancelArrived struct{ Ids []rgmodel.SubmissionID }
 
-	configured struct {
-		ring  rgmodel.Ring
-		teams []rgmodel.TeamConfig
+	// Configured holds a ring and configurations, which may be older than those known.
+	Configured struct {
+		Ring  rgmodel.Ring
+		Teams []rgmodel.TeamConfig
 	}
 
-	linked struct {
-		entry rgmodel.Entry
-		peer  *rgwire.Peer
-		sent  time.Time
+	// Linked says that an entry has answered the announcement that was sent at the time given.
+	Linked struct {
+		Entry rgmodel.Entry
+		Peer  *rgwire.Peer
+		Sent  time.Time
 	}
 
-	unlinked struct{ entry rgmodel.Entry }
+	// Unlinked says that the connection to an entry is lost or could not be made.
+	Unlinked struct{ Entry rgmodel.Entry }
 
-	// bootstrapped says that all configured addresses were asked; err is set if none has answered with a ring.
-	bootstrapped struct{ err error }
+	// Bootstrapped says that all configured addresses were asked; err is set if none has answered with a ring.
+	Bootstrapped struct{ Err error }
 
-	// contacted says that an entry has answered a message that was sent at the time given.
-	contacted struct {
-		entry rgmodel.Entry
-		sent  time.Time
+	// Contacted says that an entry has answered a message that was sent at the time given.
+	Contacted struct {
+		Entry rgmodel.Entry
+		Sent  time.Time
 	}
 
-	finished struct {
-		start   rgqueue.Start
-		outcome rgmodel.Outcome
-		took    time.Duration
+	// Finished is the outcome of a started task.
+	Finished struct {
+		Start   rgqueue.Start
+		Outcome rgmodel.Outcome
+		Took    time.Duration
 	}
 
-	drainAsked struct{}
+	// DrainAsked begins a planned stop.
+	DrainAsked struct{}
 )
 
-func (batchArrived) isEvent()   {}
-func (collectArrived) isEvent() {}
-func (sealArrived) isEvent()    {}
-func (cancelArrived) isEvent()  {}
-func (configured) isEvent()     {}
-func (linked) isEvent()         {}
-func (unlinked) isEvent()       {}
-func (bootstrapped) isEvent()   {}
-func (contacted) isEvent()      {}
-func (finished) isEvent()       {}
-func (drainAsked) isEvent()     {}
+func (BatchArrived) isEvent()   {}
+func (CollectArrived) isEvent() {}
+func (SealArrived) isEvent()    {}
+func (CancelArrived) isEvent()  {}
+func (Configured) isEvent()     {}
+func (Linked) isEvent()         {}
+func (Unlinked) isEvent()       {}
+func (Bootstrapped) isEvent()   {}
+func (Contacted) isEvent()      {}
+func (Finished) isEvent()       {}
+func (DrainAsked) isEvent()     {}
--- a/io/rgsidecar/link.go
+++ b/io/rgsidecar/link.go
@@ -22,16 +22,16 @@
 )
 
 // startBootstrap looks for the ring while no entry is connected.
-func (pro *Process) startBootstrap(work context.Context, sta *state) {
-	if sta.bootstrapping {
+func (pro *Process) startBootstrap(work context.Context, sta *State) {
+	if sta.Bootstrapping {
 		return
 	}
-	for _, lnk := range sta.links {
-		if lnk.peer != nil {
+	for _, lnk := range sta.Links {
+		if lnk.Peer != nil {
 			return
 		}
 	}
-	sta.bootstrapping = true
+	sta.Bootstrapping = true
 	pro.links.Go(func() { pro.bootstrap(work) })
 }
 
@@ -44,22 +44,22 @@
 			failure = err
 		}
 		if err == nil && len(rep.Ring.Entries) > 0 {
-			pro.tell(work, configured{ring: rep.Ring, teams: rep.Teams})
+			pro.tell(work, Configured{Ring: rep.Ring, Teams: rep.Teams})
 			failure = nil
 			break
 		}
 	}
 	pause(work, bootstrapWait)
-	pro.tell(work, bootstrapped{err: failure})
+	pro.tell(work, Bootstrapped{Err: failure})
 }
 
 // endBootstrap logs the first of a series of failures, which a wrong address or certificate makes endless.
-func (pro *Process) endBootstrap(sta *state, evt bootstrapped) {
-	sta.bootstrapping = false
-	if evt.err != nil && !sta.unreachable {
-		pro.log.Warn("no entry answers", zap.Strings("addresses", pro.settings.Entries), zap.Error(evt.err))
+func (pro *Process) endBootstrap(sta *State, evt Bootstrapped) {
+	sta.Bootstrapping = false
+	if evt.Err != nil && !sta.Unreachable {
+		pro.log.Warn("no entry answers", zap.Strings("addresses", pro.settings.Entries), zap.Error(evt.Err))
 	}
-	sta.unreachable = evt.err != nil
+	sta.Unreachable = evt.Err != nil
 }
 
 func (pro *Process) askMembers(work context.Context, adr string) (rgwire.MembersReply, error) {
@@ -84,29 +84,29 @@
 }
 
 // relink keeps one link to each entry of the ring and ends the links to entries that have left it.
-func (pro *Process) relink(work context.Context, sta *state) {
-	for _, ent := range sta.queue.Ring.Entries {
-		if _, ok := sta.links[ent.Incarnation]; ok {
+func (pro *Process) relink(work context.Context, sta *State) {
+	for _, ent := range sta.Queue.Ring.Entries {
+		if _, ok := sta.Links[ent.Incarnation]; ok {
 			continue
 		}
 		ctx, stop := context.WithCancel(work)
 		reps := make(chan rgmodel.Report, 1)
-		sta.links[ent.Incarnation] = link{stop: stop, reports: reps}
+		sta.Links[ent.Incarnation] = Link{Stop: stop, Reports: reps}
 		pro.links.Go(func() { pro.keepLink(ctx, work, ent, reps) })
 	}
 }
 
 // unlink notes a lost connection, and gives up on an entry that has left the ring.
-func (pro *Process) unlink(sta *state, ent rgmodel.Entry) {
-	lnk, ok := sta.links[ent.Incarnation]
+func (pro *Process) unlink(sta *State, ent rgmodel.Entry) {
+	lnk, ok := sta.Links[ent.Incarnation]
 	if !ok {
 		return
 	}
-	lnk.peer = nil
-	sta.links[ent.Incarnation] = lnk
-	if !slices.Contains(sta.queue.Ring.Entries, ent) {
-		lnk.stop()
-		delete(sta.links, ent.Incarnation)
+	lnk.Peer = nil
+	sta.Links[ent.Incarnation] = lnk
+	if !slices.Contains(sta.Queue.Ring.Entries, ent) {
+		lnk.Stop()
+		delete(sta.Links, ent.Incarnation)
 	}
 }
 
@@ -119,7 +119,7 @@
 			if wait == redialShort {
 				pro.log.Warn("entry unreachable", zap.String("entry", ent.Name), zap.String("address", ent.Address), zap.Error(err))
 			}
-			pro.tell(work, unlinked{entry: ent})
+			pro.tell(work, Unlinked{Entry: ent})
 			pause(ctx, wait/2+rand.N(wait/2+1))
 			wait = min(2*wait, redialLong)
 			continue
@@ -127,7 +127,7 @@
 		wait = redialShort
 		pro.sendReports(work, per, ent, reps)
 		pro.log.Info("entry disconnected", zap.String("entry", ent.Name))
-		pro.tell(work, unlinked{entry: ent})
+		pro.tell(work, Unlinked{Entry: ent})
 	}
 }
 
@@ -156,9 +156,9 @@
 	if err := per.Ask(ctx, rgwire.Report{Report: rep}, &ans); err != nil {
 		return err
 	}
-	pro.tell(work, contacted{entry: ent, sent: sent})
+	pro.tell(work, Contacted{Entry: ent, Sent: sent})
 	if ans.Ring.Generation > 0 {
-		pro.tell(work, configured{ring: ans.Ring})
+		pro.tell(work, Configured{Ring: ans.Ring})
 	}
 	return nil
 }
@@ -180,21 +180,21 @@
 		per.Close()
 		return nil, errors.NotValidf("entry %s at %s: incarnation %s", ent.Name, ent.Address, rep.Entry.Incarnation)
 	}
-	pro.tell(work, linked{entry: ent, peer: per, sent: sent})
-	pro.tell(work, configured{ring: rep.Ring, teams: rep.Teams})
+	pro.tell(work, Linked{Entry: ent, Peer: per, Sent: sent})
+	pro.tell(work, Configured{Ring: rep.Ring, Teams: rep.Teams})
 	return per, nil
 }
 
-func (pro *Process) link(sta *state, evt linked) {
-	lnk, ok := sta.links[evt.entry.Incarnation]
+func (pro *Process) link(sta *State, evt Linked) {
+	lnk, ok := sta.Links[evt.Entry.Incarnation]
 	if !ok {
 		return
 	}
-	lnk.peer = evt.peer
-	sta.links[evt.entry.Incarnation] = lnk
-	rgqueue.Contact(&sta.queue, evt.entry, evt.sent)
+	lnk.Peer = evt.Peer
+	sta.Links[evt.Entry.Incarnation] = lnk
+	rgqueue.Contact(&sta.Queue, evt.Entry, evt.Sent)
 	pro.unpark(sta, time.Now())
-	pro.log.Info("entry connected", zap.String("entry", evt.entry.Name))
+	pro.log.Info("entry connected", zap.String("entry", evt.Entry.Name))
 	pro.report(sta, time.Now())
 }
 
@@ -203,25 +203,25 @@
 	switch msg := msg.(type) {
 	case rgwire.StartBatch:
 		rep := make(chan rgwire.BatchReply, 1)
-		return await(ctx, pro, batchArrived{batch: msg.Batch, reply: rep}, rep)
+		return await(ctx, pro, BatchArrived{Batch: msg.Batch, Reply: rep}, rep)
 	case rgwire.Collect:
 		rep := make(chan rgwire.BatchReply, 1)
-		return await(ctx, pro, collectArrived{id: msg.ID, indexes: msg.Indexes, reply: rep}, rep)
+		return await(ctx, pro, CollectArrived{Id: msg.ID, Indexes: msg.Indexes, Reply: rep}, rep)
 	case rgwire.Seal:
 		rep := make(chan rgwire.SealReply, 1)
-		return await(ctx, pro, sealArrived{seal: msg, reply: rep}, rep)
+		return await(ctx, pro, SealArrived{Seal: msg, Reply: rep}, rep)
 	case rgwire.Cancel:
-		pro.tell(ctx, cancelArrived{ids: msg.IDs})
+		pro.tell(ctx, CancelArrived{Ids: msg.IDs})
 		return struct{}{}, nil
 	case rgwire.Configure:
-		pro.tell(ctx, configured{ring: msg.Ring, teams: msg.Teams})
+		pro.tell(ctx, Configured{Ring: msg.Ring, Teams: msg.Teams})
 		return struct{}{}, nil
 	default:
 		return nil, errors.NotSupportedf("message %T at a sidecar", msg)
 	}
 }
 
-func await[Rep any](ctx context.Context, pro *Process, evt event, rep <-chan Rep) (any, error) {
+func await[Rep any](ctx context.Context, pro *Process, evt Event, rep <-chan Rep) (any, error) {
 	if !pro.tell(ctx, evt) {
 		return nil, errors.Trace(ctx.Err())
 	}
--- a/io/rgsidecar/observe.go
+++ b/io/rgsidecar/observe.go
@@ -25,17 +25,17 @@
 }
 
 // observe updates the gauges and publishes the state for operators.
-func (pro *Process) observe(sta *state) {
+func (pro *Process) observe(sta *State) {
 	hlt := &Health{
 		Sidecar:    pro.self,
-		RingSize:   len(sta.queue.Ring.Entries),
-		Generation: sta.queue.Fence,
-		Queued:     sta.queue.Queued,
-		Running:    sta.queue.Running,
-		Draining:   sta.queue.Draining,
+		RingSize:   len(sta.Queue.Ring.Entries),
+		Generation: sta.Queue.Fence,
+		Queued:     sta.Queue.Queued,
+		Running:    sta.Queue.Running,
+		Draining:   sta.Queue.Draining,
 	}
-	for _, lnk := range sta.links {
-		if lnk.peer != nil {
+	for _, lnk := range sta.Links {
+		if lnk.Peer != nil {
 			hlt.Entries++
 		}
 	}
@@ -43,7 +43,7 @@
 	pro.scope.Gauge("tasksQueued").Update(float64(hlt.Queued))
 	pro.scope.Gauge("slotsInUse").Update(float64(hlt.Running))
 	pro.scope.Gauge("slots").Update(float64(pro.self.Capacity.Slots))
-	pro.scope.Gauge("records").Update(float64(len(sta.queue.Records)))
+	pro.scope.Gauge("records").Update(float64(len(sta.Queue.Records)))
 	pro.scope.Gauge("entriesConnected").Update(float64(hlt.Entries))
 	pro.scope.Gauge("ringGeneration").Update(float64(hlt.Generation))
 	draining := 0.0
--- a/io/rgsidecar/process.go
+++ b/io/rgsidecar/process.go
@@ -36,7 +36,7 @@
 	// named is set while the upstream names the task in its answers. Connections are used again only then, because
 	// an answer that comes twice would be taken for the answer to the next request on the connection.
 	named  atomic.Bool
-	events chan event
+	events chan Event
 	// links counts the goroutines that keep connections to entries.
 	links conc.WaitGroup
 	// runners counts the goroutines that wait for the upstream.
@@ -71,7 +71,7 @@
 			MaxIdleConnsPerHost: set.Slots,
 			DisableCompression:  true,
 		}},
-		events:   make(chan event, eventBuffer),
+		events:   make(chan Event, eventBuffer),
 		identity: ide,
 	}
 	pro.health.Store(&Health{Sidecar: pro.self})
@@ -99,7 +99,7 @@
 }
 
 // tell passes an event to the control goroutine unless the process has stopped.
-func (pro *Process) tell(ctx context.Context, evt event) bool {
+func (pro *Process) tell(ctx context.Context, evt Event) bool {
 	select {
 	case pro.events <- evt:
 		return true
