Let an entry learn before it has adopted a ring

Cause: an entry that started while the store did not answer took in the entries that its peer was waiting for before it had a ring, and wrote to a nil map.

Before: TestLearnBeforeRing/suspects panics. After: it passes.

--- a/core/rgring/command_adopt.go
+++ b/core/rgring/command_adopt.go
@@ -121,6 +121,9 @@
 
 // Suspect adds entries that another entry still waits for.
 func Suspect(sta *State, incarnations []string, now time.Time) {
+	if sta.Unaware == nil {
+		sta.Unaware = map[string]time.Time{}
+	}
 	for _, inc := range incarnations {
 		if inc != sta.Self.Incarnation {
 			sta.Unaware[inc] = now.Add(rgmodel.CertainTime)
