--- a/io/rgtls/identity.go
+++ b/io/rgtls/identity.go
@@ -132,13 +132,25 @@
 	}
 }
 
-// Reloader is what Watch keeps up to date.
-type Reloader interface {
-	Reload() (bool, error)
+// Watched is what Watch keeps up to date.
+type Watched interface{ isWatched() }
+
+func (ide *Identity) isWatched() {}
+func (tk *TeamKeys) isWatched()  {}
+
+func reload(wat Watched) (bool, error) {
+	switch wat := wat.(type) {
+	case *Identity:
+		return wat.Reload()
+	case *TeamKeys:
+		return wat.Reload()
+	default:
+		return false, errors.NotSupportedf("reload of %T", wat)
+	}
 }
 
 // Watch reloads at the interval until ctx ends, and logs what has changed and the first of a series of errors.
-func Watch(ctx context.Context, rld Reloader, file string, log *zap.Logger) {
+func Watch(ctx context.Context, wat Watched, file string, log *zap.Logger) {
 	tic := time.NewTicker(ReloadInterval)
 	defer tic.Stop()
 	failing := false
@@ -148,7 +160,7 @@
 		case <-ctx.Done():
 			return
 		}
-		changed, err := rld.Reload()
+		changed, err := reload(wat)
 		switch {
 		case err != nil && !failing:
 			log.Error("file not reloaded, the earlier contents stay in force", zap.String("file", file), zap.Error(err))
