--- a/io/rgsidecar/link.go
+++ b/io/rgsidecar/link.go
@@ -15,9 +15,13 @@
 )
 
 const (
-	callTimeout   = 5 * time.Second
-	redialShort   = 50 * time.Millisecond
-	redialLong    = time.Second
+	// callTimeout bounds calls that a live entry answers at once. It is shorter than rgmodel.IsolationLimit, so that a
+	// connection that has gone silent is replaced before the sidecar has to stop.
+	callTimeout = 5 * time.Second
+	// redialShort and redialLong bound the pause between attempts to connect to an entry; each doubles the last one.
+	redialShort = 50 * time.Millisecond
+	redialLong  = time.Second
+	// bootstrapWait is the pause between rounds of asking the configured addresses for the ring.
 	bootstrapWait = 500 * time.Millisecond
 )
 
