Keep the reason of a refusal when its verdict becomes may have run

Cause: a refusal for quota or a full queue turned into a 502 while the store did not answer, because the reason was replaced along with the verdict. The verdict alone changes now, so the status and Retry-After stay.

--- a/core/rghome/query_doubt.go
+++ b/core/rghome/query_doubt.go
@@ -9,7 +9,7 @@
 )
 
 // doubt returns the answer without the verdict not run, unless this entry is the home beyond doubt: another home may
-// have run what this one has not.
+// have run what this one has not. The reasons stay.
 func doubt(sta *State, ans rgmodel.Answer, now time.Time) rgmodel.Answer {
 	if rgring.Certain(&sta.Ring, now) {
 		return ans
@@ -17,8 +17,8 @@
 	ans.Outcomes = slices.Clone(ans.Outcomes)
 	for i, out := range ans.Outcomes {
 		if out.Verdict == rgmodel.NotRun {
-			detail := string(out.Reason) + " here, but another entry may have become the home"
-			ans.Outcomes[i] = rgmodel.Outcome{Index: out.Index, Reason: rgmodel.ReasonHomeUncertain, Detail: detail}
+			ans.Outcomes[i].Verdict = rgmodel.MayHaveRun
+			ans.Outcomes[i].Detail = "not run here, but another entry may have become the home"
 		}
 	}
 	return ans
--- a/core/rgmodel/verdict.go
+++ b/core/rgmodel/verdict.go
@@ -38,7 +38,6 @@
 	ReasonNotReady         Reason = "notReady"
 	ReasonSidecarLost      Reason = "sidecarLost"
 	ReasonDeadlineExceeded Reason = "deadlineExceeded"
-	ReasonHomeUncertain    Reason = "homeUncertain"
 	ReasonRetryBudget      Reason = "retryBudget"
 	// ReasonResultDropped goes with RanOK: the task ran, and its result is no longer kept.
 	ReasonResultDropped Reason = "resultDropped"
