--- a/core/rghome/world_test.go
+++ b/core/rghome/world_test.go
@@ -190,9 +190,10 @@
 	wld.messages = nil
 	wld.rnd.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
 	for _, msg := range due {
+		dead, frozen := wld.process(msg.to)
 		switch {
-		case !wld.alive(msg.to):
-		case wld.now.Before(msg.at) || wld.paused(msg.to):
+		case dead:
+		case wld.now.Before(msg.at) || wld.now.Before(frozen):
 			wld.messages = append(wld.messages, msg)
 		case wld.reach(msg.from, msg.to) || wld.rnd.IntN(2) == 0:
 			msg.deliver()
@@ -200,32 +201,19 @@
 	}
 }
 
-func (wld *world) alive(name string) bool {
+// process returns whether a process has died, and until when it is paused.
+func (wld *world) process(name string) (bool, time.Time) {
 	for _, ent := range wld.entries {
 		if ent.self.Incarnation == name {
-			return !ent.dead
+			return ent.dead, ent.frozen
 		}
 	}
 	for _, sid := range wld.sidecars {
 		if sid.key.Incarnation == name {
-			return !sid.dead
+			return sid.dead, sid.frozen
 		}
 	}
-	return false
-}
-
-func (wld *world) paused(name string) bool {
-	for _, ent := range wld.entries {
-		if ent.self.Incarnation == name {
-			return wld.now.Before(ent.frozen)
-		}
-	}
-	for _, sid := range wld.sidecars {
-		if sid.key.Incarnation == name {
-			return wld.now.Before(sid.frozen)
-		}
-	}
-	return false
+	return true, time.Time{}
 }
 
 func (wld *world) run(steps int) {
--- a/io/rgcli/command_run.go
+++ b/io/rgcli/command_run.go
@@ -41,11 +41,10 @@
 	if err != nil {
 		return err
 	}
-	log, err := rgmetrics.OpenLog()
+	log, met, err := openOutput()
 	if err != nil {
 		return err
 	}
-	met := rgmetrics.Open()
 	defer func() { _ = met.Closer.Close() }()
 	// What can fail comes before the start, so that an entry that cannot serve callers does not join the ring.
 	named := log.With(zap.String("entry", set.Name))
@@ -67,6 +66,14 @@
 	return serve(ctx, lis, rtr, set.DrainBound.Duration, pro.Done)
 }
 
+func openOutput() (*zap.Logger, rgmetrics.Metrics, error) {
+	log, err := rgmetrics.OpenLog()
+	if err != nil {
+		return nil, rgmetrics.Metrics{}, err
+	}
+	return log, rgmetrics.Open(), nil
+}
+
 // openKeys returns nil if no file is set.
 func openKeys(ctx context.Context, file string, log *zap.Logger) (*rgtls.TeamKeys, error) {
 	if file == "" {
@@ -126,11 +133,10 @@
 	if err != nil {
 		return err
 	}
-	log, err := rgmetrics.OpenLog()
+	log, met, err := openOutput()
 	if err != nil {
 		return err
 	}
-	met := rgmetrics.Open()
 	defer func() { _ = met.Closer.Close() }()
 	var lis net.Listener
 	if set.StatusAddress != "" {
