Keep commands and queries in separate files in the processes too

The io packages mixed both in files by concept; the shape of the code asks for the separation in the whole code base.

--- a/io/rgentry/caller.go
+++ b/io/rgentry/command_call.go
@@ -46,23 +46,6 @@
 	return pro.submitJob(ctx, jb, own, 0)
 }
 
-// JobState returns what the home of the submission knows of it.
-func (pro *Process) JobState(ctx context.Context, id rgmodel.SubmissionID) (rgwire.JobStateReply, error) {
-	if ent, ok := pro.elsewhere(id); ok {
-		var rep rgwire.JobStateReply
-		err := pro.entries.ask(ctx, pro, ent, rgwire.JobState{ID: id}, &rep)
-		return rep, err
-	}
-	return pro.localState(ctx, id)
-}
-
-// SidecarConfigs returns what the newest report of each sidecar says of its configuration. It is asked for and not in
-// the view, because a change would otherwise publish a view for each sidecar's report.
-func (pro *Process) SidecarConfigs(ctx context.Context) (map[rgmodel.SidecarKey]rgmodel.ConfigVersion, error) {
-	rep := make(chan map[rgmodel.SidecarKey]rgmodel.ConfigVersion, 1)
-	return ask(ctx, pro, ConfigsAsked{Reply: rep}, rep)
-}
-
 // CancelJob cancels a running job at its home and returns whether there was one.
 func (pro *Process) CancelJob(ctx context.Context, id rgmodel.SubmissionID) (bool, error) {
 	if ent, ok := pro.elsewhere(id); ok {
@@ -122,16 +105,7 @@
 	return Reply{Answer: rep.Answer, RetryAfter: rep.RetryAfter.Duration}, err == nil && len(rep.Answer.Outcomes) == len(jb.Tasks)
 }
 
-func (pro *Process) elsewhere(id rgmodel.SubmissionID) (rgmodel.Entry, bool) {
-	ent, ok := rgring.Home(pro.View().Ring, id)
-	return ent, ok && ent != pro.self
-}
-
-func contains(rng rgmodel.Ring, ent rgmodel.Entry) bool {
-	for _, oth := range rng.Entries {
-		if oth == ent {
-			return true
-		}
-	}
-	return false
+func (pro *Process) localCancel(ctx context.Context, id rgmodel.SubmissionID) (rgwire.CancelJobReply, error) {
+	rep := make(chan rgwire.CancelJobReply, 1)
+	return ask(ctx, pro, CancelAsked{ID: id, Reply: rep}, rep)
 }
--- a/io/rgentry/ring.go
+++ b/io/rgentry/command_ring.go
@@ -54,7 +54,7 @@
 // The traffic must stop before a view is published in which this entry may be the home again.
 func (pro *Process) moveAway(sta *State, id rgmodel.SubmissionID) {
 	for _, rn := range sta.Runs {
-		if rn.Id == id {
+		if rn.ID == id {
 			rn.Moved = true
 			rn.Stop()
 		}
--- a/io/rgentry/submit.go
+++ b/io/rgentry/command_submit.go
@@ -42,7 +42,7 @@
 	jb := evt.Job
 	sta.RunCount++
 	ctx, stop := context.WithTimeout(work, jb.Deadline.Duration+answerGrace)
-	rn := &Run{Id: jb.ID, Flow: jb.Flow, Began: evt.since(now), Again: beg.Again, Sidecars: map[rgmodel.SidecarKey]bool{}, Stop: stop}
+	rn := &Run{ID: jb.ID, Flow: jb.Flow, Began: evt.since(now), Again: beg.Again, Sidecars: map[rgmodel.SidecarKey]bool{}, Stop: stop}
 	sta.Runs[sta.RunCount] = rn
 	countParts(sta, rn, beg.Plan.Parts)
 	evt.Reply <- sta.attach(jb.ID)
@@ -84,10 +84,10 @@
 		return
 	}
 	ans := rghome.Finish(&sta.Home, evt.Answer, evt.Places, time.Now())
-	for _, cal := range sta.Callers[rn.Id] {
+	for _, cal := range sta.Callers[rn.ID] {
 		cal <- ans
 	}
-	delete(sta.Callers, rn.Id)
+	delete(sta.Callers, rn.ID)
 	if !rn.Again {
 		pro.countAnswer(sta, rn.Flow, ans, rn.Began, time.Now())
 	}
@@ -127,7 +127,7 @@
 
 func cancelJob(sta *State, id rgmodel.SubmissionID) bool {
 	for _, rn := range sta.Runs {
-		if rn.Id == id && !rn.Moved {
+		if rn.ID == id && !rn.Moved {
 			cancelRun(sta, rn)
 			return true
 		}
@@ -141,7 +141,7 @@
 	}
 	rn.Cancelled = true
 	for key := range rn.Sidecars {
-		sta.Cancels[key] = append(sta.Cancels[key], rn.Id)
+		sta.Cancels[key] = append(sta.Cancels[key], rn.ID)
 	}
 	if sta.Flush == nil {
 		sta.Flush = time.After(cancelDelay)
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -152,9 +152,9 @@
 		pro.adoptRing(work, sta, evt.Ring, now)
 		evt.Reply <- rgwire.MembersReply{Knowledge: rghome.Tell(&sta.Home)}
 	case StateAsked:
-		evt.Reply <- jobState(sta, evt.Id)
+		evt.Reply <- jobState(sta, evt.ID)
 	case CancelAsked:
-		evt.Reply <- rgwire.CancelJobReply{Found: cancelJob(sta, evt.Id)}
+		evt.Reply <- rgwire.CancelJobReply{Found: cancelJob(sta, evt.ID)}
 	case JobFailed:
 		cancelRun(sta, sta.Runs[evt.Run])
 	case DrainAsked:
@@ -207,19 +207,3 @@
 		Burn:     sta.BurnReport,
 	})
 }
-
-// newerRing makes sure that a sidecar in contact with this entry learns of a ring that this entry has adopted.
-func newerRing(sta *State, known uint64) rgwire.ReportReply {
-	if known >= sta.Home.Ring.Ring.Generation {
-		return rgwire.ReportReply{}
-	}
-	return rgwire.ReportReply{Ring: sta.Home.Ring.Ring}
-}
-
-func teamList(teams map[string]rgmodel.TeamConfig) []rgmodel.TeamConfig {
-	lis := make([]rgmodel.TeamConfig, 0, len(teams))
-	for _, tc := range teams {
-		lis = append(lis, tc)
-	}
-	return lis
-}
--- a/io/rgentry/event.go
+++ b/io/rgentry/event.go
@@ -132,7 +132,7 @@
 
 	// StateAsked asks how far a submission is.
 	StateAsked struct {
-		Id    rgmodel.SubmissionID
+		ID    rgmodel.SubmissionID
 		Reply chan<- rgwire.JobStateReply
 	}
 
@@ -141,7 +141,7 @@
 
 	// CancelAsked asks to cancel a running job.
 	CancelAsked struct {
-		Id    rgmodel.SubmissionID
+		ID    rgmodel.SubmissionID
 		Reply chan<- rgwire.CancelJobReply
 	}
 
@@ -176,7 +176,7 @@
 type (
 	// Run is a job in flight, as the control goroutine sees it.
 	Run struct {
-		Id    rgmodel.SubmissionID
+		ID    rgmodel.SubmissionID
 		Flow  rgmodel.Flow
 		Began time.Time
 		// again is set when the job was counted before, and only its answer is collected again.
--- a/io/rgentry/process.go
+++ b/io/rgentry/process.go
@@ -102,16 +102,6 @@
 	return pro, nil
 }
 
-// View returns the newest published view.
-func (pro *Process) View() *View {
-	return pro.view.Load()
-}
-
-// Self returns the identity of this incarnation.
-func (pro *Process) Self() rgmodel.Entry {
-	return pro.self
-}
-
 func (pro *Process) run(ctx context.Context) {
 	defer close(pro.Done)
 	// The connections outlive ctx, because jobs in flight need them.
--- a/io/rgentry/serve.go
+++ b/io/rgentry/serve.go
@@ -45,21 +45,3 @@
 		return nil, errors.NotSupportedf("message %T at an entry", msg)
 	}
 }
-
-func (pro *Process) localState(ctx context.Context, id rgmodel.SubmissionID) (rgwire.JobStateReply, error) {
-	rep := make(chan rgwire.JobStateReply, 1)
-	return ask(ctx, pro, StateAsked{Id: id, Reply: rep}, rep)
-}
-
-func (pro *Process) localCancel(ctx context.Context, id rgmodel.SubmissionID) (rgwire.CancelJobReply, error) {
-	rep := make(chan rgwire.CancelJobReply, 1)
-	return ask(ctx, pro, CancelAsked{Id: id, Reply: rep}, rep)
-}
-
-func jobState(sta *State, id rgmodel.SubmissionID) rgwire.JobStateReply {
-	sub := sta.Home.Submissions.Submissions[id]
-	if sub == nil {
-		return rgwire.JobStateReply{}
-	}
-	return rgwire.JobStateReply{Found: true, Team: sub.Flow.Team, Final: sub.Final, Answer: sub.Answer}
-}
--- a/io/rgsidecar/link.go
+++ b/io/rgsidecar/command_link.go
@@ -210,12 +210,12 @@
 		return await(ctx, pro, BatchArrived{Batch: msg.Batch, Reply: rep}, rep)
 	case rgwire.Collect:
 		rep := make(chan rgwire.BatchReply, 1)
-		return await(ctx, pro, CollectArrived{Id: msg.ID, Indexes: msg.Indexes, Reply: rep}, rep)
+		return await(ctx, pro, CollectArrived{ID: msg.ID, Indexes: msg.Indexes, Reply: rep}, rep)
 	case rgwire.Seal:
 		rep := make(chan rgwire.SealReply, 1)
 		return await(ctx, pro, SealArrived{Seal: msg, Reply: rep}, rep)
 	case rgwire.Cancel:
-		pro.tell(ctx, CancelArrived{Ids: msg.IDs})
+		pro.tell(ctx, CancelArrived{IDs: msg.IDs})
 		return struct{}{}, nil
 	case rgwire.Configure:
 		pro.tell(ctx, Configured{Ring: msg.Ring, Teams: msg.Teams})
--- a/io/rgsidecar/runner.go
+++ b/io/rgsidecar/command_run.go
@@ -3,9 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -13,15 +10,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
-
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgqueue"
 )
 
 const (
 	// headerSubmission and headerIndex name the task to the upstream, and may be echoed in its answer.
-	headerSubmission = "Submission-Id"
+	headerSubmission = "Submission-ID"
 	headerIndex      = "Task-Index"
 	headerTeam       = "Team"
 	headerRemaining  = "Remaining-Time"
@@ -67,45 +62,6 @@
 	return pro.readAnswer(ctx, rsp)
 }
 
-// unanswered is the outcome without an answer: only a request that never got a connection has surely not run.
-func unanswered(ctx context.Context, connected bool, err error) rgmodel.Outcome {
-	out := rgmodel.Outcome{Reason: rgmodel.ReasonConnectionLost, Detail: err.Error()}
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		out.Reason = rgmodel.ReasonUpstreamTimeout
-	case ctx.Err() != nil:
-		out.Reason = rgmodel.ReasonCancelled
-	case !connected:
-		out.Reason = rgmodel.ReasonUpstreamUnreach
-	}
-	if !connected {
-		out.Verdict = rgmodel.NotRun
-	}
-	return out
-}
-
-func (pro *Process) readAnswer(ctx context.Context, rsp *http.Response) rgmodel.Outcome {
-	raw, err := io.ReadAll(io.LimitReader(rsp.Body, pro.settings.MaxAnswerBytes+1))
-	switch {
-	case err != nil:
-		out := unanswered(ctx, true, err)
-		if out.Reason == rgmodel.ReasonConnectionLost {
-			out.Reason = rgmodel.ReasonAnswerTruncated
-		}
-		return out
-	case int64(len(raw)) > pro.settings.MaxAnswerBytes:
-		return rgmodel.Outcome{Reason: rgmodel.ReasonAnswerTooLarge, Detail: fmt.Sprintf("over %d bytes", pro.settings.MaxAnswerBytes)}
-	case rsp.StatusCode >= http.StatusBadRequest && rsp.StatusCode < http.StatusInternalServerError:
-		return rgmodel.Outcome{Verdict: rgmodel.RanFailed, Reason: rgmodel.ReasonUpstreamRefused, Detail: rsp.Status}
-	case rsp.StatusCode < http.StatusOK || rsp.StatusCode >= http.StatusMultipleChoices:
-		return rgmodel.Outcome{Verdict: rgmodel.RanFailed, Reason: rgmodel.ReasonUpstreamStatus, Detail: rsp.Status}
-	case len(raw) > 0 && !json.Valid(raw):
-		return rgmodel.Outcome{Verdict: rgmodel.RanFailed, Reason: rgmodel.ReasonUpstreamStatus, Detail: "answer is not JSON"}
-	default:
-		return rgmodel.Outcome{Verdict: rgmodel.RanOK, Result: raw}
-	}
-}
-
 // mismatched reports whether the answer may belong to another task: it names another one, or it names none and came
 // over a connection that was used before.
 func (pro *Process) mismatched(hdr http.Header, stt rgqueue.Start, reused bool) bool {
--- a/io/rgsidecar/control.go
+++ b/io/rgsidecar/control.go
@@ -61,7 +61,7 @@
 
 	// TaskKey names a task.
 	TaskKey struct {
-		Id    rgmodel.SubmissionID
+		ID    rgmodel.SubmissionID
 		Index int
 	}
 )
@@ -106,13 +106,13 @@
 	case BatchArrived:
 		pro.acceptBatch(sta, evt, now)
 	case CollectArrived:
-		pro.await(sta, evt.Id, Waiter{Indexes: evt.Indexes, Reply: evt.Reply})
+		pro.await(sta, evt.ID, Waiter{Indexes: evt.Indexes, Reply: evt.Reply})
 	case SealArrived:
 		rgqueue.AdoptRing(&sta.Queue, evt.Seal.Ring)
 		evt.Reply <- rgwire.SealReply{Records: rgqueue.Seal(&sta.Queue, evt.Seal.Ring, evt.Seal.Home)}
 		pro.relink(work, sta)
 	case CancelArrived:
-		pro.cancel(sta, evt.Ids)
+		pro.cancel(sta, evt.IDs)
 	case Configured:
 		pro.configure(work, sta, evt)
 	case Linked:
@@ -134,98 +134,6 @@
 	}
 }
 
-// acceptBatch keeps a batch for a moment if an entry that is new in the ring has not been in contact yet, which takes
-// one dial after each change of the ring.
-func (pro *Process) acceptBatch(sta *State, evt BatchArrived, now time.Time) {
-	if evt.Arrived.IsZero() {
-		evt.Arrived = now
-		pro.scope.Counter("batches").Inc(1)
-	}
-	if !rgqueue.InContact(&sta.Queue, now) && now.Sub(evt.Arrived) < contactWait {
-		sta.Parked = append(sta.Parked, evt)
-		return
-	}
-	bat := evt.Batch
-	bat.Remaining.Duration -= now.Sub(evt.Arrived)
-	if rsn := rgqueue.Accept(&sta.Queue, bat, now); rsn != "" {
-		pro.scope.Tagged(map[string]string{"reason": string(rsn)}).Counter("batchesRefused").Inc(1)
-		evt.Reply <- rgwire.BatchReply{Refused: rsn}
-		return
-	}
-	idxs := make([]int, len(evt.Batch.Tasks))
-	for i, tsk := range evt.Batch.Tasks {
-		idxs[i] = tsk.Index
-	}
-	sta.Changed = true
-	pro.await(sta, evt.Batch.ID, Waiter{Indexes: idxs, Reply: evt.Reply})
-}
-
-// unpark decides anew on the batches that waited for contact.
-func (pro *Process) unpark(sta *State, now time.Time) {
-	evts := sta.Parked
-	sta.Parked = nil
-	for _, evt := range evts {
-		pro.acceptBatch(sta, evt, now)
-	}
-}
-
-// await answers the waiter now if its tasks are final, and else keeps it.
-func (pro *Process) await(sta *State, id rgmodel.SubmissionID, wtr Waiter) {
-	if outs, final := rgqueue.Outcomes(&sta.Queue, id, wtr.Indexes); final {
-		wtr.Reply <- rgwire.BatchReply{Outcomes: outs}
-		return
-	}
-	sta.Waiters[id] = append(sta.Waiters[id], wtr)
-}
-
-// answer replies to the waiters of the submissions whose tasks have become final.
-func (pro *Process) answer(sta *State, ids []rgmodel.SubmissionID) {
-	for _, id := range ids {
-		wtrs := sta.Waiters[id]
-		delete(sta.Waiters, id)
-		for _, wtr := range wtrs {
-			pro.await(sta, id, wtr)
-		}
-	}
-}
-
-func (pro *Process) cancel(sta *State, ids []rgmodel.SubmissionID) {
-	rgqueue.Cancel(&sta.Queue, ids, time.Now())
-	for key, stop := range sta.Running {
-		for _, id := range ids {
-			if key.Id == id {
-				stop()
-			}
-		}
-	}
-	sta.Changed = true
-	pro.answer(sta, ids)
-}
-
-func (pro *Process) finish(sta *State, evt Finished) {
-	key := TaskKey{Id: evt.Start.ID, Index: evt.Start.Task.Index}
-	if stop := sta.Running[key]; stop != nil {
-		stop()
-	}
-	delete(sta.Running, key)
-	rgqueue.Finish(&sta.Queue, evt.Start, evt.Outcome, evt.Took)
-	pro.scope.Tagged(map[string]string{"verdict": evt.Outcome.Verdict.String()}).Counter("tasks").Inc(1)
-	pro.scope.Timer("taskTime").Record(evt.Took)
-	sta.Changed = true
-	pro.answer(sta, []rgmodel.SubmissionID{evt.Start.ID})
-}
-
-// startNext gives the free slots to queued tasks.
-func (pro *Process) startNext(work context.Context, sta *State) {
-	prg := rgqueue.StartNext(&sta.Queue, time.Now())
-	pro.answer(sta, prg.Expired)
-	for _, stt := range prg.Starts {
-		ctx, stop := context.WithDeadline(work, stt.Deadline)
-		sta.Running[TaskKey{Id: stt.ID, Index: stt.Task.Index}] = stop
-		pro.runners.Go(func() { pro.runTask(ctx, work, stt) })
-	}
-}
-
 func (pro *Process) configure(work context.Context, sta *State, evt Configured) {
 	if newer := rgconfig.Merge(sta.Teams, evt.Teams); len(newer) > 0 {
 		rgqueue.Configure(&sta.Queue, weights(sta.Teams))
--- a/io/rgsidecar/event.go
+++ b/io/rgsidecar/event.go
@@ -22,7 +22,7 @@
 
 	// CollectArrived asks for the outcomes of recorded tasks.
 	CollectArrived struct {
-		Id      rgmodel.SubmissionID
+		ID      rgmodel.SubmissionID
 		Indexes []int
 		Reply   chan<- rgwire.BatchReply
 	}
@@ -34,7 +34,7 @@
 	}
 
 	// CancelArrived is a wave of cancellations.
-	CancelArrived struct{ Ids []rgmodel.SubmissionID }
+	CancelArrived struct{ IDs []rgmodel.SubmissionID }
 
 	// Configured holds a ring and configurations, which may be older than those known.
 	Configured struct {
--- /dev/null
+++ b/io/rgsidecar/query_answer.go
@@ -0,0 +1,52 @@
+package rgsidecar
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/juju/errors"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// unanswered is the outcome without an answer: only a request that never got a connection has surely not run.
+func unanswered(ctx context.Context, connected bool, err error) rgmodel.Outcome {
+	out := rgmodel.Outcome{Reason: rgmodel.ReasonConnectionLost, Detail: err.Error()}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		out.Reason = rgmodel.ReasonUpstreamTimeout
+	case ctx.Err() != nil:
+		out.Reason = rgmodel.ReasonCancelled
+	case !connected:
+		out.Reason = rgmodel.ReasonUpstreamUnreach
+	}
+	if !connected {
+		out.Verdict = rgmodel.NotRun
+	}
+	return out
+}
+
+func (pro *Process) readAnswer(ctx context.Context, rsp *http.Response) rgmodel.Outcome {
+	raw, err := io.ReadAll(io.LimitReader(rsp.Body, pro.settings.MaxAnswerBytes+1))
+	switch {
+	case err != nil:
+		out := unanswered(ctx, true, err)
+		if out.Reason == rgmodel.ReasonConnectionLost {
+			out.Reason = rgmodel.ReasonAnswerTruncated
+		}
+		return out
+	case int64(len(raw)) > pro.settings.MaxAnswerBytes:
+		return rgmodel.Outcome{Reason: rgmodel.ReasonAnswerTooLarge, Detail: fmt.Sprintf("over %d bytes", pro.settings.MaxAnswerBytes)}
+	case rsp.StatusCode >= http.StatusBadRequest && rsp.StatusCode < http.StatusInternalServerError:
+		return rgmodel.Outcome{Verdict: rgmodel.RanFailed, Reason: rgmodel.ReasonUpstreamRefused, Detail: rsp.Status}
+	case rsp.StatusCode < http.StatusOK || rsp.StatusCode >= http.StatusMultipleChoices:
+		return rgmodel.Outcome{Verdict: rgmodel.RanFailed, Reason: rgmodel.ReasonUpstreamStatus, Detail: rsp.Status}
+	case len(raw) > 0 && !json.Valid(raw):
+		return rgmodel.Outcome{Verdict: rgmodel.RanFailed, Reason: rgmodel.ReasonUpstreamStatus, Detail: "answer is not JSON"}
+	default:
+		return rgmodel.Outcome{Verdict: rgmodel.RanOK, Result: raw}
+	}
+}
