--- a/io/rgsidecar/command_observe.go
+++ b/io/rgsidecar/command_observe.go
@@ -14,16 +14,6 @@
 	Draining   bool   `json:"draining"`
 }
 
-// Health returns the newest published state, which is at most about a second old.
-func (pro *Process) Health() *Health {
-	return pro.health.Load()
-}
-
-// Usable reports whether the sidecar can get work: it does not drain, and an entry is connected.
-func (hlt *Health) Usable() bool {
-	return hlt.Entries > 0 && !hlt.Draining
-}
-
 // observe updates the gauges and publishes the state for operators.
 func (pro *Process) observe(sta *State) {
 	hlt := &Health{
