Place no work on a sidecar that reports itself isolated

Cause: a sidecar that one entry of the ring cannot reach refuses batches, but its reports to the other entries made it look idle, so that each job placed there waited 500 ms and spent a retry.

Change: a report says whether the sidecar is isolated, and such a sidecar is not usable. TestUsable covers each condition; with the new one removed, the case "isolated" is the one that is meant to fail (not run that way).

--- a/core/rgfleet/query_member.go
+++ b/core/rgfleet/query_member.go
@@ -104,7 +104,7 @@
 }
 
 func usable(mem *Member, now time.Time) bool {
-	return mem.Connected && mem.Sealed && !mem.Report.Draining && !mem.Leaving &&
+	return mem.Connected && mem.Sealed && !mem.Report.Draining && !mem.Report.Isolated && !mem.Leaving &&
 		now.Sub(mem.Reported) <= MissLimit*ReportInterval && !ejected(mem, now)
 }
 
--- /dev/null
+++ b/core/rgfleet/query_member_test.go
@@ -0,0 +1,52 @@
+package rgfleet
+
+import (
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// TestUsable guards against work for sidecars that would refuse it or not answer.
+func TestUsable(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	sc := rgmodel.Sidecar{Name: "sidecar", Incarnation: "1"}
+	missed := now.Add(-MissLimit * ReportInterval)
+	tests := map[string]struct {
+		change func(sta *State)
+		want   int
+	}{
+		"connected and sealed": {change: func(*State) {}, want: 1},
+		"not sealed":           {change: func(sta *State) { Announce(sta, sc, now) }},
+		"disconnected":         {change: func(sta *State) { Disconnect(sta, sc.Key(), now) }},
+		"leaving":              {change: func(sta *State) { Leave(sta, sc.Key()) }},
+		"draining":             {change: func(sta *State) { Report(sta, report(rgmodel.Report{Draining: true}), now) }},
+		"isolated":             {change: func(sta *State) { Report(sta, report(rgmodel.Report{Isolated: true}), now) }},
+		"in contact again": {want: 1, change: func(sta *State) {
+			Report(sta, report(rgmodel.Report{Isolated: true}), now)
+			Report(sta, report(rgmodel.Report{Sequence: 2}), now)
+		}},
+		"an older report comes late": {change: func(sta *State) {
+			Report(sta, report(rgmodel.Report{Sequence: 2, Isolated: true}), now)
+			Report(sta, report(rgmodel.Report{}), now)
+		}},
+		"two reports missed":   {want: 1, change: func(sta *State) { Report(sta, report(rgmodel.Report{}), missed) }},
+		"three reports missed": {change: func(sta *State) { Report(sta, report(rgmodel.Report{}), missed.Add(-time.Millisecond)) }},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var sta State
+			Announce(&sta, sc, now)
+			Seal(&sta, sc.Key())
+			tc.change(&sta)
+			if got := len(Usable(&sta, now)); got != tc.want {
+				t.Errorf("%d usable, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+func report(rep rgmodel.Report) rgmodel.Report {
+	rep.Sidecar, rep.Incarnation, rep.Sequence = "sidecar", "1", max(1, rep.Sequence)
+	return rep
+}
--- a/core/rgmodel/fleet.go
+++ b/core/rgmodel/fleet.go
@@ -60,6 +60,8 @@
 		Succeeded   uint64     `json:"succeeded"`
 		Failed      uint64     `json:"failed"`
 		Draining    bool       `json:"draining,omitempty"`
+		// Isolated is set while the sidecar takes no batches for want of contact to an entry of its ring.
+		Isolated bool `json:"isolated,omitempty"`
 		// Config sums up the configurations in force at the sidecar.
 		Config ConfigVersion `json:"config"`
 	}
--- a/io/rgsidecar/command_report.go
+++ b/io/rgsidecar/command_report.go
@@ -15,6 +15,7 @@
 	sta.Changed, sta.Reported = false, now
 	rep := rgqueue.Report(&sta.Queue)
 	rep.Sequence, rep.Config = sta.Sequence, sta.Config
+	rep.Isolated = !rgqueue.InContact(&sta.Queue, now)
 	for _, lnk := range sta.Links {
 		replaceReport(lnk.Reports, rep)
 	}
