--- /dev/null
+++ b/core/rgdispatch/command_job.go
@@ -0,0 +1,192 @@
+package rgdispatch
+
+import (
+	"time"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgroute"
+)
+
+// Observe takes note that the process runs at this time. It has to be called before each other command.
+func Observe(sta *State, now time.Time) {
+	if !sta.LastEvent.IsZero() && now.Sub(sta.LastEvent) > maxGap {
+		sta.Resumed = now
+	}
+	sta.LastEvent = now
+}
+
+// Submit admits a job and places its first tasks, or refuses it.
+func Submit(sta *State, now time.Time, tok Token, req Request) []Effect {
+	if jb := sta.Jobs[req.ID]; jb != nil {
+		// The caller has lost its first connection. Its job goes on and answers here.
+		efs := []Effect{Answer{Token: jb.Token, Job: req.ID, Verdict: rgmodel.MayHaveRun, Reason: rgmodel.ReasonConnectionLost}}
+		jb.Token = tok
+		return efs
+	}
+	jb := newJob(now, tok, req)
+	if rsn := refusal(sta, now, req); rsn != "" {
+		return []Effect{answer(now, jb, rgmodel.NotRun, rsn)}
+	}
+	pln, rsn := plan(sta, now, jb)
+	if rsn != "" {
+		return []Effect{answer(now, jb, rgmodel.NotRun, rsn)}
+	}
+	if sta.Jobs == nil {
+		sta.Jobs = map[string]*Job{}
+	}
+	sta.Jobs[req.ID] = jb
+	return commit(sta, now, jb, pln)
+}
+
+func newJob(now time.Time, tok Token, req Request) *Job {
+	for i := range req.Steps {
+		if req.Steps[i].Estimate <= 0 {
+			req.Steps[i].Estimate = defaultEstimate
+		}
+	}
+	if req.Route.Attempts <= 0 {
+		req.Route.Attempts = rgroute.DefaultAttempts
+	}
+	wait := req.Wait
+	if req.Route.Timeout > 0 {
+		wait = min(wait, req.Route.Timeout)
+	}
+	jb := &Job{Request: req, Token: tok, Arrived: now, Deadline: now.Add(wait), Tasks: make([][]Task, len(req.Steps))}
+	jb.InTime = now.Add(objective(req))
+	open(jb)
+	return jb
+}
+
+// open makes the tasks of all steps whose earlier steps are done.
+func open(jb *Job) {
+	for i, stp := range jb.Request.Steps {
+		if jb.Tasks[i] == nil && ready(jb, stp) {
+			jb.Tasks[i] = make([]Task, stp.Count)
+		}
+	}
+}
+
+// Abandon ends a job whose caller has left, and stops its tasks.
+func Abandon(sta *State, tok Token, id string) []Effect {
+	jb := sta.Jobs[id]
+	if jb == nil || jb.Token != tok {
+		return nil
+	}
+	return remove(sta, jb)
+}
+
+// Cancel ends a job on request of its caller, and reports whether it was in progress here.
+func Cancel(sta *State, now time.Time, id string) ([]Effect, bool) {
+	jb := sta.Jobs[id]
+	if jb == nil {
+		return nil, false
+	}
+	return giveUp(sta, now, jb, rgmodel.ReasonCancelled), true
+}
+
+// giveUp answers the caller at once and stops what runs.
+func giveUp(sta *State, now time.Time, jb *Job, rsn rgmodel.Reason) []Effect {
+	vdt := rgmodel.NotRun
+	if jb.Ran || outstanding(jb) {
+		vdt = rgmodel.MayHaveRun
+	}
+	return append(remove(sta, jb), answer(now, jb, vdt, rsn))
+}
+
+// remove forgets a job and recalls its tasks.
+func remove(sta *State, jb *Job) []Effect {
+	delete(sta.Jobs, jb.Request.ID)
+	recalls := map[LinkID][]rgmodel.Ticket{}
+	for _, tsks := range jb.Tasks {
+		for i := range tsks {
+			tsk := &tsks[i]
+			if mem := sta.Members[tsk.Link]; tsk.State == TaskPlaced && mem != nil {
+				delete(mem.Places, tsk.Ticket)
+				recalls[tsk.Link] = append(recalls[tsk.Link], tsk.Ticket)
+			}
+		}
+	}
+	efs := make([]Effect, 0, len(recalls))
+	for lnk, tks := range recalls {
+		efs = append(efs, Recall{Link: lnk, Tickets: tks})
+	}
+	return efs
+}
+
+func answer(now time.Time, jb *Job, vdt rgmodel.Verdict, rsn rgmodel.Reason) Effect {
+	ans := Answer{Token: jb.Token, Job: jb.Request.ID, Verdict: vdt, Reason: rsn, Took: now.Sub(jb.Arrived)}
+	if vdt == rgmodel.NotRun {
+		ans.RetryAfter = retryAfter
+	}
+	return ans
+}
+
+// Finish takes note of the ends of placed tasks.
+func Finish(sta *State, now time.Time, lnk LinkID, ends []rgmodel.TaskEnd) []Effect {
+	mem := sta.Members[lnk]
+	if mem == nil {
+		return nil
+	}
+	var efs []Effect
+	for _, end := range ends {
+		plc, ok := mem.Places[end.Ticket]
+		if !ok {
+			continue
+		}
+		delete(mem.Places, end.Ticket)
+		if jb := sta.Jobs[plc.Job]; jb != nil {
+			efs = append(efs, finish(sta, now, jb, &jb.Tasks[plc.Step][plc.Index], mem.Name, end)...)
+		}
+	}
+	return efs
+}
+
+func finish(sta *State, now time.Time, jb *Job, tsk *Task, sidecar string, end rgmodel.TaskEnd) []Effect {
+	jb.Ran = jb.Ran || end.How != rgmodel.EndReturned
+	tsk.State = TaskWaiting
+	switch end.How {
+	case rgmodel.EndDone:
+		tsk.State = TaskDone
+		open(jb)
+		if done(jb) {
+			delete(sta.Jobs, jb.Request.ID)
+			return []Effect{answer(now, jb, rgmodel.RanOK, "")}
+		}
+	case rgmodel.EndFailed:
+		tsk.Failures++
+		avoid(tsk, sidecar)
+		if tsk.Failures >= jb.Request.Route.Attempts {
+			return append(remove(sta, jb), answer(now, jb, rgmodel.RanFailed, end.Reason))
+		}
+	case rgmodel.EndLost, rgmodel.EndReturned:
+		avoid(tsk, sidecar)
+	}
+	return resume(sta, now, jb, end.Reason)
+}
+
+func avoid(tsk *Task, sidecar string) {
+	if tsk.Avoid == nil {
+		tsk.Avoid = map[string]bool{}
+	}
+	tsk.Avoid[sidecar] = true
+}
+
+// resume places the waiting tasks of a job, or gives the job up if it can no longer end before its deadline.
+func resume(sta *State, now time.Time, jb *Job, rsn rgmodel.Reason) []Effect {
+	if !waiting(jb) {
+		return nil
+	}
+	if hopeless(sta, now, jb) {
+		return giveUp(sta, now, jb, rsn)
+	}
+	pln, why := plan(sta, now, jb)
+	switch why {
+	case "":
+		return commit(sta, now, jb, pln)
+	case rgmodel.ReasonNoUpstream:
+		// A sidecar may come back; the next tick tries again.
+		return nil
+	default:
+		return giveUp(sta, now, jb, why)
+	}
+}
--- /dev/null
+++ b/core/rgdispatch/command_place.go
@@ -0,0 +1,58 @@
+package rgdispatch
+
+import (
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// commit sends the planned tasks, one message for each sidecar and step.
+func commit(sta *State, now time.Time, jb *Job, pln []choice) []Effect {
+	type target struct {
+		link LinkID
+		step int
+	}
+	batches := map[target]*rgmodel.Placement{}
+	var order []target
+	for _, cho := range pln {
+		key := target{link: cho.link, step: cho.step}
+		mem := sta.Members[cho.link]
+		plc := batches[key]
+		if plc == nil {
+			plc = placement(now, jb, mem, cho.step)
+			batches[key] = plc
+			order = append(order, key)
+		}
+		mem.Tickets++
+		stp := jb.Request.Steps[cho.step]
+		mem.Places[mem.Tickets] = Place{Job: jb.Request.ID, Step: cho.step, Index: cho.index}
+		mem.Unseen = append(mem.Unseen, Sent{Ticket: mem.Tickets, Cores: stp.Needs.Cores})
+		tsk := &jb.Tasks[cho.step][cho.index]
+		tsk.State = TaskPlaced
+		tsk.Link = cho.link
+		tsk.Ticket = mem.Tickets
+		plc.Tasks = append(plc.Tasks, rgmodel.PlacedTask{
+			Ticket:   mem.Tickets,
+			Name:     rgmodel.TaskName{Job: jb.Request.ID, Step: cho.step, Index: cho.index},
+			Estimate: rgmodel.Duration{Duration: estimateAt(sta, stp, mem)},
+		})
+	}
+	efs := make([]Effect, 0, len(order))
+	for _, key := range order {
+		efs = append(efs, Send{Link: key.link, Placement: *batches[key]})
+	}
+	return efs
+}
+
+func placement(now time.Time, jb *Job, mem *Member, step int) *rgmodel.Placement {
+	ins := Issued(mem, now)
+	return &rgmodel.Placement{
+		Issued:   ins,
+		Deadline: ins.Add(jb.Deadline.Sub(now)),
+		Service:  jb.Request.Route.Service,
+		Priority: jb.Request.Route.Priority,
+		Slack:    rgmodel.Duration{Duration: jb.InTime.Sub(now).Round(time.Millisecond)},
+		Needs:    jb.Request.Steps[step].Needs,
+		Spec:     jb.Request.Spec,
+	}
+}
--- /dev/null
+++ b/core/rgdispatch/dispatch.go
@@ -0,0 +1,187 @@
+// Package rgdispatch holds the decisions of an entry whose upstreams are driven by orders: which jobs it admits, on
+// which sidecars their tasks run, and when a job is given up.
+package rgdispatch
+
+import (
+	"time"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgroute"
+)
+
+const (
+	// TickInterval is how often deadlines and silent sidecars are checked.
+	TickInterval = 100 * time.Millisecond
+	// MemberSilence is how long a sidecar may be silent before its tasks count as lost. It reports every 100 ms.
+	MemberSilence = 350 * time.Millisecond
+	// maxGap is the longest time between two events of a process that is running: ticks come every 100 ms.
+	maxGap = 400 * time.Millisecond
+	// resumeWait is how long jobs are refused after the process has stood still. Their callers may have left long ago,
+	// and may have sent them to another entry.
+	resumeWait = 200 * time.Millisecond
+	// defaultEstimate is assumed for tasks without one.
+	defaultEstimate = 200 * time.Millisecond
+	// networkTime is what an order and its end need between an entry and a sidecar, with the executor's own calls.
+	networkTime = 5 * time.Millisecond
+	// retryAfter is when a refused caller is told to come back: about the time that a full queue needs to drain.
+	retryAfter = time.Second
+	// lateTolerance is how far beyond the time that is still in time a job may be expected to end when it is admitted.
+	// Estimates are off by up to 40 %, so that many of them end in time all the same.
+	lateTolerance = 1.3
+)
+
+const (
+	// TaskWaiting is the zero value: the task has no place.
+	TaskWaiting TaskState = iota
+	// TaskPlaced means that a sidecar has it.
+	TaskPlaced
+	// TaskHeld means that its sidecar is lost and it may run there yet.
+	TaskHeld
+	// TaskDone means that it has succeeded.
+	TaskDone
+)
+
+type (
+	// LinkID names a connection to a sidecar.
+	LinkID uint64
+
+	// Token names a caller that waits for the answer to a job.
+	Token uint64
+
+	// TaskState is how far a task has come.
+	TaskState uint8
+
+	// Limits are what the deployment allows.
+	Limits struct {
+		// RunsGone is how long after the loss of a sidecar everything has ended that this entry had placed there.
+		RunsGone time.Duration
+	}
+
+	// Step is a set of equal tasks of a job.
+	Step struct {
+		Count    int
+		Needs    rgmodel.Resources
+		Estimate time.Duration
+		// After lists steps that have to be done first.
+		After []int
+		// Requirement is a label that the executor must have.
+		Requirement string
+		// Affinity is the label of the rack near the data; elsewhere tasks take RemoteFactor times as long.
+		Affinity string
+		// AntiAffinity bounds the tasks of the step on one executor; zero means no bound.
+		AntiAffinity int
+	}
+
+	// Request is a job as a caller sends it.
+	Request struct {
+		ID    string
+		Route rgroute.Route
+		Spec  string
+		Steps []Step
+		// Wait is how long the caller waits for the answer.
+		Wait time.Duration
+		// Unsupported names a property that jobs here cannot have; empty if there is none.
+		Unsupported string
+	}
+
+	// Task is one task of a job in progress.
+	Task struct {
+		State    TaskState
+		Link     LinkID
+		Sidecar  string
+		Ticket   rgmodel.Ticket
+		Failures int
+		// HeldUntil is when a held task has ended for certain.
+		HeldUntil time.Time
+		// Avoid holds the sidecars that have failed or returned it.
+		Avoid map[string]bool
+	}
+
+	// Job is a job in progress.
+	Job struct {
+		Request  Request
+		Token    Token
+		Arrived  time.Time
+		Deadline time.Time
+		// InTime is when the job has to end to be in time, as far as its estimates tell.
+		InTime time.Time
+		// Tasks holds the tasks of each step; those of a step that waits for others are empty.
+		Tasks [][]Task
+		// Ran is set once a task may have been started.
+		Ran bool
+	}
+
+	// Place is where a ticket leads.
+	Place struct {
+		Job   string
+		Step  int
+		Index int
+	}
+
+	// Sent is a placement that the sidecar's last report does not contain yet.
+	Sent struct {
+		Ticket rgmodel.Ticket
+		Cores  float64
+	}
+
+	// Member is a connected sidecar.
+	Member struct {
+		Name     string
+		Zone     string
+		Executor rgmodel.Executor
+		Report   rgmodel.RoomReport
+		Reported time.Time
+		Heard    time.Time
+		// Echo is the last time of the sidecar's clock that was received, at Heard.
+		Echo    rgmodel.Instant
+		Tickets rgmodel.Ticket
+		Places  map[rgmodel.Ticket]Place
+		Unseen  []Sent
+	}
+
+	// Effect is what the process has to do after a command.
+	Effect interface{ isEffect() }
+
+	// Send asks a sidecar to run tasks.
+	Send struct {
+		Link      LinkID
+		Placement rgmodel.Placement
+	}
+
+	// Recall asks a sidecar to drop tasks.
+	Recall struct {
+		Link    LinkID
+		Tickets []rgmodel.Ticket
+	}
+
+	// Answer is the final answer to a caller.
+	Answer struct {
+		Token   Token
+		Job     string
+		Verdict rgmodel.Verdict
+		Reason  rgmodel.Reason
+		// RetryAfter is set if the job has not run and may be sent again later.
+		RetryAfter time.Duration
+		Took       time.Duration
+	}
+
+	// Close ends the connection to a sidecar.
+	Close struct{ Link LinkID }
+
+	// State is the control state of the entry.
+	State struct {
+		Limits  Limits
+		Zone    string
+		Members map[LinkID]*Member
+		Jobs    map[string]*Job
+		// RemoteFactor is how much longer tasks take away from their data; zero means that it does not matter.
+		RemoteFactor float64
+		LastEvent    time.Time
+		Resumed      time.Time
+	}
+)
+
+func (Send) isEffect()   {}
+func (Recall) isEffect() {}
+func (Answer) isEffect() {}
+func (Close) isEffect()  {}
--- /dev/null
+++ b/core/rgdispatch/query_job.go
@@ -0,0 +1,137 @@
+package rgdispatch
+
+import (
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// refusal returns why a job cannot be admitted whatever the load, or an empty reason.
+func refusal(sta *State, now time.Time, req Request) rgmodel.Reason {
+	switch {
+	case req.Unsupported != "", req.Route.Advised:
+		return rgmodel.ReasonNeverRunnable
+	case !sta.Resumed.IsZero() && now.Sub(sta.Resumed) < resumeWait:
+		return rgmodel.ReasonNotReady
+	default:
+		return ""
+	}
+}
+
+// objective returns how long the job may take to be in time, by its estimates.
+func objective(req Request) time.Duration {
+	str := max(req.Route.Stretch, 1)
+	return time.Duration(str*float64(chain(req.Steps))) + req.Route.Goal
+}
+
+// chain returns the longest chain of work through the steps.
+func chain(stps []Step) time.Duration {
+	ends := make([]time.Duration, len(stps))
+	longest := time.Duration(0)
+	// Steps name earlier ones only, so that one pass is enough.
+	for i, stp := range stps {
+		from := time.Duration(0)
+		for _, j := range stp.After {
+			from = max(from, ends[j])
+		}
+		ends[i] = from + stp.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+func ready(jb *Job, stp Step) bool {
+	for _, i := range stp.After {
+		if !stepDone(jb.Tasks[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+func stepDone(tsks []Task) bool {
+	for _, tsk := range tsks {
+		if tsk.State != TaskDone {
+			return false
+		}
+	}
+	return tsks != nil
+}
+
+func done(jb *Job) bool {
+	for _, tsks := range jb.Tasks {
+		if !stepDone(tsks) {
+			return false
+		}
+	}
+	return true
+}
+
+func waiting(jb *Job) bool {
+	return anyTask(jb, func(tsk Task) bool { return tsk.State == TaskWaiting })
+}
+
+// outstanding says whether a task may be running.
+func outstanding(jb *Job) bool {
+	return anyTask(jb, func(tsk Task) bool { return tsk.State == TaskPlaced || tsk.State == TaskHeld })
+}
+
+func anyTask(jb *Job, match func(Task) bool) bool {
+	for _, tsks := range jb.Tasks {
+		for _, tsk := range tsks {
+			if match(tsk) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// hopeless says whether the job's waiting or held tasks cannot end before its deadline, even on the fastest sidecar.
+func hopeless(sta *State, now time.Time, jb *Job) bool {
+	// leastShare allows for estimates that are too long.
+	const leastShare = 0.5
+	fastest := 1.0
+	for _, mem := range sta.Members {
+		if mem.Report.Stretch > 0 {
+			fastest = min(fastest, mem.Report.Stretch)
+		}
+	}
+	for i, tsks := range jb.Tasks {
+		need := time.Duration(leastShare * fastest * float64(jb.Request.Steps[i].Estimate))
+		for _, tsk := range tsks {
+			from := now
+			switch tsk.State {
+			case TaskHeld:
+				from = tsk.HeldUntil
+			case TaskWaiting:
+			default:
+				continue
+			}
+			if from.Add(need).After(jb.Deadline) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// JobState says whether a job is in progress, and whether a task of it may have run.
+func JobState(sta *State, id string) (running, known bool) {
+	jb := sta.Jobs[id]
+	if jb == nil {
+		return false, false
+	}
+	return jb.Ran || outstanding(jb), true
+}
+
+// Pending returns the number of jobs of the route for which no task has been placed.
+func Pending(sta *State, route string) int {
+	sum := 0
+	for _, jb := range sta.Jobs {
+		if jb.Request.Route.Name == route && !jb.Ran && !outstanding(jb) {
+			sum++
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/core/rgdispatch/query_plan.go
@@ -0,0 +1,169 @@
+package rgdispatch
+
+import (
+	"slices"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+type (
+	// choice is a place for one task.
+	choice struct {
+		link  LinkID
+		step  int
+		index int
+	}
+
+	// seat is a sidecar that may run tasks of a step, with the tasks that the plan has given it.
+	seat struct {
+		link  LinkID
+		mem   *Member
+		run   time.Duration
+		count int
+	}
+)
+
+// Issued returns the time on the sidecar's clock for a message that is sent now. It is at most the true one, because the
+// sidecar's last message took some time to arrive.
+func Issued(mem *Member, now time.Time) rgmodel.Instant {
+	return mem.Echo.Add(now.Sub(mem.Heard))
+}
+
+// plan chooses a sidecar for each waiting task of the job: the one on which it is expected to end first. It returns a
+// reason if a task has no sidecar, or if the job would end too late.
+func plan(sta *State, now time.Time, jb *Job) ([]choice, rgmodel.Reason) {
+	var pln []choice
+	taken := map[LinkID]float64{}
+	for i := range jb.Tasks {
+		stp := jb.Request.Steps[i]
+		sts := seats(sta, now, jb, stp)
+		for j := range jb.Tasks[i] {
+			tsk := &jb.Tasks[i][j]
+			if tsk.State != TaskWaiting {
+				continue
+			}
+			sea, end := best(now, jb, stp, sts, tsk, taken)
+			if sea == nil {
+				return nil, missing(sta, jb, stp)
+			}
+			if now.Add(end).After(latest(jb)) {
+				return nil, rgmodel.ReasonExpectedWait
+			}
+			sea.count++
+			taken[sea.link] += stp.Needs.Cores
+			pln = append(pln, choice{link: sea.link, step: i, index: j})
+		}
+	}
+	return pln, ""
+}
+
+// latest returns when the job may be expected to end to be worth running. A job that has begun is finished as long as its
+// caller waits.
+func latest(jb *Job) time.Time {
+	if jb.Ran {
+		return jb.Deadline
+	}
+	tol := time.Duration(lateTolerance * float64(jb.InTime.Sub(jb.Arrived)))
+	if end := jb.Arrived.Add(tol); end.Before(jb.Deadline) {
+		return end
+	}
+	return jb.Deadline
+}
+
+func seats(sta *State, now time.Time, jb *Job, stp Step) []*seat {
+	var sts []*seat
+	for lnk, mem := range sta.Members {
+		if mem.Report.Usable && now.Sub(mem.Heard) <= MemberSilence && runnable(mem, jb, stp) {
+			sts = append(sts, &seat{link: lnk, mem: mem, run: runTime(sta, stp, mem)})
+		}
+	}
+	// The order of a map would make plans differ from run to run.
+	slices.SortFunc(sts, func(one, two *seat) int { return int(one.link) - int(two.link) })
+	return sts
+}
+
+// runnable says whether the sidecar's executor may ever run the step.
+func runnable(mem *Member, jb *Job, stp Step) bool {
+	return mem.Executor.Service == jb.Request.Route.Service && !mem.Executor.Draining &&
+		stp.Needs.Fits(mem.Executor.Capacity) &&
+		(stp.Requirement == "" || slices.Contains(mem.Executor.Labels, stp.Requirement))
+}
+
+// missing tells a step that no executor can run from one that no executor can run now.
+func missing(sta *State, jb *Job, stp Step) rgmodel.Reason {
+	for _, mem := range sta.Members {
+		if runnable(mem, jb, stp) {
+			return rgmodel.ReasonNoUpstream
+		}
+	}
+	return rgmodel.ReasonNeverRunnable
+}
+
+func best(now time.Time, jb *Job, stp Step, sts []*seat, tsk *Task, taken map[LinkID]float64) (*seat, time.Duration) {
+	var found *seat
+	var least time.Duration
+	for _, sea := range sts {
+		if tsk.Avoid[sea.mem.Name] && len(tsk.Avoid) < len(sts) {
+			continue
+		}
+		if stp.AntiAffinity > 0 && sea.count+placedOn(jb, stp, sea.link) >= stp.AntiAffinity {
+			continue
+		}
+		end := wait(now, sea, jb.Request.Route.Priority, stp.Needs.Cores, taken[sea.link]) + sea.run + networkTime
+		if found == nil || end < least {
+			found, least = sea, end
+		}
+	}
+	return found, least
+}
+
+func placedOn(jb *Job, stp Step, lnk LinkID) int {
+	sum := 0
+	for i, tsks := range jb.Tasks {
+		if jb.Request.Steps[i].AntiAffinity != stp.AntiAffinity {
+			continue
+		}
+		for _, tsk := range tsks {
+			if tsk.State == TaskPlaced && tsk.Link == lnk {
+				sum++
+			}
+		}
+	}
+	return sum
+}
+
+// wait returns how long a task is expected to wait for room at the sidecar.
+func wait(now time.Time, sea *seat, priority int, cores, taken float64) time.Duration {
+	rep := &sea.mem.Report
+	free := rep.Room.Cores - rep.Used.Cores - taken
+	for _, snt := range sea.mem.Unseen {
+		free -= snt.Cores
+	}
+	base := time.Duration(0)
+	if len(rep.Waits) > 0 {
+		base = max(0, rep.Waits[min(priority, len(rep.Waits)-1)].Duration-now.Sub(sea.mem.Reported))
+	}
+	if free >= cores {
+		return base
+	}
+	// What is beyond the room waits until as many cores have been released, on average one room in a run time.
+	return base + time.Duration((cores-free)/max(rep.Room.Cores, 1)*float64(sea.run))
+}
+
+// runTime returns how long a task of the step is expected to run at the sidecar.
+func runTime(sta *State, stp Step, mem *Member) time.Duration {
+	str := mem.Report.Stretch
+	if str == 0 {
+		str = 1
+	}
+	return time.Duration(str * float64(estimateAt(sta, stp, mem)))
+}
+
+// estimateAt returns the estimate of a task at the sidecar before its stretch.
+func estimateAt(sta *State, stp Step, mem *Member) time.Duration {
+	if stp.Affinity != "" && sta.RemoteFactor > 1 && !slices.Contains(mem.Executor.Labels, stp.Affinity) {
+		return time.Duration(sta.RemoteFactor * float64(stp.Estimate))
+	}
+	return stp.Estimate
+}
--- /dev/null
+++ b/core/rgmodel/placement.go
@@ -0,0 +1,78 @@
+package rgmodel
+
+import "time"
+
+type (
+	// Instant is a moment on the clock of a sidecar's machine, which goes on while the machine is suspended.
+	Instant int64
+
+	// Ticket names one placement of a task on one connection between an entry and a sidecar.
+	Ticket uint64
+
+	// PlacedTask is a task that an entry asks a sidecar to run.
+	PlacedTask struct {
+		Ticket   Ticket   `json:"ticket"`
+		Name     TaskName `json:"name"`
+		Estimate Duration `json:"estimate"`
+	}
+
+	// Placement is the part of a step that a sidecar is to run.
+	Placement struct {
+		// Issued is the latest time of the sidecar at which the entry can prove that it sent this, and at most the true one.
+		Issued Instant `json:"issued"`
+		// Deadline is when all runs must have ended, on the sidecar's clock.
+		Deadline Instant      `json:"deadline"`
+		Service  string       `json:"service"`
+		Priority int          `json:"priority,omitempty"`
+		Slack    Duration     `json:"slack"`
+		Needs    Resources    `json:"needs"`
+		Spec     string       `json:"spec"`
+		Tasks    []PlacedTask `json:"tasks"`
+	}
+
+	// TaskEnd tells an entry how a placed task has ended.
+	TaskEnd struct {
+		Ticket Ticket   `json:"ticket"`
+		How    EndKind  `json:"how,omitempty"`
+		Reason Reason   `json:"reason,omitempty"`
+		Took   Duration `json:"took,omitempty"`
+	}
+
+	// RoomReport is a sidecar's view of its executor.
+	RoomReport struct {
+		Used Resources `json:"used"`
+		// Room is what runs may take in all, which may be less than the executor's capacity.
+		Room Resources `json:"room"`
+		// Usable is set while the executor takes new runs.
+		Usable bool `json:"usable,omitempty"`
+		// Cleared is set when no run is left of the entry's earlier connections.
+		Cleared bool `json:"cleared,omitempty"`
+		// Waits holds for each priority how long a task that arrives now would wait.
+		Waits []Duration `json:"waits,omitempty"`
+		// Stretch is how long tasks take on this executor, relative to their estimates.
+		Stretch float64 `json:"stretch"`
+	}
+)
+
+// Add returns the instant that is later by the duration.
+func (ins Instant) Add(dur time.Duration) Instant { return ins + Instant(dur.Milliseconds()) }
+
+// Sub returns the time since an earlier instant.
+func (ins Instant) Sub(earlier Instant) time.Duration {
+	return time.Duration(ins-earlier) * time.Millisecond
+}
+
+// Plus returns the sum of both.
+func (res Resources) Plus(more Resources) Resources {
+	return Resources{
+		Cores:        res.Cores + more.Cores,
+		MemoryBytes:  res.MemoryBytes + more.MemoryBytes,
+		Accelerators: res.Accelerators + more.Accelerators,
+	}
+}
+
+// InstantOf returns the time as it is sent to other processes.
+func InstantOf(tim time.Time) Instant { return Instant(tim.UnixMilli()) }
+
+// Time returns the instant as a time without a date.
+func (ins Instant) Time() time.Time { return time.UnixMilli(int64(ins)) }
--- /dev/null
+++ b/core/rgroom/command_executor.go
@@ -0,0 +1,117 @@
+package rgroom
+
+import (
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// Announce takes note of what the executor says of itself, and reports whether it is news of the current lifetime.
+func Announce(sta *State, now time.Time, exe rgmodel.Executor) ([]Effect, bool) {
+	cur := sta.Executor.Lifetime
+	switch {
+	case sta.Phase != PhaseAbsent && exe.Lifetime.Born < cur.Born:
+		return nil, false
+	case sta.Phase != PhaseAbsent && exe.Lifetime == cur:
+		if exe.Sequence <= sta.Executor.Sequence {
+			return nil, false
+		}
+		drained := exe.Draining && !sta.Executor.Draining
+		if exe.Clock > sta.Executor.Clock {
+			sta.ClockAt = now
+		} else {
+			// An answer to an order has overtaken the report.
+			exe.Clock = sta.Executor.Clock
+		}
+		sta.Executor = exe
+		if drained {
+			return returnQueue(sta, rgmodel.ReasonDraining), true
+		}
+		return proceed(sta, now), true
+	default:
+		efs := forget(sta, rgmodel.ReasonSidecarLost)
+		sta.Executor = exe
+		sta.ClockAt = now
+		sta.Stretch = 0
+		sta.Health = Health{}
+		efs = append(efs, fence(sta, now)...)
+		return efs, true
+	}
+}
+
+// Depart takes note that a lifetime has ended as planned.
+func Depart(sta *State, id string) []Effect {
+	if sta.Phase == PhaseAbsent || sta.Executor.Lifetime.ID != id {
+		return nil
+	}
+	sta.Phase = PhaseAbsent
+	return forget(sta, rgmodel.ReasonDraining)
+}
+
+// fence makes orders of earlier processes void and asks for their runs. The executor's own clock gives a fence that is
+// higher than that of any earlier process beside the same lifetime.
+func fence(sta *State, now time.Time) []Effect {
+	sta.Phase = PhaseFencing
+	sta.Fence = max(sta.Fence+1, uint64(max(sta.Executor.Clock, 1)))
+	sta.Seen = 0
+	sta.Foreign = nil
+	return look(sta, now)
+}
+
+// forget drops everything that ran or waited on a lifetime that is over.
+func forget(sta *State, rsn rgmodel.Reason) []Effect {
+	efs := returnQueue(sta, rsn)
+	for _, run := range sta.Runs {
+		efs = append(efs, tell(sta, run.Work, rgmodel.EndLost, rsn, 0))
+	}
+	sta.Runs = nil
+	sta.Foreign = nil
+	sta.LookSent = time.Time{}
+	sta.Lease = 0
+	return efs
+}
+
+func returnQueue(sta *State, rsn rgmodel.Reason) []Effect {
+	efs := make([]Effect, 0, len(sta.Queue))
+	for _, wrk := range sta.Queue {
+		efs = append(efs, tell(sta, wrk, rgmodel.EndReturned, rsn, 0))
+	}
+	sta.Queue = nil
+	return efs
+}
+
+func tell(sta *State, wrk Work, how rgmodel.EndKind, rsn rgmodel.Reason, took time.Duration) Effect {
+	switch how {
+	case rgmodel.EndDone:
+		sta.Counts.Done++
+	case rgmodel.EndFailed:
+		sta.Counts.Failed++
+	case rgmodel.EndLost:
+		sta.Counts.Lost++
+	case rgmodel.EndReturned:
+		sta.Counts.Returned++
+	}
+	return Tell{Link: wrk.Link, End: rgmodel.TaskEnd{
+		Ticket: wrk.Task.Ticket, How: how, Reason: rsn, Took: rgmodel.Duration{Duration: took},
+	}}
+}
+
+// observe takes note of the executor's clock in an answer to an order. It reports whether the answer is from the
+// current lifetime.
+func observe(sta *State, now time.Time, lif rgmodel.Lifetime, rep rgmodel.OrderReply) bool {
+	if lif != sta.Executor.Lifetime || rep.Born != 0 && rep.Born != lif.Born {
+		return false
+	}
+	if rep.Clock > sta.Executor.Clock {
+		sta.Executor.Clock = rep.Clock
+		sta.ClockAt = now
+	}
+	return true
+}
+
+// leaseUntil returns the lease that an order of this moment carries.
+func leaseUntil(sta *State, now time.Time) rgmodel.ExecutorTime {
+	lea := sta.Executor.Clock + rgmodel.ExecutorTime((now.Sub(sta.ClockAt) + LeaseTime(sta)).Milliseconds())
+	sta.Lease = max(sta.Lease, lea)
+	return lea
+}
--- /dev/null
+++ b/core/rgroom/command_link.go
@@ -0,0 +1,83 @@
+package rgroom
+
+import (
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// Join takes note of a new connection to an entry.
+func Join(sta *State, now time.Time, id LinkID, entry string) {
+	if sta.Links == nil {
+		sta.Links = map[LinkID]*Link{}
+	}
+	sta.Links[id] = &Link{Entry: entry, Fresh: now}
+}
+
+// Hear takes note of a time at which the entry was alive for certain.
+func Hear(sta *State, id LinkID, fresh time.Time) {
+	if lnk := sta.Links[id]; lnk != nil && fresh.After(lnk.Fresh) {
+		lnk.Fresh = fresh
+	}
+}
+
+// Part takes note that a connection is lost, and stops what the entry has placed on it.
+func Part(sta *State, now time.Time, id LinkID) []Effect {
+	delete(sta.Links, id)
+	efs := drop(sta, now, rgmodel.ReasonConnectionLost, func(wrk Work) bool { return wrk.Link == id })
+	return append(efs, proceed(sta, now)...)
+}
+
+// Place accepts tasks, or returns them at once if the entry may have given them up already.
+func Place(sta *State, now time.Time, id LinkID, plc rgmodel.Placement) []Effect {
+	Hear(sta, id, plc.Issued.Time())
+	var efs []Effect
+	rsn, ok := acceptable(sta, now, id, plc)
+	for _, tsk := range plc.Tasks {
+		wrk := Work{
+			Task: tsk, Link: id, Priority: plc.Priority, Needs: plc.Needs, Spec: plc.Spec, Arrived: now,
+			Deadline: plc.Deadline.Time(), InTime: plc.Issued.Time().Add(plc.Slack.Duration),
+		}
+		if !ok {
+			efs = append(efs, tell(sta, wrk, rgmodel.EndReturned, rsn, 0))
+			continue
+		}
+		enqueue(sta, wrk)
+	}
+	return append(efs, proceed(sta, now)...)
+}
+
+// Cancel drops the tasks with the tickets. Their ends are not reported, because the entry has given them up.
+func Cancel(sta *State, now time.Time, id LinkID, tks []rgmodel.Ticket) []Effect {
+	set := make(map[rgmodel.Ticket]bool, len(tks))
+	for _, tkt := range tks {
+		set[tkt] = true
+	}
+	efs := drop(sta, now, rgmodel.ReasonCancelled, func(wrk Work) bool { return wrk.Link == id && set[wrk.Task.Ticket] })
+	return append(efs, proceed(sta, now)...)
+}
+
+// drop removes queued tasks and stops runs that match.
+func drop(sta *State, now time.Time, rsn rgmodel.Reason, match func(Work) bool) []Effect {
+	kept := sta.Queue[:0]
+	for _, wrk := range sta.Queue {
+		if !match(wrk) {
+			kept = append(kept, wrk)
+		}
+	}
+	sta.Queue = kept
+	var efs []Effect
+	for _, run := range sta.Runs {
+		if match(run.Work) {
+			run.Again = false
+			efs = append(efs, stop(sta, now, run, rsn)...)
+		}
+	}
+	return efs
+}
+
+// Drain begins the planned stop of the sidecar: it accepts nothing more, and what runs goes on.
+func Drain(sta *State) []Effect {
+	sta.Stopping = true
+	return returnQueue(sta, rgmodel.ReasonDraining)
+}
--- /dev/null
+++ b/core/rgroom/command_look.go
@@ -0,0 +1,165 @@
+package rgroom
+
+import (
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// look sends a look at the executor unless one is under way or there is nothing to see.
+func look(sta *State, now time.Time) []Effect {
+	if !sta.LookSent.IsZero() || sta.Phase == PhaseAbsent || sta.Phase == PhaseServing && len(sta.Runs) == 0 && len(sta.Foreign) == 0 {
+		return nil
+	}
+	sta.LookSent = now
+	ord := rgmodel.LookOrder{Lifetime: sta.Executor.Lifetime, Fence: sta.Fence, Seen: sta.Seen}
+	if sta.Phase == PhaseServing {
+		ord.Wait = lookWait
+	}
+	if renewable(sta, now) {
+		ord.Lease = leaseUntil(sta, now)
+	}
+	return []Effect{Give{Order: ord}}
+}
+
+// LookAnswered takes note of the runs and ends that the executor lists.
+func LookAnswered(sta *State, now time.Time, ord rgmodel.LookOrder, rep rgmodel.OrderReply) []Effect {
+	if ord.Lifetime != sta.Executor.Lifetime || ord.Fence != sta.Fence {
+		return nil
+	}
+	sent := sta.LookSent
+	sta.LookSent = time.Time{}
+	if !rep.Answered {
+		if sta.Phase == PhaseFencing {
+			// The next tick asks again; asking at once would keep both sides busy.
+			return nil
+		}
+		return look(sta, now)
+	}
+	if rep.Refusal == rgmodel.RefusalLifetime || rep.Born != 0 && rep.Born != ord.Lifetime.Born {
+		sta.Phase = PhaseAbsent
+		return forget(sta, rgmodel.ReasonSidecarLost)
+	}
+	observe(sta, now, ord.Lifetime, rep)
+	if rep.Refusal == rgmodel.RefusalFenced {
+		return append(forget(sta, rgmodel.ReasonUpstreamRefused), fence(sta, now)...)
+	}
+	if rep.Refusal != rgmodel.RefusalNone {
+		return nil
+	}
+	sta.Counts.Unreadable += uint64(rep.Unreadable)
+	listed := make(map[RunKey]bool, len(rep.Running))
+	for _, row := range rep.Running {
+		listed[RunKey{Task: row.Task, Number: row.Run}] = true
+	}
+	efs := takeEnds(sta, now, rep.Ended)
+	efs = append(efs, settle(sta, now, sent, listed)...)
+	efs = append(efs, stopForeign(sta, now, listed)...)
+	if sta.Phase == PhaseFencing && len(sta.Foreign) == 0 {
+		sta.Phase = PhaseServing
+	}
+	return append(efs, proceed(sta, now)...)
+}
+
+func takeEnds(sta *State, now time.Time, ended []rgmodel.EndedRun) []Effect {
+	var efs []Effect
+	for _, row := range ended {
+		sta.Seen = max(sta.Seen, row.Number)
+		delete(sta.Foreign, RunKey{Task: row.Task, Number: row.Run})
+		run := sta.Runs[row.Task]
+		if run == nil || run.Number != row.Run {
+			continue
+		}
+		delete(sta.Runs, row.Task)
+		efs = append(efs, end(sta, now, run, row.How)...)
+	}
+	return efs
+}
+
+// end reports a run that has ended, or queues its task anew.
+func end(sta *State, now time.Time, run *Run, how rgmodel.EndKind) []Effect {
+	took := now.Sub(run.Started)
+	switch how {
+	case rgmodel.EndDone:
+		succeed(&sta.Health)
+		learn(sta, run.Work, took)
+		return []Effect{tell(sta, run.Work, how, "", took)}
+	case rgmodel.EndFailed:
+		efs := []Effect{tell(sta, run.Work, how, rgmodel.ReasonUpstreamStatus, took)}
+		if fail(&sta.Health, now, run.Work.Task.Name.Job) {
+			efs = append(efs, returnQueue(sta, rgmodel.ReasonUpstreamStatus)...)
+		}
+		return efs
+	default:
+		if run.Again && sta.Links[run.Work.Link] != nil && !sta.Stopping && !sta.Executor.Draining {
+			enqueue(sta, run.Work)
+			return nil
+		}
+		rsn := run.Reason
+		if run.State != RunStopping {
+			sta.Counts.Lapses++
+			rsn = rgmodel.ReasonSidecarLost
+		}
+		return []Effect{tell(sta, run.Work, rgmodel.EndLost, rsn, took)}
+	}
+}
+
+// settle ends runs that the executor lists no more: those that were confirmed before the look was sent, and those
+// whose stop was, which excludes a later start.
+func settle(sta *State, now, sent time.Time, listed map[RunKey]bool) []Effect {
+	var efs []Effect
+	for tsk, run := range sta.Runs {
+		if listed[RunKey{Task: tsk, Number: run.Number}] {
+			continue
+		}
+		confirmed := run.State == RunRunning && run.Started.Before(sent)
+		stopped := run.State == RunStopping && !run.StopDone.IsZero() && run.StopDone.Before(sent)
+		if confirmed || stopped {
+			delete(sta.Runs, tsk)
+			efs = append(efs, end(sta, now, run, rgmodel.EndLost)...)
+		}
+	}
+	return efs
+}
+
+// stopForeign stops runs that this process has not started.
+func stopForeign(sta *State, now time.Time, listed map[RunKey]bool) []Effect {
+	var efs []Effect
+	for key := range sta.Foreign {
+		if !listed[key] {
+			delete(sta.Foreign, key)
+		}
+	}
+	for key := range listed {
+		run := sta.Runs[key.Task]
+		if run != nil && run.Number == key.Number {
+			continue
+		}
+		if sta.Foreign == nil {
+			sta.Foreign = map[RunKey]time.Time{}
+		}
+		if now.Sub(sta.Foreign[key]) < stopRetry {
+			continue
+		}
+		sta.Foreign[key] = now
+		efs = append(efs, Give{Order: rgmodel.StopOrder{
+			Lifetime: sta.Executor.Lifetime, Fence: sta.Fence, Task: key.Task, Run: key.Number,
+		}})
+	}
+	return efs
+}
+
+// learn moves the stretch of this executor towards a run that has succeeded.
+func learn(sta *State, wrk Work, took time.Duration) {
+	// learnRate is the weight of one run. Estimates are off by up to 40 %, which some ten runs average out.
+	const learnRate = 0.1
+	est := wrk.Task.Estimate.Duration
+	if est <= 0 {
+		return
+	}
+	ratio := float64(took) / float64(est)
+	if sta.Stretch == 0 {
+		sta.Stretch = 1
+	}
+	sta.Stretch += learnRate * (ratio - sta.Stretch)
+}
--- /dev/null
+++ b/core/rgroom/command_run.go
@@ -0,0 +1,145 @@
+package rgroom
+
+import (
+	"slices"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// enqueue keeps the queue in the order of starts: by priority, and within it by the latest start that is in time.
+func enqueue(sta *State, wrk Work) {
+	at, _ := slices.BinarySearchFunc(sta.Queue, wrk, func(one, two Work) int {
+		switch {
+		case one.Priority != two.Priority:
+			return one.Priority - two.Priority
+		case latestStart(sta, one).After(latestStart(sta, two)):
+			return 1
+		default:
+			// Equal ones stay in the order of their arrival.
+			return -1
+		}
+	})
+	sta.Queue = slices.Insert(sta.Queue, at, wrk)
+}
+
+// proceed starts what fits and keeps the look at the executor going while anything runs.
+func proceed(sta *State, now time.Time) []Effect {
+	var efs []Effect
+	for len(sta.Queue) > 0 && startable(sta, now) {
+		wrk := sta.Queue[0]
+		if hopeless(sta, now, wrk) {
+			sta.Queue = sta.Queue[1:]
+			efs = append(efs, tell(sta, wrk, rgmodel.EndReturned, rgmodel.ReasonExpired, 0))
+			continue
+		}
+		if !fits(sta, wrk) || sta.Runs[wrk.Task.Name] != nil {
+			break
+		}
+		sta.Queue = sta.Queue[1:]
+		efs = append(efs, start(sta, now, wrk)...)
+	}
+	return append(efs, look(sta, now)...)
+}
+
+func start(sta *State, now time.Time, wrk Work) []Effect {
+	if sta.Runs == nil {
+		sta.Runs = map[rgmodel.TaskName]*Run{}
+	}
+	run := &Run{Work: wrk}
+	sta.Runs[wrk.Task.Name] = run
+	sta.Counts.Started++
+	return give(sta, now, run, sta.Numbers[wrk.Task.Name].Value+1)
+}
+
+// give sends the start order of a run under the number.
+func give(sta *State, now time.Time, run *Run, number uint64) []Effect {
+	if sta.Numbers == nil {
+		sta.Numbers = map[rgmodel.TaskName]Number{}
+	}
+	run.Number = number
+	run.Started = now
+	run.Tries++
+	sta.Numbers[run.Work.Task.Name] = Number{Value: number, Used: now}
+	return []Effect{Give{Order: rgmodel.StartOrder{
+		Lifetime: sta.Executor.Lifetime, Fence: sta.Fence, Task: run.Work.Task.Name, Run: number,
+		Spec: run.Work.Spec, Lease: leaseUntil(sta, now),
+	}}}
+}
+
+// StartAnswered takes note of what came back of a start order.
+func StartAnswered(sta *State, now time.Time, ord rgmodel.StartOrder, rep rgmodel.OrderReply) []Effect {
+	if rep.Answered && !observe(sta, now, ord.Lifetime, rep) {
+		return nil
+	}
+	run := sta.Runs[ord.Task]
+	if run == nil || run.Number != ord.Run || ord.Lifetime != sta.Executor.Lifetime {
+		return nil
+	}
+	if !rep.Answered {
+		// The order may be carried out yet. A confirmed stop excludes that, and then the task may be started anew.
+		run.Again = run.State != RunStopping
+		return stop(sta, now, run, rgmodel.ReasonUpstreamTimeout)
+	}
+	switch rep.Refusal {
+	case rgmodel.RefusalNone:
+		run.Started = now
+		if run.State == RunStarting {
+			run.State = RunRunning
+		}
+		return proceed(sta, now)
+	case rgmodel.RefusalOldRun, rgmodel.RefusalLate:
+		if run.State == RunStarting && run.Tries < numberTries {
+			// Doubling finds a free number soon, however often other processes have started the task.
+			return give(sta, now, run, 2*run.Number+1)
+		}
+	case rgmodel.RefusalFenced:
+		return append(forget(sta, rgmodel.ReasonUpstreamRefused), fence(sta, now)...)
+	case rgmodel.RefusalLifetime:
+		sta.Phase = PhaseAbsent
+		return forget(sta, rgmodel.ReasonSidecarLost)
+	case rgmodel.RefusalRoom, rgmodel.RefusalUnhealthy:
+		sta.Health.Until = now.Add(refusalPause)
+	case rgmodel.RefusalInvalid:
+	}
+	delete(sta.Runs, ord.Task)
+	efs := []Effect{tell(sta, run.Work, rgmodel.EndReturned, rgmodel.ReasonUpstreamRefused, 0)}
+	if !usable(sta, now) {
+		efs = append(efs, returnQueue(sta, rgmodel.ReasonUpstreamRefused)...)
+	}
+	return append(efs, proceed(sta, now)...)
+}
+
+func stop(sta *State, now time.Time, run *Run, rsn rgmodel.Reason) []Effect {
+	if run.State == RunStopping {
+		return nil
+	}
+	run.State = RunStopping
+	run.Reason = rsn
+	run.StopAsked = now
+	return sendStop(sta, now, run)
+}
+
+func sendStop(sta *State, now time.Time, run *Run) []Effect {
+	run.StopSent = now
+	return []Effect{Give{Order: rgmodel.StopOrder{
+		Lifetime: sta.Executor.Lifetime, Fence: sta.Fence, Task: run.Work.Task.Name, Run: run.Number,
+	}}}
+}
+
+// StopAnswered takes note of what came back of a stop order.
+func StopAnswered(sta *State, now time.Time, ord rgmodel.StopOrder, rep rgmodel.OrderReply) []Effect {
+	if !rep.Answered || !observe(sta, now, ord.Lifetime, rep) {
+		return nil
+	}
+	if rep.Refusal == rgmodel.RefusalLifetime {
+		sta.Phase = PhaseAbsent
+		return forget(sta, rgmodel.ReasonSidecarLost)
+	}
+	run := sta.Runs[ord.Task]
+	if run == nil || run.Number != ord.Run || rep.Refusal != rgmodel.RefusalNone {
+		return nil
+	}
+	run.StopDone = now
+	return proceed(sta, now)
+}
--- /dev/null
+++ b/core/rgroom/command_tick.go
@@ -0,0 +1,64 @@
+package rgroom
+
+import (
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// Tick stops what has run out of time, sends unanswered stops again, and gives up runs whose lease has surely lapsed.
+func Tick(sta *State, now time.Time) []Effect {
+	var efs []Effect
+	if len(sta.Runs) > 0 && lapsed(sta, now) {
+		efs = append(efs, forget(sta, rgmodel.ReasonUpstreamUnreach)...)
+		efs = append(efs, fence(sta, now)...)
+	}
+	silent := map[LinkID]bool{}
+	for id, lnk := range sta.Links {
+		silent[id] = now.Sub(lnk.Fresh) > MaxSilence(sta)
+	}
+	efs = append(efs, drop(sta, now, rgmodel.ReasonConnectionLost, func(wrk Work) bool { return silent[wrk.Link] })...)
+	efs = append(efs, expire(sta, now)...)
+	for _, run := range sta.Runs {
+		efs = append(efs, attend(sta, now, run)...)
+	}
+	for tsk, num := range sta.Numbers {
+		if now.Sub(num.Used) > numberMemory {
+			delete(sta.Numbers, tsk)
+		}
+	}
+	return append(efs, proceed(sta, now)...)
+}
+
+// expire returns queued tasks that can no longer end in time.
+func expire(sta *State, now time.Time) []Effect {
+	var efs []Effect
+	kept := sta.Queue[:0]
+	for _, wrk := range sta.Queue {
+		if hopeless(sta, now, wrk) {
+			efs = append(efs, tell(sta, wrk, rgmodel.EndReturned, rgmodel.ReasonExpired, 0))
+			continue
+		}
+		kept = append(kept, wrk)
+	}
+	sta.Queue = kept
+	return efs
+}
+
+func attend(sta *State, now time.Time, run *Run) []Effect {
+	switch {
+	case run.State == RunStopping:
+		if run.StopDone.IsZero() && now.Sub(run.StopSent) >= stopRetry {
+			return sendStop(sta, now, run)
+		}
+	case now.After(run.Work.Deadline):
+		return stop(sta, now, run, rgmodel.ReasonDeadlineExceeded)
+	case run.State == RunRunning && now.Sub(run.Started) > hangFactor*expected(sta, run.Work)+hangSlack:
+		efs := stop(sta, now, run, rgmodel.ReasonUpstreamTimeout)
+		if hang(&sta.Health, now) {
+			efs = append(efs, returnQueue(sta, rgmodel.ReasonUpstreamTimeout)...)
+		}
+		return efs
+	}
+	return nil
+}
--- /dev/null
+++ b/core/rgroom/query_report.go
@@ -0,0 +1,94 @@
+package rgroom
+
+import (
+	"slices"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// crowded is the used part of the room above which a task that arrives now may have to wait.
+const crowded = 0.6
+
+// release is when a run is expected to free its cores.
+type release struct {
+	at    time.Duration
+	cores float64
+}
+
+// Report returns what an entry needs to know to place tasks here.
+func Report(sta *State, now time.Time, id LinkID) rgmodel.RoomReport {
+	rep := rgmodel.RoomReport{
+		Used:    Used(sta),
+		Room:    room(sta),
+		Usable:  usable(sta, now) && len(sta.Foreign) == 0,
+		Cleared: sta.Phase != PhaseFencing && cleared(sta, id),
+		Stretch: sta.Stretch,
+	}
+	if rep.Usable && (len(sta.Queue) > 0 || rep.Used.Cores > crowded*rep.Room.Cores) {
+		rep.Waits = waits(sta, now)
+	}
+	return rep
+}
+
+// cleared says whether no run is left that the entry has placed on an earlier connection.
+func cleared(sta *State, id LinkID) bool {
+	for _, run := range sta.Runs {
+		if run.Work.Link != id && sta.Links[run.Work.Link] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// waits plays the queue forward by the expected ends of runs.
+func waits(sta *State, now time.Time) []rgmodel.Duration {
+	var rels []release
+	typical, count := 0.0, 0
+	for _, run := range sta.Runs {
+		exp := expected(sta, run.Work)
+		// A run that is over its expected time ends soon, but nobody knows when.
+		left := max(exp-now.Sub(run.Started), exp/8)
+		rels = append(rels, release{at: left, cores: run.Work.Needs.Cores})
+		typical, count = typical+run.Work.Needs.Cores, count+1
+	}
+	slices.SortFunc(rels, func(one, two release) int { return int(one.at - two.at) })
+	free := room(sta).Cores - Used(sta).Cores
+	at := time.Duration(0)
+	take := func(cores float64) {
+		for free < cores && len(rels) > 0 {
+			at = max(at, rels[0].at)
+			free += rels[0].cores
+			rels = rels[1:]
+		}
+	}
+	wts := make([]rgmodel.Duration, ReportedPriorities)
+	pri := 0
+	mean := float64(defaultTypicalCores)
+	if count > 0 {
+		mean = typical / float64(count)
+	}
+	for _, wrk := range sta.Queue {
+		for ; pri < min(wrk.Priority, ReportedPriorities-1); pri++ {
+			wts[pri] = probe(rels, free, at, mean)
+		}
+		take(wrk.Needs.Cores)
+		free -= wrk.Needs.Cores
+		rel := release{at: at + expected(sta, wrk), cores: wrk.Needs.Cores}
+		pos, _ := slices.BinarySearchFunc(rels, rel, func(one, two release) int { return int(one.at - two.at) })
+		rels = slices.Insert(rels, pos, rel)
+	}
+	for ; pri < ReportedPriorities; pri++ {
+		wts[pri] = probe(rels, free, at, mean)
+	}
+	return wts
+}
+
+// probe returns when the cores are free, without taking them.
+func probe(rels []release, free float64, at time.Duration, cores float64) rgmodel.Duration {
+	for i := 0; free < cores && i < len(rels); i++ {
+		at = max(at, rels[i].at)
+		free += rels[i].cores
+	}
+	return rgmodel.Duration{Duration: at.Round(time.Millisecond)}
+}
--- /dev/null
+++ b/core/rgroom/query_room.go
@@ -0,0 +1,117 @@
+package rgroom
+
+import (
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+const (
+	defaultLongestLease = time.Second
+	defaultResend       = 1300 * time.Millisecond
+)
+
+// LeaseTime returns how long a lease is asked for.
+func LeaseTime(sta *State) time.Duration {
+	lon := sta.Limits.LongestLease
+	if lon <= 0 {
+		lon = defaultLongestLease
+	}
+	return time.Duration(leaseShare * float64(lon))
+}
+
+// MaxSilence returns how long an entry may be silent before its tasks are stopped. Even if the stop is lost and only the
+// end of the lease ends them, that is before a caller sends a job again that it believes lost.
+func MaxSilence(sta *State) time.Duration {
+	res := sta.Limits.Resend
+	if res <= 0 {
+		res = defaultResend
+	}
+	lapse := time.Duration(float64(LeaseTime(sta)) / slowestClock)
+	return max(res-lapse-2*TickInterval, 2*TickInterval)
+}
+
+// acceptable says whether tasks may be queued, and why not.
+func acceptable(sta *State, now time.Time, id LinkID, plc rgmodel.Placement) (rgmodel.Reason, bool) {
+	switch {
+	case sta.Links[id] == nil, now.Sub(plc.Issued.Time()) > MaxOrderAge:
+		return rgmodel.ReasonExpired, false
+	case sta.Stopping, sta.Executor.Draining:
+		return rgmodel.ReasonDraining, false
+	case sta.Phase != PhaseServing, plc.Service != sta.Executor.Service:
+		return rgmodel.ReasonNoUpstream, false
+	case !usable(sta, now):
+		return rgmodel.ReasonUpstreamUnreach, false
+	case !plc.Needs.Fits(sta.Executor.Capacity):
+		return rgmodel.ReasonNeverRunnable, false
+	default:
+		return "", true
+	}
+}
+
+func usable(sta *State, now time.Time) bool {
+	return sta.Phase == PhaseServing && !sta.Stopping && !sta.Executor.Draining && !now.Before(sta.Health.Until)
+}
+
+// startable says whether orders may be given now. Runs that this process has not started take an unknown part of the room.
+func startable(sta *State, now time.Time) bool {
+	return usable(sta, now) && len(sta.Foreign) == 0 && renewable(sta, now)
+}
+
+// renewable says whether the lease may be renewed: not while a run goes on whose stop stays unconfirmed.
+func renewable(sta *State, now time.Time) bool {
+	for _, run := range sta.Runs {
+		if run.State == RunStopping && run.StopDone.IsZero() && now.Sub(run.StopAsked) > stopPatience {
+			return false
+		}
+	}
+	return true
+}
+
+// lapsed says whether every lease that was given has run out, even on the slowest clock.
+func lapsed(sta *State, now time.Time) bool {
+	past := rgmodel.ExecutorTime(slowestClock * float64(now.Sub(sta.ClockAt).Milliseconds()))
+	return sta.Lease > 0 && sta.Executor.Clock+past > sta.Lease+rgmodel.ExecutorTime(sta.Limits.TaskStop.Milliseconds())
+}
+
+func fits(sta *State, wrk Work) bool {
+	return Used(sta).Plus(wrk.Needs).Fits(room(sta)) || sta.Health.Proving && len(sta.Runs) == 0
+}
+
+// room returns what runs may take in all. An executor that was at fault gets little until a run has succeeded.
+func room(sta *State) rgmodel.Resources {
+	all := sta.Executor.Capacity
+	if sta.Health.Proving {
+		all.Cores *= provingShare
+	}
+	return all
+}
+
+// Used returns the room that all runs take, those that are being stopped included.
+func Used(sta *State) rgmodel.Resources {
+	var sum rgmodel.Resources
+	for _, run := range sta.Runs {
+		sum = sum.Plus(run.Work.Needs)
+	}
+	return sum
+}
+
+// expected returns how long the task is expected to run here.
+func expected(sta *State, wrk Work) time.Duration {
+	str := sta.Stretch
+	if str == 0 {
+		str = 1
+	}
+	return time.Duration(str * float64(wrk.Task.Estimate.Duration))
+}
+
+func latestStart(sta *State, wrk Work) time.Time {
+	return wrk.InTime.Add(-expected(sta, wrk))
+}
+
+// hopeless says whether a task that starts now would not end before its deadline. Estimates may be too long, so only
+// the smaller part of the expected time has to fit.
+func hopeless(sta *State, now time.Time, wrk Work) bool {
+	const leastShare = 0.6
+	return now.Add(time.Duration(leastShare * float64(expected(sta, wrk)))).After(wrk.Deadline)
+}
--- /dev/null
+++ b/core/rgroom/room.go
@@ -0,0 +1,172 @@
+// Package rgroom holds the decisions of a sidecar whose upstream is driven by orders: which tasks it starts and stops,
+// how much room they take, and what their leases allow.
+//
+// A run can only go on while the sidecar renews the executor's lease, and the sidecar renews it only while every entry
+// that asked for a run is known to be alive. What a lost entry has left running has therefore ended before its caller
+// sends the job again.
+package rgroom
+
+import (
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+const (
+	// slowestClock is the rate of the slowest clock that an executor may have.
+	slowestClock = 0.98
+	// leaseShare is the part of the longest lease that is asked for. The rest is time in which a lost entry is noticed.
+	leaseShare = 0.7
+	// TickInterval is how often deadlines, silent entries and overdue orders are checked.
+	TickInterval = 100 * time.Millisecond
+	// lookWait is how long an executor may hold back the list of runs until one ends. Three looks fit into a lease.
+	lookWait = 200 * time.Millisecond
+	// stopRetry is when an unanswered stop is sent again.
+	stopRetry = 100 * time.Millisecond
+	// stopPatience is how long a stop may be unconfirmed before the lease is left to lapse, which ends the run too.
+	stopPatience = 250 * time.Millisecond
+	// MaxOrderAge is the oldest placement that is accepted. It covers a round trip between zones and a busy entry.
+	MaxOrderAge = 300 * time.Millisecond
+	// numberTries bounds how often a run number that was used before is raised.
+	numberTries = 8
+	// numberMemory is how long the run numbers of a task are remembered.
+	numberMemory = 30 * time.Second
+	// defaultTypicalCores is the need of a task where none is known.
+	defaultTypicalCores = 1
+	// ReportedPriorities bounds the size of a report. Routes of higher numbers share the last wait.
+	ReportedPriorities = 4
+)
+
+const (
+	// PhaseAbsent is the zero value: no executor has announced itself.
+	PhaseAbsent Phase = iota
+	// PhaseFencing lasts until orders of earlier processes can no longer take effect and their runs have ended.
+	PhaseFencing
+	// PhaseServing means that all runs of the executor are known.
+	PhaseServing
+)
+
+const (
+	// RunStarting is the zero value: the start order has not been answered.
+	RunStarting RunState = iota
+	// RunRunning means that the executor has confirmed the start.
+	RunRunning
+	// RunStopping means that the run is to end, and may not have been started at all.
+	RunStopping
+)
+
+type (
+	// Phase is how far the sidecar is in control of its executor.
+	Phase uint8
+
+	// RunState is how far a run has come.
+	RunState uint8
+
+	// LinkID names a connection to an entry.
+	LinkID uint64
+
+	// RunKey names a run of the current lifetime.
+	RunKey struct {
+		Task   rgmodel.TaskName
+		Number uint64
+	}
+
+	// Limits are what the deployment allows. Zero values mean the defaults.
+	Limits struct {
+		// LongestLease is the longest lease that an executor gives.
+		LongestLease time.Duration
+		// Resend is how soon after a lost answer a caller may send its job again.
+		Resend time.Duration
+		// TaskStop is how long an executor takes to stop a run.
+		TaskStop time.Duration
+	}
+
+	// Work is a task that a sidecar has accepted.
+	Work struct {
+		Task     rgmodel.PlacedTask
+		Link     LinkID
+		Priority int
+		Needs    rgmodel.Resources
+		Spec     string
+		Arrived  time.Time
+		Deadline time.Time
+		// InTime is when the task has to end for its job to be in time.
+		InTime time.Time
+	}
+
+	// Run is a task that has been ordered and has not been seen to end. It takes room in every state.
+	Run struct {
+		Work   Work
+		Number uint64
+		State  RunState
+		Tries  int
+		// Started is when the start was sent, and then when it was confirmed.
+		Started time.Time
+		// StopAsked is when the stop was decided, StopSent when it was last sent, StopDone when it was confirmed.
+		StopAsked time.Time
+		StopSent  time.Time
+		StopDone  time.Time
+		// Again is set if the task may be started anew once the run has surely ended.
+		Again bool
+		// Reason is what the entry is told if the run ends by the stop.
+		Reason rgmodel.Reason
+	}
+
+	// Link is a connection to an entry.
+	Link struct {
+		Entry string
+		// Fresh is a time at which the entry was alive for certain.
+		Fresh time.Time
+	}
+
+	// Number is the highest run number that was used for a task.
+	Number struct {
+		Value uint64
+		Used  time.Time
+	}
+
+	// Effect is what the process has to do after a command.
+	Effect interface{ isEffect() }
+
+	// Give sends an order to the executor.
+	Give struct{ Order rgmodel.Order }
+
+	// Tell reports the end of a task to the entry that placed it.
+	Tell struct {
+		Link LinkID
+		End  rgmodel.TaskEnd
+	}
+
+	// State is the control state of the sidecar.
+	State struct {
+		Limits   Limits
+		Executor rgmodel.Executor
+		Phase    Phase
+		Fence    uint64
+		// ClockAt is when the executor's clock showed Executor.Clock at the latest.
+		ClockAt time.Time
+		// Lease is the latest lease that any order has carried.
+		Lease rgmodel.ExecutorTime
+		Seen  uint64
+		// LookSent is when the look that is under way was sent; zero if there is none.
+		LookSent time.Time
+		Foreign  map[RunKey]time.Time
+		Runs     map[rgmodel.TaskName]*Run
+		Queue    []Work
+		Links    map[LinkID]*Link
+		Numbers  map[rgmodel.TaskName]Number
+		Stopping bool
+		Health   Health
+		// Stretch is the learned ratio of run times to estimates; zero means that none is learned.
+		Stretch float64
+		Counts  Counts
+	}
+
+	// Counts are totals for metrics.
+	Counts struct {
+		Started, Done, Failed, Lost, Returned, Lapses, Unreadable uint64
+	}
+)
+
+func (Give) isEffect() {}
+func (Tell) isEffect() {}
--- /dev/null
+++ b/core/rgroute/route.go
@@ -0,0 +1,47 @@
+// Package rgroute holds the operator's configuration in force at a process: routes, services and limits.
+package rgroute
+
+import "time"
+
+type (
+	// Route is a queue that clients address by host and path.
+	Route struct {
+		Name    string
+		Host    string
+		Prefix  string
+		Service string
+		// Priority orders the tasks of routes; 0 goes first.
+		Priority int
+		// Timeout bounds a request; zero means no bound.
+		Timeout time.Duration
+		// Goal is what may be added to the stretched run time of a job for it to be in time.
+		Goal time.Duration
+		// Stretch is the factor on the run time of a job for it to be in time.
+		Stretch float64
+		// Attempts is how often a task may fail before its job has failed.
+		Attempts int
+		// Advised is set if another service decides where tasks may run.
+		Advised bool
+	}
+
+	// Service is a pool of executors.
+	Service struct {
+		Name string
+		// Guarded is set if the executors refuse what does not fit.
+		Guarded bool
+	}
+
+	// Config is one version of the operator's configuration.
+	Config struct {
+		Version  uint64
+		Routes   []Route
+		Services map[string]Service
+		// MaxBodyBytes bounds a request; zero means the default.
+		MaxBodyBytes int64
+		// Raw is the form in which it is passed on to other instances.
+		Raw []byte
+	}
+)
+
+// DefaultAttempts applies where the configuration names none.
+const DefaultAttempts = 3
