Add the entry and sidecar processes for upstreams that are driven by orders

One control goroutine in each, notifications in order over jsonrpc2, and an outbox that never blocks the control goroutine. Settings are JSON with comments, checked at start.

--- /dev/null
+++ b/io/rgdispatcher/command_peer.go
@@ -0,0 +1,217 @@
+package rgdispatcher
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ragwortgap/core/rgdispatch"
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgclock"
+	"ragwortgap/io/rgwire"
+)
+
+const (
+	// pulseInterval is the longest time without a message to a sidecar, which stops the tasks of a silent entry.
+	pulseInterval = 90 * time.Millisecond
+	// gossipInterval is how often entries compare what they know.
+	gossipInterval = 500 * time.Millisecond
+	// forgetAfter is how long an entry is passed on that nobody names any more.
+	forgetAfter = 10 * time.Second
+	// remoteMargin is added to the time after which runs of a lost sidecar have ended, for ticks on both sides.
+	remoteMargin = 250 * time.Millisecond
+)
+
+func (pro *Process) accept(work context.Context, lis net.Listener) {
+	for {
+		con, err := lis.Accept()
+		if err != nil {
+			if work.Err() == nil {
+				pro.log.Error("accept peers", zap.Error(err))
+			}
+			return
+		}
+		pro.traffic.Go(func() { pro.attend(work, rgwire.Accept(con), nil) })
+	}
+}
+
+// attend hands an open connection to the control goroutine until it is lost.
+func (pro *Process) attend(ctx context.Context, con *rgwire.Connection, first rgwire.Message) {
+	obx := con.Open(ctx, func(msg rgwire.Message) { pro.tell(ctx, Received{ID: con.ID, Message: msg}) })
+	if first != nil {
+		obx.Post(first)
+	}
+	pro.tell(ctx, Opened{ID: con.ID, Outbox: obx})
+	select {
+	case <-obx.Done:
+	case <-ctx.Done():
+		obx.Close()
+	}
+	pro.tell(context.WithoutCancel(ctx), Closed{ID: con.ID})
+}
+
+func (pro *Process) closed(sta *State, now time.Time, id uint64) {
+	per := sta.Peers[id]
+	if per == nil {
+		return
+	}
+	delete(sta.Peers, id)
+	if per.Sidecar != "" {
+		pro.log.Warn("sidecar lost", zap.String("sidecar", per.Sidecar))
+	}
+	pro.act(sta, now, rgdispatch.Part(&sta.Dispatch, now, rgdispatch.LinkID(id)))
+}
+
+func (pro *Process) receive(work context.Context, sta *State, now time.Time, evt Received) {
+	per, lnk := sta.Peers[evt.ID], rgdispatch.LinkID(evt.ID)
+	if per == nil {
+		return
+	}
+	switch msg := evt.Message.(type) {
+	case rgwire.Enlist:
+		per.Sidecar = msg.Name
+		rgdispatch.Join(&sta.Dispatch, now, lnk, msg.Name, msg.Zone, msg.Clock)
+		pro.log.Info("sidecar connected", zap.String("sidecar", msg.Name))
+		pro.pulse(sta, evt.ID, per, now)
+	case rgwire.Progress:
+		rgdispatch.Hear(&sta.Dispatch, now, lnk, msg.Clock)
+		if msg.Executor != nil {
+			rgdispatch.Describe(&sta.Dispatch, lnk, *msg.Executor)
+		}
+		if msg.Load != nil {
+			pro.act(sta, now, rgdispatch.Update(&sta.Dispatch, now, lnk, *msg.Load, msg.Received))
+			pro.usable.Store(pro.usable.Load() || msg.Load.Usable)
+		}
+		pro.act(sta, now, rgdispatch.Finish(&sta.Dispatch, now, lnk, msg.Ends))
+	case rgwire.Meet:
+		per.Entry = msg.Entry.Name
+		pro.learn(work, sta, now, []rgmodel.Entry{msg.Entry}, true)
+		pro.gossip(sta, per, now)
+	case rgwire.Gossip:
+		per.Entry = msg.From.Name
+		per.Version = msg.Version
+		if len(msg.Config) > 0 {
+			pro.adoptRaw(sta, now, msg.Config)
+		}
+		pro.learn(work, sta, now, []rgmodel.Entry{msg.From}, true)
+		pro.learn(work, sta, now, msg.Entries, false)
+		if msg.Version < version(pro.Config()) {
+			pro.gossip(sta, per, now)
+		}
+	default:
+		pro.log.Warn("unexpected message", zap.String("sidecar", per.Sidecar))
+	}
+}
+
+func (pro *Process) adoptRaw(sta *State, now time.Time, raw []byte) {
+	cfg, err := pro.source.Decode(raw)
+	if err != nil {
+		pro.log.Warn("configuration from a peer is unreadable", zap.Error(err))
+		return
+	}
+	pro.adopt(sta, now, Configured{Config: cfg, Source: "peer"})
+}
+
+// tick sends pulses to sidecars and compares notes with entries.
+func (pro *Process) tick(sta *State, now time.Time) {
+	for adr, kno := range sta.Entries {
+		if !kno.Seed && now.Sub(kno.Named) > forgetAfter {
+			delete(sta.Entries, adr)
+			sta.Dials[adr]()
+			delete(sta.Dials, adr)
+			sta.ListVersion++
+		}
+	}
+	for id, per := range sta.Peers {
+		age := now.Sub(per.Told)
+		switch {
+		case per.Sidecar != "" && age >= pulseInterval:
+			pro.pulse(sta, id, per, now)
+		case per.Entry != "" && age >= gossipInterval:
+			pro.gossip(sta, per, now)
+		}
+	}
+	pro.scope.Gauge("jobs").Update(float64(len(sta.Dispatch.Jobs)))
+	pro.scope.Gauge("sidecars").Update(float64(len(sta.Dispatch.Members)))
+}
+
+func (pro *Process) pulse(sta *State, id uint64, per *Peer, now time.Time) {
+	per.Told = now
+	msg := rgwire.Pulse{Issued: pro.issued(sta, rgdispatch.LinkID(id), now)}
+	if per.Entries != sta.ListVersion {
+		per.Entries = sta.ListVersion
+		msg.Entries = append(pro.known(sta, now), pro.self)
+	}
+	per.Outbox.Post(msg)
+}
+
+func (pro *Process) gossip(sta *State, per *Peer, now time.Time) {
+	per.Told = now
+	cfg := pro.config.Load()
+	msg := rgwire.Gossip{From: pro.self, Version: version(cfg), Entries: pro.known(sta, now)}
+	if cfg != nil && per.Version < cfg.Version {
+		msg.Config = cfg.Raw
+		per.Version = cfg.Version
+	}
+	per.Outbox.Post(msg)
+}
+
+// known returns the other entries that were seen lately.
+func (pro *Process) known(sta *State, now time.Time) []rgmodel.Entry {
+	var ents []rgmodel.Entry
+	for _, kno := range sta.Entries {
+		if kno.Entry.Name != "" && now.Sub(kno.Seen) < forgetAfter {
+			ents = append(ents, kno.Entry)
+		}
+	}
+	return ents
+}
+
+// learn takes note of named entries, and connects to new ones. They are seen if they or the store have named themselves.
+func (pro *Process) learn(work context.Context, sta *State, now time.Time, ents []rgmodel.Entry, seen bool) {
+	for _, ent := range ents {
+		if ent.Address == pro.self.Address || ent.Address == "" {
+			continue
+		}
+		kno := sta.Entries[ent.Address]
+		if seen && now.Sub(kno.Seen) >= forgetAfter {
+			sta.ListVersion++
+		}
+		kno.Entry, kno.Named = ent, now
+		if seen {
+			kno.Seen = now
+		}
+		sta.Entries[ent.Address] = kno
+		pro.dial(work, sta, ent.Address)
+	}
+}
+
+func (pro *Process) configure(work context.Context, sta *State) {
+	set := pro.settings
+	sta.Dispatch.RemoteFactor = set.RemoteFactor
+	// A sidecar stops the tasks of an entry that it has lost, or its executor's lease lapses, before a caller may send
+	// its job again.
+	sta.Dispatch.Limits.RunsGone = set.Resend.Duration + remoteMargin
+	for _, adr := range rgwire.PeerAddresses(set.Seeds, set.PeerPort) {
+		if _, found := sta.Entries[adr]; !found && adr != pro.self.Address {
+			sta.Entries[adr] = Known{Named: rgclock.Now(), Seed: true}
+			pro.dial(work, sta, adr)
+		}
+	}
+}
+
+// dial keeps a connection to another entry from now on. Both sides dial, so that one working direction is enough.
+func (pro *Process) dial(work context.Context, sta *State, adr string) {
+	if sta.Dials[adr] != nil {
+		return
+	}
+	ctx, stop := context.WithCancel(work)
+	sta.Dials[adr] = stop
+	pro.traffic.Go(func() {
+		rgwire.Keep(ctx, adr, func(ctx context.Context, con *rgwire.Connection) {
+			pro.attend(ctx, con, rgwire.Meet{Entry: pro.self})
+		})
+	})
+}
--- /dev/null
+++ b/io/rgdispatcher/control.go
@@ -0,0 +1,140 @@
+package rgdispatcher
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ragwortgap/core/rgdispatch"
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgroute"
+	"ragwortgap/io/rgclock"
+	"ragwortgap/io/rgwire"
+)
+
+func (pro *Process) control(work context.Context) {
+	sta := &State{
+		Peers: map[uint64]*Peer{}, Replies: map[rgdispatch.Token]chan<- rgdispatch.Answer{},
+		Entries: map[string]Known{}, Dials: map[string]context.CancelFunc{},
+	}
+	sta.Dispatch.Zone = pro.settings.AvailabilityZone
+	pro.configure(work, sta)
+	tick := time.NewTicker(rgdispatch.TickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-work.Done():
+			return
+		case evt := <-pro.events:
+			now := rgclock.Now()
+			rgdispatch.Observe(&sta.Dispatch, now)
+			pro.handle(work, sta, now, evt)
+		case <-tick.C:
+			now := rgclock.Now()
+			rgdispatch.Observe(&sta.Dispatch, now)
+			pro.act(sta, now, rgdispatch.Tick(&sta.Dispatch, now))
+			pro.tick(sta, now)
+		}
+	}
+}
+
+func (pro *Process) handle(work context.Context, sta *State, now time.Time, evt Event) {
+	switch evt := evt.(type) {
+	case Submitted:
+		sta.Replies[evt.Token] = evt.Reply
+		pro.act(sta, now, rgdispatch.Submit(&sta.Dispatch, now, evt.Token, evt.Request))
+	case CallerLeft:
+		delete(sta.Replies, evt.Token)
+		pro.act(sta, now, rgdispatch.Abandon(&sta.Dispatch, evt.Token, evt.Job))
+	case CancelAsked:
+		efs, known := rgdispatch.Cancel(&sta.Dispatch, now, evt.Job)
+		pro.act(sta, now, efs)
+		evt.Reply <- known
+	case JobAsked:
+		running, known := rgdispatch.JobState(&sta.Dispatch, evt.Job)
+		evt.Reply <- JobState{Known: known, Running: running}
+	case CountAsked:
+		evt.Reply <- rgdispatch.Pending(&sta.Dispatch, evt.Route)
+	case Opened:
+		sta.Peers[evt.ID] = &Peer{Outbox: evt.Outbox}
+	case Closed:
+		pro.closed(sta, now, evt.ID)
+	case Received:
+		pro.receive(work, sta, now, evt)
+	case Configured:
+		pro.adopt(sta, now, evt)
+	case Listed:
+		pro.learn(work, sta, now, evt.Entries, true)
+	case Reloaded:
+		pro.log.Info("settings read again")
+		pro.settings = evt.Settings
+		pro.configure(work, sta)
+	}
+}
+
+// act carries out what the decisions ask for.
+func (pro *Process) act(sta *State, now time.Time, efs []rgdispatch.Effect) {
+	for _, eff := range efs {
+		switch eff := eff.(type) {
+		case rgdispatch.Send:
+			if per := sta.Peers[uint64(eff.Link)]; per != nil {
+				per.Told = now
+				per.Outbox.Post(rgwire.Place{Placement: eff.Placement})
+			}
+		case rgdispatch.Recall:
+			if per := sta.Peers[uint64(eff.Link)]; per != nil {
+				per.Told = now
+				per.Outbox.Post(rgwire.Recall{Issued: pro.issued(sta, eff.Link, now), Tickets: eff.Tickets})
+			}
+		case rgdispatch.Close:
+			if per := sta.Peers[uint64(eff.Link)]; per != nil {
+				per.Outbox.Close()
+			}
+		case rgdispatch.Answer:
+			pro.answer(sta, eff)
+		}
+	}
+}
+
+func (pro *Process) issued(sta *State, lnk rgdispatch.LinkID, now time.Time) rgmodel.Instant {
+	if mem := sta.Dispatch.Members[lnk]; mem != nil {
+		return rgdispatch.Issued(mem, now)
+	}
+	return 0
+}
+
+func (pro *Process) answer(sta *State, ans rgdispatch.Answer) {
+	pro.scope.Tagged(map[string]string{"verdict": ans.Verdict.String()}).Counter("answers").Inc(1)
+	pro.scope.Timer("answerTime").Record(ans.Took)
+	if ans.Verdict != rgmodel.RanOK {
+		pro.log.Info("answer", zap.String("job", ans.Job), zap.Stringer("verdict", ans.Verdict),
+			zap.String("reason", string(ans.Reason)), zap.Duration("took", ans.Took))
+	}
+	if rpl := sta.Replies[ans.Token]; rpl != nil {
+		delete(sta.Replies, ans.Token)
+		rpl <- ans
+	}
+}
+
+func (pro *Process) adopt(sta *State, now time.Time, evt Configured) {
+	cfg, news := rgroute.Adopt(pro.config.Load(), evt.Config)
+	if !news {
+		return
+	}
+	pro.config.Store(cfg)
+	pro.log.Info("configuration in force", zap.Uint64("version", cfg.Version), zap.Int("routes", len(cfg.Routes)),
+		zap.String("source", evt.Source))
+	for _, per := range sta.Peers {
+		if per.Entry != "" {
+			pro.gossip(sta, per, now)
+		}
+	}
+}
+
+func version(cfg *rgroute.Config) uint64 {
+	if cfg == nil {
+		return 0
+	}
+	return cfg.Version
+}
--- /dev/null
+++ b/io/rgorders/control.go
@@ -0,0 +1,173 @@
+package rgorders
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgroom"
+	"ragwortgap/io/rgclock"
+	"ragwortgap/io/rgsettings"
+	"ragwortgap/io/rgwire"
+)
+
+func (pro *Process) control(ctx, work context.Context) {
+	sta := &State{Links: map[rgroom.LinkID]*Link{}, Dials: map[string]*Dial{}}
+	pro.configure(work, sta, pro.settings)
+	tick := time.NewTicker(rgroom.TickInterval)
+	defer tick.Stop()
+	end := ctx.Done()
+	for {
+		select {
+		case <-end:
+			end = nil
+			now := rgclock.Now()
+			sta.Draining = now
+			pro.log.Info("drain begins", zap.Int("runs", len(sta.Room.Runs)), zap.Int("queued", len(sta.Room.Queue)))
+			pro.act(work, sta, rgroom.Drain(&sta.Room))
+			pro.markChanged(sta)
+		case evt := <-pro.events:
+			pro.handle(work, sta, rgclock.Now(), evt)
+			// What has arrived meanwhile goes into the same reports.
+			for drained := false; !drained; {
+				select {
+				case more := <-pro.events:
+					pro.handle(work, sta, rgclock.Now(), more)
+				default:
+					drained = true
+				}
+			}
+		case <-tick.C:
+			pro.tick(work, sta, rgclock.Now())
+		}
+		now := rgclock.Now()
+		pro.report(sta, now)
+		if !sta.Draining.IsZero() && (len(sta.Room.Runs) == 0 || now.Sub(sta.Draining) > pro.settings.Grace.Duration-drainMargin) {
+			pro.close(sta)
+			return
+		}
+	}
+}
+
+func (pro *Process) handle(work context.Context, sta *State, now time.Time, evt Event) {
+	switch evt := evt.(type) {
+	case Announced:
+		before, phase := sta.Room.Executor, sta.Room.Phase
+		efs, _ := rgroom.Announce(&sta.Room, now, evt.Executor)
+		if before.Lifetime != sta.Room.Executor.Lifetime || before.Draining != sta.Room.Executor.Draining || phase == rgroom.PhaseAbsent {
+			exe := sta.Room.Executor
+			pro.log.Info("executor", zap.String("id", exe.Lifetime.ID), zap.Int64("born", exe.Lifetime.Born),
+				zap.Bool("draining", exe.Draining), zap.Float64("cores", exe.Capacity.Cores))
+			pro.markChanged(sta)
+		}
+		pro.act(work, sta, efs)
+		evt.Reply <- struct{}{}
+	case Departed:
+		pro.act(work, sta, rgroom.Depart(&sta.Room, evt.ID))
+		pro.log.Info("executor has left", zap.String("id", evt.ID))
+		pro.markChanged(sta)
+		evt.Reply <- struct{}{}
+	case Replied:
+		pro.answered(work, sta, now, evt)
+	case Linked:
+		pro.link(sta, now, evt)
+	case Unlinked:
+		pro.unlink(work, sta, now, evt)
+	case Received:
+		pro.receive(work, sta, now, evt)
+	case Listed:
+		for _, adr := range evt.Addresses {
+			pro.dial(work, sta, now, adr, false)
+		}
+	case Reloaded:
+		pro.log.Info("settings read again")
+		pro.configure(work, sta, evt.Settings)
+	}
+}
+
+func (pro *Process) configure(work context.Context, sta *State, set rgsettings.Deployment) {
+	sta.Room.Limits = rgroom.Limits{
+		LongestLease: set.LongestLease.Duration, Resend: set.Resend.Duration, TaskStop: set.TaskStop.Duration,
+	}
+	for _, adr := range rgwire.PeerAddresses(set.Seeds, set.PeerPort) {
+		pro.dial(work, sta, rgclock.Now(), adr, true)
+	}
+}
+
+func (pro *Process) answered(work context.Context, sta *State, now time.Time, evt Replied) {
+	phase := sta.Room.Phase
+	var efs []rgroom.Effect
+	switch ord := evt.Order.(type) {
+	case rgmodel.StartOrder:
+		efs = rgroom.StartAnswered(&sta.Room, now, ord, evt.Reply)
+		if !evt.Reply.Answered || evt.Reply.Refusal != rgmodel.RefusalNone {
+			pro.scope.Counter("ordersRefused").Inc(1)
+			pro.log.Info("start not carried out", zap.String("job", ord.Task.Job), zap.Int("task", ord.Task.Index),
+				zap.Uint64("run", ord.Run), zap.Bool("answered", evt.Reply.Answered), zap.Uint8("refusal", uint8(evt.Reply.Refusal)))
+		}
+	case rgmodel.StopOrder:
+		efs = rgroom.StopAnswered(&sta.Room, now, ord, evt.Reply)
+	case rgmodel.LookOrder:
+		efs = rgroom.LookAnswered(&sta.Room, now, ord, evt.Reply)
+	}
+	if phase != sta.Room.Phase {
+		pro.log.Info("control of the executor", zap.Uint8("from", uint8(phase)), zap.Uint8("to", uint8(sta.Room.Phase)),
+			zap.Uint64("fence", sta.Room.Fence))
+		pro.markChanged(sta)
+	}
+	pro.act(work, sta, efs)
+}
+
+func (pro *Process) tick(work context.Context, sta *State, now time.Time) {
+	phase := sta.Room.Phase
+	pro.act(work, sta, rgroom.Tick(&sta.Room, now))
+	if phase != sta.Room.Phase {
+		pro.log.Warn("lease lapsed", zap.String("executor", sta.Room.Executor.Lifetime.ID))
+	}
+	pro.prune(work, sta, now)
+	pro.count(sta)
+}
+
+// act carries out what the decisions ask for.
+func (pro *Process) act(work context.Context, sta *State, efs []rgroom.Effect) {
+	if len(efs) > 0 {
+		pro.markChanged(sta)
+	}
+	for _, eff := range efs {
+		switch eff := eff.(type) {
+		case rgroom.Give:
+			pro.traffic.Go(func() { pro.tell(work, Replied{Order: eff.Order, Reply: pro.give(work, eff.Order)}) })
+		case rgroom.Tell:
+			if lnk := sta.Links[eff.Link]; lnk != nil {
+				lnk.Ends = append(lnk.Ends, eff.End)
+			}
+		}
+	}
+}
+
+func (pro *Process) markChanged(sta *State) {
+	for _, lnk := range sta.Links {
+		lnk.Changed = true
+	}
+}
+
+func (pro *Process) count(sta *State) {
+	add := func(name string, now, before uint64) {
+		if now > before {
+			pro.scope.Counter(name).Inc(int64(now - before))
+		}
+	}
+	cur, old := sta.Room.Counts, sta.Counted
+	add("tasksStarted", cur.Started, old.Started)
+	add("tasksDone", cur.Done, old.Done)
+	add("tasksFailed", cur.Failed, old.Failed)
+	add("tasksLost", cur.Lost, old.Lost)
+	add("tasksReturned", cur.Returned, old.Returned)
+	add("leasesLapsed", cur.Lapses, old.Lapses)
+	add("rowsUnreadable", cur.Unreadable, old.Unreadable)
+	sta.Counted = cur
+	pro.scope.Gauge("runs").Update(float64(len(sta.Room.Runs)))
+	pro.scope.Gauge("queued").Update(float64(len(sta.Room.Queue)))
+}
--- /dev/null
+++ b/io/rgorders/process.go
@@ -0,0 +1,148 @@
+// Package rgorders is the sidecar process of an upstream that is driven by orders: one control goroutine that owns the
+// room of the executor, and traffic goroutines for the connections to entries and for the orders.
+package rgorders
+
+import (
+	"context"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgroom"
+	"ragwortgap/io/rgsettings"
+	"ragwortgap/io/rgwire"
+)
+
+const (
+	// eventBuffer lets traffic goroutines go on while the control goroutine handles a burst.
+	eventBuffer = 256
+	// reportInterval is the shortest time between two reports of a load that changes.
+	reportInterval = 25 * time.Millisecond
+	// drainMargin is what is left of the grace time when a planned stop no longer waits for runs.
+	drainMargin = 1500 * time.Millisecond
+	// listInterval is how often the store is asked for entries while none is connected.
+	listInterval = time.Second
+)
+
+type (
+	// Give sends an order to the executor and waits for its answer, within a bound of its own.
+	Give func(ctx context.Context, ord rgmodel.Order) rgmodel.OrderReply
+
+	// List returns the addresses of the entries that the store knows.
+	List func(ctx context.Context) ([]string, error)
+
+	// Link is a connection to an entry.
+	Link struct {
+		Address string
+		Outbox  *rgwire.Outbox
+		// Received is the last ticket that has arrived.
+		Received rgmodel.Ticket
+		// Changed is set while the entry's view of the load is not the newest one.
+		Changed bool
+		Told    time.Time
+		// Described is the executor that the entry knows.
+		Described rgmodel.Executor
+		Ends      []rgmodel.TaskEnd
+	}
+
+	// State is owned by the control goroutine.
+	State struct {
+		Room  rgroom.State
+		Links map[rgroom.LinkID]*Link
+		// Dials holds the goroutines that connect to entries, by address.
+		Dials  map[string]*Dial
+		Listed time.Time
+		// Draining is when a planned stop has begun.
+		Draining time.Time
+		Counted  rgroom.Counts
+	}
+
+	// Dial is a goroutine that keeps a connection to an address.
+	Dial struct {
+		Stop   context.CancelFunc
+		Named  time.Time
+		Seed   bool
+		Linked bool
+	}
+
+	// Process is a running sidecar.
+	Process struct {
+		// Done is closed when the process has stopped.
+		Done chan struct{}
+
+		settings rgsettings.Deployment
+		give     Give
+		list     List
+		log      *zap.Logger
+		scope    tally.Scope
+		events   chan Event
+		// ended is closed when the control goroutine takes no more events.
+		ended   chan struct{}
+		traffic conc.WaitGroup
+	}
+)
+
+// Start runs a sidecar until ctx ends; then it drains within the grace time of its settings and closes Done.
+func Start(ctx context.Context, set rgsettings.Deployment, giv Give, lis List, log *zap.Logger, sco tally.Scope) *Process {
+	pro := &Process{
+		Done: make(chan struct{}), ended: make(chan struct{}), events: make(chan Event, eventBuffer),
+		settings: set, give: giv, list: lis, log: log, scope: sco,
+	}
+	go pro.run(ctx)
+	return pro
+}
+
+func (pro *Process) run(ctx context.Context) {
+	defer close(pro.Done)
+	// Orders and connections outlive ctx, because the drain needs them.
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	pro.control(ctx, work)
+	close(pro.ended)
+	stop()
+	pro.traffic.Wait()
+}
+
+// Announce passes on what the executor says of itself, and returns once it has taken effect.
+func (pro *Process) Announce(ctx context.Context, exe rgmodel.Executor) bool {
+	rpl := make(chan struct{}, 1)
+	return pro.ask(ctx, Announced{Executor: exe, Reply: rpl}, rpl)
+}
+
+// Depart passes on that a lifetime of the executor has ended as planned.
+func (pro *Process) Depart(ctx context.Context, id string) bool {
+	rpl := make(chan struct{}, 1)
+	return pro.ask(ctx, Departed{ID: id, Reply: rpl}, rpl)
+}
+
+// Reload puts settings in force that were read again.
+func (pro *Process) Reload(ctx context.Context, set rgsettings.Deployment) {
+	pro.tell(ctx, Reloaded{Settings: set})
+}
+
+func (pro *Process) ask(ctx context.Context, evt Event, rpl <-chan struct{}) bool {
+	if !pro.tell(ctx, evt) {
+		return false
+	}
+	select {
+	case <-rpl:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-pro.ended:
+		return false
+	}
+}
+
+func (pro *Process) tell(ctx context.Context, evt Event) bool {
+	select {
+	case pro.events <- evt:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-pro.ended:
+		return false
+	}
+}
--- /dev/null
+++ b/io/rgsettings/deployment.go
@@ -0,0 +1,93 @@
+package rgsettings
+
+import (
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+const (
+	// DefaultGrace is how long a planned stop may take.
+	DefaultGrace = 6 * time.Second
+	// DefaultLongestLease is the longest lease of an executor that is driven by orders.
+	DefaultLongestLease = time.Second
+	// DefaultResend is how soon after a lost answer a caller may send its job again.
+	DefaultResend = 1300 * time.Millisecond
+	// DefaultTaskStop is how long an executor takes to stop a run.
+	DefaultTaskStop = 50 * time.Millisecond
+	// DefaultPeerPort is where entries listen for sidecars and other entries.
+	DefaultPeerPort = 7720
+)
+
+// Deployment holds the settings of a process whose upstreams are driven by orders, of either role.
+type Deployment struct {
+	Name             string `json:"name"`
+	AvailabilityZone string `json:"availabilityZone"`
+	// Address is the IP address of the machine.
+	Address string `json:"address"`
+	// PeerPort is the same on all machines.
+	PeerPort int `json:"peerPort"`
+	// Seeds are addresses on machines of entries, with any port. They may be stale.
+	Seeds []string `json:"seeds"`
+	Store string   `json:"store"`
+	// CallerAddress and ReadyAddress are an entry's; AnnounceAddress and Executor are a sidecar's.
+	CallerAddress   string `json:"callerAddress"`
+	ReadyAddress    string `json:"readyAddress"`
+	AnnounceAddress string `json:"announceAddress"`
+	Executor        string `json:"executor"`
+	// MetricsAddress serves the metrics; empty means that nothing does.
+	MetricsAddress string           `json:"metricsAddress"`
+	Grace          rgmodel.Duration `json:"grace"`
+	LongestLease   rgmodel.Duration `json:"longestLease"`
+	Resend         rgmodel.Duration `json:"resend"`
+	TaskStop       rgmodel.Duration `json:"taskStop"`
+	RemoteFactor   float64          `json:"remoteFactor"`
+	// MemoryMegabytes is the limit of the process; zero means none.
+	MemoryMegabytes int64 `json:"memoryMegabytes"`
+}
+
+// ReadDispatcher reads and checks the settings of an entry.
+func ReadDispatcher(path string) (Deployment, error) {
+	set, err := readDeployment(path)
+	if err != nil {
+		return Deployment{}, err
+	}
+	return set, first(
+		checkAddress("callerAddress", set.CallerAddress),
+		checkAddress("readyAddress", set.ReadyAddress),
+	)
+}
+
+// ReadOrderer reads and checks the settings of a sidecar.
+func ReadOrderer(path string) (Deployment, error) {
+	set, err := readDeployment(path)
+	if err != nil {
+		return Deployment{}, err
+	}
+	return set, first(
+		checkAddress("announceAddress", set.AnnounceAddress),
+		checkAddress("executor", set.Executor),
+	)
+}
+
+func readDeployment(path string) (Deployment, error) {
+	var set Deployment
+	if err := read(path, &set); err != nil {
+		return Deployment{}, err
+	}
+	fill(&set.Grace, DefaultGrace)
+	fill(&set.LongestLease, DefaultLongestLease)
+	fill(&set.Resend, DefaultResend)
+	fill(&set.TaskStop, DefaultTaskStop)
+	if set.PeerPort == 0 {
+		set.PeerPort = DefaultPeerPort
+	}
+	return set, first(
+		checkName("name", set.Name),
+		checkName("availabilityZone", set.AvailabilityZone),
+		checkAddresses("seeds", set.Seeds),
+		checkAddress("store", set.Store),
+		checkAtLeast("longestLease", set.LongestLease, 100*time.Millisecond),
+		checkAtLeast("grace", set.Grace, time.Second),
+	)
+}
--- /dev/null
+++ b/io/rgwire/keep.go
@@ -0,0 +1,78 @@
+package rgwire
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// keepDialTimeout is short, because a machine without power does not refuse a connection.
+	keepDialTimeout = 500 * time.Millisecond
+	// redialShort and redialLong bound the pause between attempts; each doubles the last one.
+	redialShort = 50 * time.Millisecond
+	redialLong  = time.Second
+)
+
+// lastConnection numbers the connections of the process.
+var lastConnection atomic.Uint64
+
+// Connection is an open connection with a number that no other one of the process has.
+type Connection struct {
+	ID   uint64
+	conn net.Conn
+}
+
+// Accept numbers a connection that a peer has opened.
+func Accept(con net.Conn) *Connection {
+	return &Connection{ID: lastConnection.Add(1), conn: con}
+}
+
+// Open starts to exchange notifications.
+func (cn *Connection) Open(ctx context.Context, hdl func(Message)) *Outbox {
+	return Open(ctx, cn.conn, hdl)
+}
+
+// Keep connects to the address again and again until ctx ends. Each connection is handed to attend, which returns when
+// it is lost.
+func Keep(ctx context.Context, adr string, attend func(ctx context.Context, con *Connection)) {
+	wait := redialShort
+	for ctx.Err() == nil {
+		dlr := net.Dialer{Timeout: keepDialTimeout}
+		con, err := dlr.DialContext(ctx, "tcp", adr)
+		if err == nil {
+			wait = redialShort
+			attend(ctx, Accept(con))
+		}
+		// The random part keeps the fleet from dialling a returned entry in step.
+		pause := time.NewTimer(wait/2 + rand.N(wait))
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			pause.Stop()
+			return
+		}
+		wait = min(2*wait, redialLong)
+	}
+}
+
+// PeerAddresses returns the addresses at which entries on the machines of the seeds listen for peers.
+func PeerAddresses(seeds []string, port int) []string {
+	ads := make([]string, 0, len(seeds))
+	for _, sed := range seeds {
+		// The settings are checked; a seed that is no address names no machine.
+		if adr, err := netip.ParseAddrPort(sed); err == nil {
+			ads = append(ads, PeerAddress(adr.Addr().String(), port))
+		}
+	}
+	return ads
+}
+
+// PeerAddress joins the address of a machine and a port.
+func PeerAddress(ip string, port int) string {
+	return net.JoinHostPort(ip, strconv.Itoa(port))
+}
--- a/io/rgwire/message.go
+++ b/io/rgwire/message.go
@@ -196,6 +196,20 @@
 		return "usage"
 	case Members:
 		return "members"
+	case Enlist:
+		return "enlist"
+	case Meet:
+		return "meet"
+	case Pulse:
+		return "pulse"
+	case Gossip:
+		return "gossip"
+	case Place:
+		return "place"
+	case Recall:
+		return "recall"
+	case Progress:
+		return "progress"
 	default:
 		return ""
 	}
@@ -231,6 +245,20 @@
 		return decodeAs[Usage](raw)
 	case "members":
 		return decodeAs[Members](raw)
+	case "enlist":
+		return decodeAs[Enlist](raw)
+	case "meet":
+		return decodeAs[Meet](raw)
+	case "pulse":
+		return decodeAs[Pulse](raw)
+	case "gossip":
+		return decodeAs[Gossip](raw)
+	case "place":
+		return decodeAs[Place](raw)
+	case "recall":
+		return decodeAs[Recall](raw)
+	case "progress":
+		return decodeAs[Progress](raw)
 	default:
 		return nil, errors.NotSupportedf("method %q", name)
 	}
--- /dev/null
+++ b/io/rgwire/order_message.go
@@ -0,0 +1,60 @@
+package rgwire
+
+import "ragwortgap/core/rgmodel"
+
+// Messages between entries and sidecars whose upstreams are driven by orders. All of them are notifications.
+type (
+	// Enlist introduces a sidecar to an entry, at the start of each connection.
+	Enlist struct {
+		Name  string          `json:"name"`
+		Zone  string          `json:"availabilityZone"`
+		Clock rgmodel.Instant `json:"clock"`
+	}
+
+	// Meet introduces an entry to another one, at the start of each connection.
+	Meet struct {
+		Entry rgmodel.Entry `json:"entry"`
+	}
+
+	// Pulse tells a sidecar that the entry is alive. Entries is set if it has changed.
+	Pulse struct {
+		Issued  rgmodel.Instant `json:"issued"`
+		Entries []rgmodel.Entry `json:"entries,omitempty"`
+	}
+
+	// Gossip tells an entry what another one knows. Config is set if the other one's version is older.
+	Gossip struct {
+		From    rgmodel.Entry   `json:"from"`
+		Version uint64          `json:"version"`
+		Config  []byte          `json:"config,omitempty"`
+		Entries []rgmodel.Entry `json:"entries,omitempty"`
+	}
+
+	// Place asks a sidecar to run tasks.
+	Place struct {
+		rgmodel.Placement
+	}
+
+	// Recall asks a sidecar to drop tasks.
+	Recall struct {
+		Issued  rgmodel.Instant  `json:"issued"`
+		Tickets []rgmodel.Ticket `json:"tickets"`
+	}
+
+	// Progress tells an entry what has changed at a sidecar. Executor is set if it has changed.
+	Progress struct {
+		Clock    rgmodel.Instant     `json:"clock"`
+		Received rgmodel.Ticket      `json:"received,omitempty"`
+		Executor *rgmodel.Executor   `json:"executor,omitempty"`
+		Load     *rgmodel.RoomReport `json:"load,omitempty"`
+		Ends     []rgmodel.TaskEnd   `json:"ends,omitempty"`
+	}
+)
+
+func (Enlist) isMessage()   {}
+func (Meet) isMessage()     {}
+func (Pulse) isMessage()    {}
+func (Gossip) isMessage()   {}
+func (Place) isMessage()    {}
+func (Recall) isMessage()   {}
+func (Progress) isMessage() {}
