--- a/io/rgcli/cli.go
+++ b/io/rgcli/cli.go
@@ -26,11 +26,12 @@
 type (
 	// Arguments are the subcommands and their arguments, as go-arg reads them.
 	Arguments struct {
-		Entry   *EntryCommand   `arg:"subcommand:entry" help:"run an entry"`
-		Sidecar *SidecarCommand `arg:"subcommand:sidecar" help:"run the sidecar of an upstream"`
-		Demo    *DemoCommand    `arg:"subcommand:demo" help:"run the whole system with stand-ins in one process"`
-		Burn    *BurnQuery      `arg:"subcommand:burn" help:"print the error budgets of the flows, summed over entries"`
-		Version *VersionQuery   `arg:"subcommand:version" help:"print the version"`
+		Entry    *EntryCommand    `arg:"subcommand:entry" help:"run an entry"`
+		Sidecar  *SidecarCommand  `arg:"subcommand:sidecar" help:"run the sidecar of an upstream"`
+		Platform *PlatformCommand `arg:"subcommand:platform" help:"run a process on the users' platform"`
+		Demo     *DemoCommand     `arg:"subcommand:demo" help:"run the whole system with stand-ins in one process"`
+		Burn     *BurnQuery       `arg:"subcommand:burn" help:"print the error budgets of the flows, summed over entries"`
+		Version  *VersionQuery    `arg:"subcommand:version" help:"print the version"`
 
 		Questionnaire *QuestionnaireCommand `arg:"subcommand:questionnaire" help:"ask a team's questions, or check its answers"`
 		Generate      *GenerateQuery        `arg:"subcommand:generate" help:"print the configuration that answers ask for"`
@@ -67,6 +68,10 @@
 		return cmd.run(ctx)
 	case *SidecarCommand:
 		return cmd.run(ctx)
+	case *PlatformEntry:
+		return cmd.run(ctx)
+	case *PlatformSidecar:
+		return cmd.run(ctx)
 	case *DemoCommand:
 		return cmd.run(ctx, out)
 	case *QuestionnaireCommand:
--- /dev/null
+++ b/io/rgcli/command_platform.go
@@ -0,0 +1,40 @@
+package rgcli
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"ragwortgap/platform"
+)
+
+type (
+	// PlatformCommand runs a process on the users' platform, which names its settings file.
+	PlatformCommand struct {
+		Entry   *PlatformEntry   `arg:"subcommand:entry" help:"run an entry"`
+		Sidecar *PlatformSidecar `arg:"subcommand:sidecar" help:"run the sidecar of an executor"`
+	}
+
+	// PlatformEntry has no arguments.
+	PlatformEntry struct{}
+
+	// PlatformSidecar has no arguments.
+	PlatformSidecar struct{}
+)
+
+func (cmd *PlatformEntry) run(ctx context.Context) error {
+	return runOnPlatform(ctx, platform.RunEntry)
+}
+
+func (cmd *PlatformSidecar) run(ctx context.Context) error {
+	return runOnPlatform(ctx, platform.RunSidecar)
+}
+
+func runOnPlatform(ctx context.Context, run platform.Run) error {
+	log, met, err := openOutput()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = met.Closer.Close() }()
+	return errors.Trace(run(ctx, log, met.Scope))
+}
