Learn the speed of an executor as a geometric mean, and forget slowness when idle

Ruled out: leaked runs and a lost look (a dump of the sidecars' state shows none).

Change: clipped samples in the logarithm, and a slow decay while nothing runs.

--- /dev/null
+++ b/core/rgroom/command_learn.go
@@ -0,0 +1,38 @@
+package rgroom
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// learnRate is the weight of one run. Estimates are often off by a factor of two, which some ten runs even out.
+	learnRate = 0.1
+	// mostDeviation is the factor beyond which a run counts no more: its estimate was wrong, or its end was seen late.
+	mostDeviation = 4
+	// forgetRate is the part of a slowness that an idle executor loses each tick. Without it, entries would place
+	// nothing on an executor that once looked slow, and nothing would correct that.
+	forgetRate = 0.03
+)
+
+// learn moves the stretch of this executor towards that of a run that has succeeded. It is a geometric mean, because
+// estimates are as often half as twice the true time.
+func learn(sta *State, wrk Work, took time.Duration) {
+	est := wrk.Task.Estimate.Duration
+	if est <= 0 || took <= 0 {
+		return
+	}
+	if sta.Stretch == 0 {
+		sta.Stretch = 1
+	}
+	dev := math.Log(float64(took) / float64(est) / sta.Stretch)
+	most := math.Log(mostDeviation)
+	sta.Stretch *= math.Exp(learnRate * min(max(dev, -most), most))
+}
+
+// forgetSlowness moves the stretch of an idle executor back towards 1.
+func forgetSlowness(sta *State) {
+	if len(sta.Runs) == 0 && sta.Stretch > 1 {
+		sta.Stretch = math.Pow(sta.Stretch, 1-forgetRate)
+	}
+}
--- a/core/rgroom/command_look.go
+++ b/core/rgroom/command_look.go
@@ -148,18 +148,3 @@
 	}
 	return efs
 }
-
-// learn moves the stretch of this executor towards a run that has succeeded.
-func learn(sta *State, wrk Work, took time.Duration) {
-	// learnRate is the weight of one run. Estimates are off by up to 40 %, which some ten runs average out.
-	const learnRate = 0.1
-	est := wrk.Task.Estimate.Duration
-	if est <= 0 {
-		return
-	}
-	ratio := float64(took) / float64(est)
-	if sta.Stretch == 0 {
-		sta.Stretch = 1
-	}
-	sta.Stretch += learnRate * (ratio - sta.Stretch)
-}
--- a/core/rgroom/command_tick.go
+++ b/core/rgroom/command_tick.go
@@ -27,6 +27,7 @@
 			delete(sta.Numbers, tsk)
 		}
 	}
+	forgetSlowness(sta)
 	return append(efs, proceed(sta, now)...)
 }
 
--- /dev/null
+++ b/core/rgroom/harness_test.go
@@ -0,0 +1,128 @@
+package rgroom
+
+import (
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// bench is a sidecar with one entry and an executor that the test plays.
+type bench struct {
+	sta State
+	now time.Time
+	efs []Effect
+}
+
+const benchLink = LinkID(1)
+
+// newBench returns a sidecar that is in control of an executor with 8 cores.
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	bnc := &bench{now: time.Unix(1000, 0)}
+	Join(&bnc.sta, bnc.now, benchLink, "entry")
+	bnc.announce(executor(1))
+	bnc.look(t, nil, nil)
+	if bnc.sta.Phase != PhaseServing {
+		t.Fatalf("phase %v after the first look", bnc.sta.Phase)
+	}
+	bnc.take()
+	return bnc
+}
+
+func executor(born int64) rgmodel.Executor {
+	return rgmodel.Executor{
+		Lifetime: rgmodel.Lifetime{ID: "i-1", Born: born}, Service: "desk",
+		Capacity: rgmodel.Resources{Cores: 8, MemoryBytes: 1 << 30}, Clock: 5000, Sequence: 1,
+	}
+}
+
+func (bnc *bench) announce(exe rgmodel.Executor) {
+	efs, _ := Announce(&bnc.sta, bnc.now, exe)
+	bnc.efs = append(bnc.efs, efs...)
+}
+
+// take returns the effects since the last call.
+func (bnc *bench) take() []Effect {
+	efs := bnc.efs
+	bnc.efs = nil
+	return efs
+}
+
+// wait lets time pass, with an entry that stays alive.
+func (bnc *bench) wait(dur time.Duration) {
+	for ; dur > 0; dur -= TickInterval {
+		bnc.now = bnc.now.Add(min(dur, TickInterval))
+		Hear(&bnc.sta, benchLink, bnc.now)
+		bnc.efs = append(bnc.efs, Tick(&bnc.sta, bnc.now)...)
+	}
+}
+
+func (bnc *bench) clock() rgmodel.ExecutorTime {
+	return rgmodel.ExecutorTime(5000 + bnc.now.Sub(time.Unix(1000, 0)).Milliseconds())
+}
+
+// place asks for tasks of one core and 100 ms.
+func (bnc *bench) place(job string, count int) {
+	plc := rgmodel.Placement{
+		Issued: rgmodel.InstantOf(bnc.now), Deadline: rgmodel.InstantOf(bnc.now.Add(2 * time.Second)), Service: "desk",
+		Slack: rgmodel.Duration{Duration: 500 * time.Millisecond}, Needs: rgmodel.Resources{Cores: 1, MemoryBytes: 1},
+	}
+	for i := range count {
+		plc.Tasks = append(plc.Tasks, rgmodel.PlacedTask{
+			Ticket: rgmodel.Ticket(len(job)*1000 + i), Name: rgmodel.TaskName{Job: job, Index: i},
+			Estimate: rgmodel.Duration{Duration: 100 * time.Millisecond},
+		})
+	}
+	bnc.efs = append(bnc.efs, Place(&bnc.sta, bnc.now, benchLink, plc)...)
+}
+
+// starts answers all start orders among the effects in the same way, and returns how many there were.
+func (bnc *bench) starts(rep rgmodel.OrderReply) int {
+	count := 0
+	for _, eff := range bnc.take() {
+		giv, ok := eff.(Give)
+		if !ok {
+			continue
+		}
+		if ord, ok := giv.Order.(rgmodel.StartOrder); ok {
+			count++
+			bnc.efs = append(bnc.efs, StartAnswered(&bnc.sta, bnc.now, ord, rep)...)
+		}
+	}
+	return count
+}
+
+// look answers the look that is under way.
+func (bnc *bench) look(t *testing.T, running []rgmodel.RunningRun, ended []rgmodel.EndedRun) {
+	t.Helper()
+	if bnc.sta.LookSent.IsZero() {
+		t.Fatal("no look under way")
+	}
+	ord := rgmodel.LookOrder{Lifetime: bnc.sta.Executor.Lifetime, Fence: bnc.sta.Fence}
+	rep := rgmodel.OrderReply{Answered: true, Clock: bnc.clock(), Born: ord.Lifetime.Born, Running: running, Ended: ended}
+	bnc.efs = append(bnc.efs, LookAnswered(&bnc.sta, bnc.now, ord, rep)...)
+}
+
+// running lists all runs as the executor would.
+func (bnc *bench) running() []rgmodel.RunningRun {
+	var rows []rgmodel.RunningRun
+	for tsk, run := range bnc.sta.Runs {
+		rows = append(rows, rgmodel.RunningRun{Task: tsk, Run: run.Number})
+	}
+	return rows
+}
+
+// end lists the end of each run.
+func (bnc *bench) end(t *testing.T, how rgmodel.EndKind) {
+	t.Helper()
+	var ended []rgmodel.EndedRun
+	for tsk, run := range bnc.sta.Runs {
+		ended = append(ended, rgmodel.EndedRun{Number: bnc.sta.Seen + uint64(len(ended)) + 1, Task: tsk, Run: run.Number, How: how})
+	}
+	bnc.look(t, nil, ended)
+}
+
+func (bnc *bench) accepted() rgmodel.OrderReply {
+	return rgmodel.OrderReply{Answered: true, Clock: bnc.clock()}
+}
