Order a sidecar's queue by the latest start that is in time, late tasks last

Change: order by latest start; tasks that are late in any case go behind, by priority. Waits are reported by slack.

--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -110,7 +110,8 @@
 		if stp.AntiAffinity > 0 && sea.count+placedOn(jb, stp, sea.link) >= stp.AntiAffinity {
 			continue
 		}
-		end := wait(now, sea, jb.Request.Route.Priority, stp.Needs.Cores, taken[sea.link]) + sea.run + networkTime
+		slack := jb.InTime.Sub(now) - sea.run - networkTime
+		end := wait(now, sea, slack, stp.Needs.Cores, taken[sea.link]) + sea.run + networkTime
 		if found == nil || end < least {
 			found, least = sea, end
 		}
@@ -134,16 +135,13 @@
 }
 
 // wait returns how long a task is expected to wait for room at the sidecar.
-func wait(now time.Time, sea *seat, priority int, cores, taken float64) time.Duration {
+func wait(now time.Time, sea *seat, slack time.Duration, cores, taken float64) time.Duration {
 	rep := &sea.mem.Report
 	free := rep.Room.Cores - rep.Used.Cores - taken
 	for _, snt := range sea.mem.Unseen {
 		free -= snt.Cores
 	}
-	base := time.Duration(0)
-	if len(rep.Waits) > 0 {
-		base = max(0, rep.Waits[min(priority, len(rep.Waits)-1)].Duration-now.Sub(sea.mem.Reported))
-	}
+	base := max(0, rep.Wait(slack)-now.Sub(sea.mem.Reported))
 	if free >= cores {
 		return base
 	}
--- a/core/rgmodel/placement.go
+++ b/core/rgmodel/placement.go
@@ -47,13 +47,35 @@
 		Usable bool `json:"usable,omitempty"`
 		// Cleared is set when no run is left of the entry's earlier connections.
 		Cleared bool `json:"cleared,omitempty"`
-		// Waits holds for each priority how long a task that arrives now would wait.
+		// Waits holds for each of WaitSlacks how long a task that arrives now and has that slack would wait, and last how
+		// long one that is late in any case would. It is empty if there is room.
 		Waits []Duration `json:"waits,omitempty"`
 		// Stretch is how long tasks take on this executor, relative to their estimates.
 		Stretch float64 `json:"stretch"`
 	}
 )
 
+// WaitSlacks are the slacks for which a sidecar reports its waits: the time until the latest start that is in time.
+var WaitSlacks = []time.Duration{
+	0, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond,
+	800 * time.Millisecond,
+}
+
+// Wait returns how long a task with the slack would wait.
+func (rep RoomReport) Wait(slack time.Duration) time.Duration {
+	if len(rep.Waits) == 0 {
+		return 0
+	}
+	if slack < 0 {
+		return rep.Waits[len(rep.Waits)-1].Duration
+	}
+	at := 0
+	for at+1 < min(len(WaitSlacks), len(rep.Waits)-1) && WaitSlacks[at+1] <= slack {
+		at++
+	}
+	return rep.Waits[at].Duration
+}
+
 // Add returns the instant that is later by the duration.
 func (ins Instant) Add(dur time.Duration) Instant { return ins + Instant(dur.Milliseconds()) }
 
--- a/core/rgroom/command_link.go
+++ b/core/rgroom/command_link.go
@@ -42,7 +42,7 @@
 			efs = append(efs, tell(sta, wrk, rgmodel.EndReturned, rsn, 0))
 			continue
 		}
-		enqueue(sta, wrk)
+		enqueue(sta, now, wrk)
 	}
 	return append(efs, proceed(sta, now)...)
 }
--- a/core/rgroom/command_look.go
+++ b/core/rgroom/command_look.go
@@ -92,7 +92,7 @@
 		return efs
 	default:
 		if run.Again && sta.Links[run.Work.Link] != nil && !sta.Stopping && !sta.Executor.Draining {
-			enqueue(sta, run.Work)
+			enqueue(sta, now, run.Work)
 			return nil
 		}
 		rsn := run.Reason
--- a/core/rgroom/command_run.go
+++ b/core/rgroom/command_run.go
@@ -7,25 +7,51 @@
 	"ragwortgap/core/rgmodel"
 )
 
-// enqueue keeps the queue in the order of starts: by priority, and within it by the latest start that is in time.
-func enqueue(sta *State, wrk Work) {
+// enqueue keeps the queue in the order of starts: by the latest start that is in time, and behind those the tasks that are
+// late in any case. An order by priority alone starves long tasks of low priority, although they could wait least.
+func enqueue(sta *State, now time.Time, wrk Work) {
 	at, _ := slices.BinarySearchFunc(sta.Queue, wrk, func(one, two Work) int {
+		if behind(sta, now, one, two) {
+			return 1
+		}
+		// Equal ones stay in the order of their arrival.
+		return -1
+	})
+	sta.Queue = slices.Insert(sta.Queue, at, wrk)
+}
+
+// behind says whether the first task starts after the second one.
+func behind(sta *State, now time.Time, one, two Work) bool {
+	oneAt, twoAt := latestStart(sta, one), latestStart(sta, two)
+	oneLate, twoLate := oneAt.Before(now), twoAt.Before(now)
+	switch {
+	case oneLate != twoLate:
+		return oneLate
+	case one.Priority != two.Priority && oneLate:
+		return one.Priority > two.Priority
+	default:
+		return oneAt.After(twoAt)
+	}
+}
+
+// reorder moves tasks that have become late behind those that can be in time.
+func reorder(sta *State, now time.Time) {
+	slices.SortStableFunc(sta.Queue, func(one, two Work) int {
 		switch {
-		case one.Priority != two.Priority:
-			return one.Priority - two.Priority
-		case latestStart(sta, one).After(latestStart(sta, two)):
+		case behind(sta, now, one, two):
 			return 1
-		default:
-			// Equal ones stay in the order of their arrival.
+		case behind(sta, now, two, one):
 			return -1
+		default:
+			return 0
 		}
 	})
-	sta.Queue = slices.Insert(sta.Queue, at, wrk)
 }
 
 // proceed starts what fits and keeps the look at the executor going while anything runs.
 func proceed(sta *State, now time.Time) []Effect {
 	var efs []Effect
+	reorder(sta, now)
 	for len(sta.Queue) > 0 && startable(sta, now) {
 		wrk := sta.Queue[0]
 		if hopeless(sta, now, wrk) {
--- a/core/rgroom/query_report.go
+++ b/core/rgroom/query_report.go
@@ -62,15 +62,16 @@
 			rels = rels[1:]
 		}
 	}
-	wts := make([]rgmodel.Duration, ReportedPriorities)
-	pri := 0
 	mean := float64(defaultTypicalCores)
 	if count > 0 {
 		mean = typical / float64(count)
 	}
+	slacks := rgmodel.WaitSlacks
+	wts := make([]rgmodel.Duration, 0, len(slacks)+1)
 	for _, wrk := range sta.Queue {
-		for ; pri < min(wrk.Priority, ReportedPriorities-1); pri++ {
-			wts[pri] = probe(rels, free, at, mean)
+		slack := latestStart(sta, wrk).Sub(now)
+		for len(wts) < len(slacks) && (slack < 0 || slack > slacks[len(wts)]) {
+			wts = append(wts, probe(rels, free, at, mean))
 		}
 		take(wrk.Needs.Cores)
 		free -= wrk.Needs.Cores
@@ -78,8 +79,8 @@
 		pos, _ := slices.BinarySearchFunc(rels, rel, func(one, two release) int { return int(one.at - two.at) })
 		rels = slices.Insert(rels, pos, rel)
 	}
-	for ; pri < ReportedPriorities; pri++ {
-		wts[pri] = probe(rels, free, at, mean)
+	for len(wts) <= len(slacks) {
+		wts = append(wts, probe(rels, free, at, mean))
 	}
 	return wts
 }
--- a/core/rgroom/room.go
+++ b/core/rgroom/room.go
@@ -33,8 +33,6 @@
 	numberMemory = 30 * time.Second
 	// defaultTypicalCores is the need of a task where none is known.
 	defaultTypicalCores = 1
-	// ReportedPriorities bounds the size of a report. Routes of higher numbers share the last wait.
-	ReportedPriorities = 4
 )
 
 const (
