Place tasks on the slowest executor that starts them at once and is fast enough

Cause: the earliest expected end fills the fast executors with queues while slow ones stand idle, and long tasks that need a fast one wait or expire.

Change: of the executors with room on which a task ends within 0.7 of the time that is left, take the slowest; else the earliest end.

--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -28,6 +28,9 @@
 	// lateTolerance is how far beyond the time that is still in time a job may be expected to end when it is admitted.
 	// Estimates are off by up to 40 %, so that many of them end in time all the same.
 	lateTolerance = 1.3
+	// snugShare is the part of the remaining time in which a task has to be expected to end for a slow executor to be
+	// good enough. The rest is for estimates that are too short.
+	snugShare = 0.7
 )
 
 const (
--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -100,9 +100,13 @@
 	return rgmodel.ReasonNeverRunnable
 }
 
+// best prefers executors that start the task at once and are fast enough, and of these the slowest, so that fast ones
+// stay free for tasks that need them. Otherwise it takes the one on which the task ends first.
 func best(now time.Time, jb *Job, stp Step, sts []*seat, tsk *Task, taken map[LinkID]float64) (*seat, time.Duration) {
 	var found *seat
 	var least time.Duration
+	snug := false
+	goal := time.Duration(snugShare * float64(jb.InTime.Sub(now)))
 	for _, sea := range sts {
 		if tsk.Avoid[sea.mem.Name] && len(tsk.Avoid) < len(sts) {
 			continue
@@ -111,9 +115,12 @@
 			continue
 		}
 		slack := jb.InTime.Sub(now) - sea.run - networkTime
-		end := wait(now, sea, slack, stp.Needs.Cores, taken[sea.link]) + sea.run + networkTime
-		if found == nil || end < least {
-			found, least = sea, end
+		wai := wait(now, sea, slack, stp.Needs.Cores, taken[sea.link])
+		end := wai + sea.run + networkTime
+		fit := wai == 0 && end <= goal
+		better := found == nil || fit && !snug || fit == snug && (end < least) != fit
+		if better {
+			found, least, snug = sea, end, fit
 		}
 	}
 	return found, least
