Choose slow executors by the margin to the deadline, and refuse for waiting only

Estimates are off by a factor of two either way.

Change: a slow executor is good enough if the task is expected to be in time and would end before the deadline even if it took 1.6 times as long. A job is refused for its expected end only if it would have to wait.

--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -28,9 +28,9 @@
 	// lateTolerance is how far beyond the time that is still in time a job may be expected to end when it is admitted.
 	// Estimates are off by up to 40 %, so that many of them end in time all the same.
 	lateTolerance = 1.3
-	// snugShare is the part of the remaining time in which a task has to be expected to end for a slow executor to be
-	// good enough. The rest is for estimates that are too short.
-	snugShare = 0.7
+	// deadlineMargin is how much longer than expected a task may take and still end before its deadline on a slow
+	// executor. What is in time grows with the true work of a job, but the deadline does not.
+	deadlineMargin = 1.6
 )
 
 const (
--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -47,7 +47,7 @@
 			if sea == nil {
 				return nil, missing(sta, jb, stp)
 			}
-			if now.Add(end).After(latest(jb)) {
+			if now.Add(end).After(latest(jb)) && end > sea.run+networkTime {
 				return nil, rgmodel.ReasonExpectedWait
 			}
 			sea.count++
@@ -106,7 +106,8 @@
 	var found *seat
 	var least time.Duration
 	snug := false
-	goal := time.Duration(snugShare * float64(jb.InTime.Sub(now)))
+	goal := jb.InTime.Sub(now)
+	safe := time.Duration(float64(jb.Deadline.Sub(now)) / deadlineMargin)
 	for _, sea := range sts {
 		if tsk.Avoid[sea.mem.Name] && len(tsk.Avoid) < len(sts) {
 			continue
@@ -117,7 +118,7 @@
 		slack := jb.InTime.Sub(now) - sea.run - networkTime
 		wai := wait(now, sea, slack, stp.Needs.Cores, taken[sea.link])
 		end := wai + sea.run + networkTime
-		fit := wai == 0 && end <= goal
+		fit := wai == 0 && end <= goal && end <= safe
 		better := found == nil || fit && !snug || fit == snug && (end < least) != fit
 		if better {
 			found, least, snug = sea, end, fit
