--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -156,20 +156,3 @@
 	// What is beyond the room waits until as many cores have been released, on average one room in a run time.
 	return base + time.Duration((cores-free)/max(rep.Room.Cores, 1)*float64(sea.run))
 }
-
-// runTime returns how long a task of the step is expected to run at the sidecar.
-func runTime(sta *State, stp Step, mem *Member) time.Duration {
-	str := mem.Report.Stretch
-	if str == 0 {
-		str = 1
-	}
-	return time.Duration(str * float64(estimateAt(sta, stp, mem)))
-}
-
-// estimateAt returns the estimate of a task at the sidecar before its stretch.
-func estimateAt(sta *State, stp Step, mem *Member) time.Duration {
-	if stp.Affinity != "" && sta.RemoteFactor > 1 && !slices.Contains(mem.Executor.Labels, stp.Affinity) {
-		return time.Duration(sta.RemoteFactor * float64(stp.Estimate))
-	}
-	return stp.Estimate
-}
--- a/core/rgroom/command_run.go
+++ b/core/rgroom/command_run.go
@@ -130,7 +130,7 @@
 	}
 	delete(sta.Runs, ord.Task)
 	efs := []Effect{tell(sta, run.Work, rgmodel.EndReturned, rgmodel.ReasonUpstreamRefused, 0)}
-	if !usable(sta, now) {
+	if !Usable(sta, now) {
 		efs = append(efs, returnQueue(sta, rgmodel.ReasonUpstreamRefused)...)
 	}
 	return append(efs, proceed(sta, now)...)
--- a/core/rgroom/query_report.go
+++ b/core/rgroom/query_report.go
@@ -21,7 +21,7 @@
 	rep := rgmodel.RoomReport{
 		Used:    Used(sta),
 		Room:    room(sta),
-		Usable:  usable(sta, now) && len(sta.Foreign) == 0,
+		Usable:  Usable(sta, now),
 		Cleared: sta.Phase != PhaseFencing && cleared(sta, id),
 		Stretch: sta.Stretch,
 	}
--- a/core/rgroom/query_room.go
+++ b/core/rgroom/query_room.go
@@ -40,7 +40,7 @@
 		return rgmodel.ReasonDraining, false
 	case sta.Phase != PhaseServing, plc.Service != sta.Executor.Service:
 		return rgmodel.ReasonNoUpstream, false
-	case !usable(sta, now):
+	case !Usable(sta, now):
 		return rgmodel.ReasonUpstreamUnreach, false
 	case !plc.Needs.Fits(sta.Executor.Capacity):
 		return rgmodel.ReasonNeverRunnable, false
@@ -49,13 +49,15 @@
 	}
 }
 
-func usable(sta *State, now time.Time) bool {
-	return sta.Phase == PhaseServing && !sta.Stopping && !sta.Executor.Draining && !now.Before(sta.Health.Until)
+// Usable says whether new tasks are accepted. Runs that this process has not started take an unknown part of the room.
+func Usable(sta *State, now time.Time) bool {
+	return sta.Phase == PhaseServing && len(sta.Foreign) == 0 && !sta.Stopping && !sta.Executor.Draining &&
+		!now.Before(sta.Health.Until)
 }
 
-// startable says whether orders may be given now. Runs that this process has not started take an unknown part of the room.
+// startable says whether orders may be given now.
 func startable(sta *State, now time.Time) bool {
-	return usable(sta, now) && len(sta.Foreign) == 0 && renewable(sta, now)
+	return Usable(sta, now) && renewable(sta, now)
 }
 
 // renewable says whether the lease may be renewed: not while a run goes on whose stop stays unconfirmed.
--- a/io/rgorders/command_report.go
+++ b/io/rgorders/command_report.go
@@ -13,14 +13,15 @@
 // as the entry needs to know that the sidecar is alive.
 func (pro *Process) report(sta *State, now time.Time) {
 	for id, lnk := range sta.Links {
-		age := now.Sub(lnk.Told)
-		if len(lnk.Ends) == 0 && !(lnk.Changed && age >= reportInterval) && age < rgroom.TickInterval-reportInterval {
+		loaded := isLoadDue(sta, lnk, now)
+		if len(lnk.Ends) == 0 && !loaded && now.Sub(lnk.Told) < rgroom.TickInterval-reportInterval {
 			continue
 		}
 		msg := rgwire.Progress{Clock: rgmodel.InstantOf(now), Received: lnk.Received, Ends: lnk.Ends}
-		if lnk.Changed {
+		if loaded || lnk.Changed {
 			rep := rgroom.Report(&sta.Room, now, id)
 			msg.Load = &rep
+			lnk.Usable = rep.Usable
 		}
 		if exe := sta.Room.Executor; !sameExecutor(exe, lnk.Described) {
 			lnk.Described = exe
@@ -33,6 +34,12 @@
 	}
 }
 
+// isLoadDue says whether the entry's view of the load is to be renewed. An executor becomes usable by the passing of
+// time too, and an entry that is not told places nothing there any more.
+func isLoadDue(sta *State, lnk *Link, now time.Time) bool {
+	return lnk.Usable != rgroom.Usable(&sta.Room, now) || lnk.Changed && now.Sub(lnk.Told) >= reportInterval
+}
+
 // sameExecutor ignores the parts that change with each report of the executor.
 func sameExecutor(one, two rgmodel.Executor) bool {
 	one.Clock, one.Sequence = two.Clock, two.Sequence
--- a/io/rgorders/process.go
+++ b/io/rgorders/process.go
@@ -42,7 +42,9 @@
 		Received rgmodel.Ticket
 		// Changed is set while the entry's view of the load is not the newest one.
 		Changed bool
-		Told    time.Time
+		// Usable is what the entry knows of the executor.
+		Usable bool
+		Told   time.Time
 		// Described is the executor that the entry knows.
 		Described rgmodel.Executor
 		Ends      []rgmodel.TaskEnd
