Remove the blend of estimates with learned run times

Cause of the trial: estimates look off by a factor of two. What looked like wrong estimates is for the most part the speed of the executors and ends that are seen late.

--- a/core/rgdispatch/command_job.go
+++ b/core/rgdispatch/command_job.go
@@ -23,7 +23,7 @@
 		jb.Token = tok
 		return efs
 	}
-	jb := newJob(sta, now, tok, req)
+	jb := newJob(now, tok, req)
 	if rsn := refusal(sta, now, req); rsn != "" {
 		return []Effect{answer(now, jb, rgmodel.NotRun, rsn)}
 	}
@@ -38,9 +38,11 @@
 	return commit(sta, now, jb, pln)
 }
 
-func newJob(sta *State, now time.Time, tok Token, req Request) *Job {
+func newJob(now time.Time, tok Token, req Request) *Job {
 	for i := range req.Steps {
-		req.Steps[i].Estimate = estimate(sta, Work{Route: req.Route.Name, Step: i}, req.Steps[i].Estimate)
+		if req.Steps[i].Estimate <= 0 {
+			req.Steps[i].Estimate = defaultEstimate
+		}
 	}
 	if req.Route.Attempts <= 0 {
 		req.Route.Attempts = rgroute.DefaultAttempts
@@ -133,9 +135,6 @@
 		}
 		delete(mem.Places, end.Ticket)
 		if jb := sta.Jobs[plc.Job]; jb != nil {
-			if end.How == rgmodel.EndDone {
-				learn(sta, Work{Route: jb.Request.Route.Name, Step: plc.Step}, mem, end.Took.Duration)
-			}
 			efs = append(efs, finish(sta, now, jb, &jb.Tasks[plc.Step][plc.Index], mem.Name, end)...)
 		}
 	}
--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -121,18 +121,6 @@
 		Index int
 	}
 
-	// Work names the tasks of one step of a route's jobs, which resemble each other.
-	Work struct {
-		Route string
-		Step  int
-	}
-
-	// Usual is the geometric mean of the run times of tasks, as they would be on an executor of stretch 1.
-	Usual struct {
-		Time  time.Duration
-		Tasks int
-	}
-
 	// Sent is a placement that the sidecar's last report does not contain yet.
 	Sent struct {
 		Ticket rgmodel.Ticket
@@ -191,7 +179,6 @@
 		Jobs    map[string]*Job
 		// RemoteFactor is how much longer tasks take away from their data; zero means that it does not matter.
 		RemoteFactor float64
-		Learned      map[Work]Usual
 		LastEvent    time.Time
 		Resumed      time.Time
 	}
