Choose executors by the wait behind their whole queue

Cause: urgent tasks overtake a sidecar's queue, so that their own wait is short on executors with long queues of less urgent ones.

Change: executors are compared by the wait behind all others; admission goes by the task's own wait.

--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -101,10 +101,11 @@
 }
 
 // best prefers executors that start the task at once and are fast enough, and of these the slowest, so that fast ones
-// stay free for tasks that need them. Otherwise it takes the one on which the task ends first.
+// stay free for tasks that need them. Otherwise it takes the one on which the task would end first if it went behind all
+// others: an urgent task that overtakes a queue delays everything in it. It returns when the task is expected to end.
 func best(now time.Time, jb *Job, stp Step, sts []*seat, tsk *Task, taken map[LinkID]float64) (*seat, time.Duration) {
 	var found *seat
-	var least time.Duration
+	var least, end time.Duration
 	snug := false
 	goal := jb.InTime.Sub(now)
 	safe := time.Duration(float64(jb.Deadline.Sub(now)) / deadlineMargin)
@@ -115,16 +116,16 @@
 		if stp.AntiAffinity > 0 && sea.count+placedOn(jb, stp, sea.link) >= stp.AntiAffinity {
 			continue
 		}
-		slack := jb.InTime.Sub(now) - sea.run - networkTime
-		wai := wait(now, sea, slack, stp.Needs.Cores, taken[sea.link])
-		end := wai + sea.run + networkTime
-		fit := wai == 0 && end <= goal && end <= safe
-		better := found == nil || fit && !snug || fit == snug && (end < least) != fit
-		if better {
-			found, least, snug = sea, end, fit
+		rep := &sea.mem.Report
+		own := sea.run + networkTime
+		last := wait(now, sea, rep.LongestWait(), stp.Needs.Cores, taken[sea.link]) + own
+		fit := last == own && own <= goal && own <= safe
+		if found == nil || fit && !snug || fit == snug && (last < least) != fit {
+			found, least, snug = sea, last, fit
+			end = wait(now, sea, rep.Wait(goal-own), stp.Needs.Cores, taken[sea.link]) + own
 		}
 	}
-	return found, least
+	return found, end
 }
 
 func placedOn(jb *Job, stp Step, lnk LinkID) int {
@@ -142,14 +143,14 @@
 	return sum
 }
 
-// wait returns how long a task is expected to wait for room at the sidecar.
-func wait(now time.Time, sea *seat, slack time.Duration, cores, taken float64) time.Duration {
+// wait returns how long a task is expected to wait for room at the sidecar, given what its last report says.
+func wait(now time.Time, sea *seat, reported time.Duration, cores, taken float64) time.Duration {
 	rep := &sea.mem.Report
 	free := rep.Room.Cores - rep.Used.Cores - taken
 	for _, snt := range sea.mem.Unseen {
 		free -= snt.Cores
 	}
-	base := max(0, rep.Wait(slack)-now.Sub(sea.mem.Reported))
+	base := max(0, reported-now.Sub(sea.mem.Reported))
 	if free >= cores {
 		return base
 	}
--- a/core/rgmodel/placement.go
+++ b/core/rgmodel/placement.go
@@ -76,6 +76,14 @@
 	return rep.Waits[at].Duration
 }
 
+// LongestWait returns how long a task would wait that goes behind all others.
+func (rep RoomReport) LongestWait() time.Duration {
+	if len(rep.Waits) == 0 {
+		return 0
+	}
+	return rep.Waits[len(rep.Waits)-1].Duration
+}
+
 // Add returns the instant that is later by the duration.
 func (ins Instant) Add(dur time.Duration) Instant { return ins + Instant(dur.Milliseconds()) }
 
