--- a/core/rgroom/health.go
+++ b/core/rgroom/health.go
@@ -10,7 +10,7 @@
 	hangLimit = 2
 	// shortestPause and longestPause bound how long an executor at fault gets no work; each doubles the last one.
 	shortestPause = time.Second
-	longestPause  = 8 * time.Second
+	longestPause  = 2 * time.Second
 	// refusalPause is how long an executor that refuses orders is left alone.
 	refusalPause = 300 * time.Millisecond
 	// provingShare is the part of the cores that an executor gets after a pause, about one task.
--- a/core/rgroom/room.go
+++ b/core/rgroom/room.go
@@ -19,8 +19,9 @@
 	leaseShare = 0.7
 	// TickInterval is how often deadlines, silent entries and overdue orders are checked.
 	TickInterval = 100 * time.Millisecond
-	// lookWait is how long an executor may hold back the list of runs until one ends. Three looks fit into a lease.
-	lookWait = 200 * time.Millisecond
+	// lookWait is how long an executor may hold back the list of runs until one ends. It is short, because nothing is
+	// known of any run while the answer to a look is lost.
+	lookWait = 60 * time.Millisecond
 	// stopRetry is when an unanswered stop is sent again.
 	stopRetry = 100 * time.Millisecond
 	// stopPatience is how long a stop may be unconfirmed before the lease is left to lapse, which ends the run too.
