Leave a fifth of the time on slow executors, and test the decisions without the bench

Change: a slow executor is good enough if the task is expected to end within 0.8 of the time to be in time.

--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -28,6 +28,8 @@
 	// lateTolerance is how far beyond the time that is still in time a job may be expected to end when it is admitted.
 	// Estimates are off by up to 40 %, so that many of them end in time all the same.
 	lateTolerance = 1.3
+	// snugShare is the part of the time to be in time in which a task has to be expected to end on a slow executor.
+	snugShare = 0.8
 	// deadlineMargin is how much longer than expected a task may take and still end before its deadline on a slow
 	// executor. What is in time grows with the true work of a job, but the deadline does not.
 	deadlineMargin = 1.6
--- /dev/null
+++ b/core/rgdispatch/job_test.go
@@ -0,0 +1,196 @@
+package rgdispatch
+
+import (
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// TestJob guards against answers that are not true, not given at once, or given twice.
+func TestJob(t *testing.T) {
+	tests := map[string]struct {
+		play func(bnc *bench)
+		want string
+	}{
+		"done": {
+			play: func(bnc *bench) {
+				bnc.sidecar("one", 1)
+				bnc.submit(1, request("job", 3, 100*time.Millisecond))
+				bnc.end(bnc.placed(), rgmodel.EndDone)
+			},
+			want: "1:ranOK: ",
+		},
+		"no sidecar": {
+			play: func(bnc *bench) { bnc.submit(1, request("job", 1, 100*time.Millisecond)) },
+			want: "1:notRun:neverRunnable ",
+		},
+		"property that is not built": {
+			play: func(bnc *bench) {
+				bnc.sidecar("one", 1)
+				req := request("job", 1, 100*time.Millisecond)
+				req.Unsupported = "a gang"
+				bnc.submit(1, req)
+			},
+			want: "1:notRun:neverRunnable ",
+		},
+		"fails once and succeeds": {
+			play: func(bnc *bench) {
+				bnc.sidecar("one", 1)
+				bnc.sidecar("two", 1)
+				bnc.submit(1, request("job", 1, 100*time.Millisecond))
+				bnc.end(bnc.placed(), rgmodel.EndFailed)
+				bnc.end(bnc.placed(), rgmodel.EndDone)
+			},
+			want: "1:ranOK: ",
+		},
+		"fails as often as the route allows": {
+			play: func(bnc *bench) {
+				bnc.sidecar("one", 1)
+				bnc.submit(1, request("job", 1, 100*time.Millisecond))
+				bnc.end(bnc.placed(), rgmodel.EndFailed)
+				bnc.end(bnc.placed(), rgmodel.EndFailed)
+			},
+			want: "1:ranFailed: ",
+		},
+		"returned again and again without a start": {
+			play: func(bnc *bench) {
+				bnc.sidecar("one", 1)
+				bnc.submit(1, request("job", 1, 100*time.Millisecond))
+				for range 20 {
+					bnc.end(bnc.placed(), rgmodel.EndReturned)
+					bnc.wait(TickInterval)
+				}
+			},
+			want: "1:notRun:expectedWait ",
+		},
+		"silent to the deadline": {
+			play: func(bnc *bench) {
+				bnc.sidecar("one", 1)
+				bnc.submit(1, request("job", 1, 100*time.Millisecond))
+				bnc.wait(2 * time.Second)
+			},
+			want: "1:mayHaveRun:deadlineExceeded ",
+		},
+		"sidecar lost and no time to wait": {
+			play: func(bnc *bench) {
+				bnc.sidecar("one", 1)
+				bnc.sidecar("two", 1)
+				bnc.submit(1, request("job", 1, 100*time.Millisecond))
+				for lnk := range bnc.placed() {
+					bnc.efs = append(bnc.efs, Part(&bnc.sta, bnc.now, lnk)...)
+				}
+			},
+			want: "1:mayHaveRun:sidecarLost ",
+		},
+		"sent again while it runs": {
+			play: func(bnc *bench) {
+				bnc.sidecar("one", 1)
+				bnc.submit(1, request("job", 1, 100*time.Millisecond))
+				bnc.submit(2, request("job", 1, 100*time.Millisecond))
+				bnc.end(bnc.placed(), rgmodel.EndDone)
+			},
+			want: "1:mayHaveRun:connectionLost 2:ranOK: ",
+		},
+		"caller left": {
+			play: func(bnc *bench) {
+				bnc.sidecar("one", 1)
+				bnc.submit(1, request("job", 1, 100*time.Millisecond))
+				tks := bnc.placed()
+				bnc.efs = append(bnc.efs, Abandon(&bnc.sta, 1, "job")...)
+				bnc.end(tks, rgmodel.EndDone)
+			},
+		},
+		"after the process has stood still": {
+			play: func(bnc *bench) {
+				bnc.sidecar("one", 1)
+				bnc.now = bnc.now.Add(3 * time.Second)
+				Observe(&bnc.sta, bnc.now)
+				bnc.submit(1, request("job", 1, 100*time.Millisecond))
+			},
+			want: "1:notRun:notReady ",
+		},
+		"a step after another": {
+			play: func(bnc *bench) {
+				bnc.sidecar("one", 1)
+				req := request("job", 2, 100*time.Millisecond)
+				req.Steps = append(req.Steps, req.Steps[0])
+				req.Steps[1].After = []int{0}
+				bnc.submit(1, req)
+				first := bnc.placed()
+				bnc.end(first, rgmodel.EndDone)
+				bnc.end(bnc.placed(), rgmodel.EndDone)
+			},
+			want: "1:ranOK: ",
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			bnc := newBench()
+			tc.play(bnc)
+			wantAnswers(t, bnc, tc.want)
+			if len(bnc.sta.Jobs) > 0 {
+				t.Errorf("%d jobs left", len(bnc.sta.Jobs))
+			}
+		})
+	}
+}
+
+// TestPlacement guards against tasks on executors that do not suit them: fast ones taken up by tasks that slow ones can
+// do, slow ones with tasks that miss their deadline there, and urgent tasks on top of long queues.
+func TestPlacement(t *testing.T) {
+	busy := rgmodel.RoomReport{Stretch: 0.5, Usable: true, Room: rgmodel.Resources{Cores: 8}, Used: rgmodel.Resources{Cores: 8}}
+	for range len(rgmodel.WaitSlacks) {
+		busy.Waits = append(busy.Waits, rgmodel.Duration{})
+	}
+	busy.Waits = append(busy.Waits, rgmodel.Duration{Duration: time.Second})
+	tests := map[string]struct {
+		estimate time.Duration
+		fast     *rgmodel.RoomReport
+		change   func(req *Request)
+		want     string
+	}{
+		"short task goes to the slow one":                {estimate: 60 * time.Millisecond, want: "slow"},
+		"long task goes to the fast one":                 {estimate: 900 * time.Millisecond, want: "fast"},
+		"urgent task does not go on top of a long queue": {estimate: 900 * time.Millisecond, fast: &busy, want: "slow"},
+		"requirement": {estimate: 60 * time.Millisecond, change: func(req *Request) { req.Steps[0].Requirement = "fast" }, want: "fast"},
+		"data near the fast one, three times longer elsewhere": {estimate: 60 * time.Millisecond, change: func(req *Request) { req.Steps[0].Affinity = "fast" }, want: "fast"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			bnc := newBench()
+			bnc.sta.RemoteFactor = 3
+			links := map[string]LinkID{"slow": bnc.sidecar("slow", 1.2), "fast": bnc.sidecar("fast", 0.5)}
+			if tc.fast != nil {
+				bnc.report(links["fast"], *tc.fast)
+			}
+			req := request("job", 1, tc.estimate)
+			if tc.change != nil {
+				tc.change(&req)
+			}
+			bnc.submit(1, req)
+			if tks := bnc.placed(); len(tks[links[tc.want]]) != 1 {
+				t.Errorf("placed %v, want one on %s (%v)", tks, tc.want, links)
+			}
+		})
+	}
+}
+
+// TestAntiAffinity guards against more tasks of a step on one executor than the job allows.
+func TestAntiAffinity(t *testing.T) {
+	bnc := newBench()
+	bnc.sidecar("one", 1)
+	bnc.sidecar("two", 1)
+	req := request("job", 4, 60*time.Millisecond)
+	req.Steps[0].AntiAffinity = 2
+	bnc.submit(1, req)
+	for lnk, tks := range bnc.placed() {
+		if len(tks) > 2 {
+			t.Errorf("%d tasks on %v", len(tks), lnk)
+		}
+	}
+	bnc.submit(2, Request{ID: "more", Wait: time.Second, Route: req.Route, Steps: []Step{{
+		Count: 5, Needs: rgmodel.Resources{Cores: 1}, Estimate: time.Millisecond, AntiAffinity: 2,
+	}}})
+	wantAnswers(t, bnc, "2:notRun:noUpstream ")
+}
--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -108,6 +108,7 @@
 	var least, end time.Duration
 	snug := false
 	goal := jb.InTime.Sub(now)
+	snugGoal := time.Duration(snugShare * float64(goal))
 	safe := time.Duration(float64(jb.Deadline.Sub(now)) / deadlineMargin)
 	for _, sea := range sts {
 		if tsk.Avoid[sea.mem.Name] && len(tsk.Avoid) < len(sts) {
@@ -119,7 +120,7 @@
 		rep := &sea.mem.Report
 		own := sea.run + networkTime
 		last := wait(now, sea, rep.LongestWait(), stp.Needs.Cores, taken[sea.link]) + own
-		fit := last == own && own <= goal && own <= safe
+		fit := last == own && own <= snugGoal && own <= safe
 		if found == nil || fit && !snug || fit == snug && (last < least) != fit {
 			found, least, snug = sea, last, fit
 			end = wait(now, sea, rep.Wait(goal-own), stp.Needs.Cores, taken[sea.link]) + own
