Write bounded logs to standard output, with the inputs of each decision, and explain a request from them

Cause: the platform's operators have only logs and metrics, and the log went to standard error without a bound.

Change: at most 20 lines a second for each message, counted in logLinesDropped beyond that, through an outbox that never blocks; lines for jobs and tasks that are not done, starts that are not carried out, stops, and lost dependencies; metrics on their own address; ragwortgap explain-request prints the story of a request from any number of logs. A step that no known executor can run is noUpstream while a sidecar does not know its executor yet.

--- a/core/rgdispatch/command_job.go
+++ b/core/rgdispatch/command_job.go
@@ -90,7 +90,8 @@
 	if jb.Ran || outstanding(jb) {
 		vdt = rgmodel.MayHaveRun
 	}
-	return append(remove(sta, jb), answer(now, jb, vdt, rsn))
+	ans := answer(now, jb, vdt, rsn)
+	return append(remove(sta, jb), ans)
 }
 
 // remove forgets a job and recalls its tasks.
@@ -114,7 +115,7 @@
 }
 
 func answer(now time.Time, jb *Job, vdt rgmodel.Verdict, rsn rgmodel.Reason) Effect {
-	ans := Answer{Token: jb.Token, Job: jb.Request.ID, Verdict: vdt, Reason: rsn, Took: now.Sub(jb.Arrived)}
+	ans := Answer{Token: jb.Token, Job: jb.Request.ID, Verdict: vdt, Reason: rsn, Took: now.Sub(jb.Arrived), Detail: describe(now, jb)}
 	if vdt == rgmodel.NotRun {
 		ans.RetryAfter = retryAfter
 	}
@@ -156,7 +157,8 @@
 		tsk.Failures++
 		avoid(tsk, sidecar)
 		if tsk.Failures >= jb.Request.Route.Attempts {
-			return append(remove(sta, jb), answer(now, jb, rgmodel.RanFailed, end.Reason))
+			ans := answer(now, jb, rgmodel.RanFailed, end.Reason)
+			return append(remove(sta, jb), ans)
 		}
 	case rgmodel.EndLost, rgmodel.EndReturned:
 		avoid(tsk, sidecar)
--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -168,6 +168,22 @@
 		// RetryAfter is set if the job has not run and may be sent again later.
 		RetryAfter time.Duration
 		Took       time.Duration
+		Detail     Detail
+	}
+
+	// Detail is what an answer was decided on, for the log.
+	Detail struct {
+		Route    string
+		Tasks    int
+		Done     int
+		Placed   int
+		Held     int
+		Failures int
+		// Left is the time until the deadline, Estimate the longest chain of the job.
+		Left     time.Duration
+		Estimate time.Duration
+		// Sidecars are those that have failed or returned a task of the job, or were lost with one.
+		Sidecars []string
 	}
 
 	// Close ends the connection to a sidecar.
--- a/core/rgdispatch/query_job.go
+++ b/core/rgdispatch/query_job.go
@@ -1,6 +1,8 @@
 package rgdispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"ragwortgap/core/rgmodel"
@@ -135,3 +137,28 @@
 	}
 	return sum
 }
+
+func describe(now time.Time, jb *Job) Detail {
+	det := Detail{Route: jb.Request.Route.Name, Left: jb.Deadline.Sub(now), Estimate: chain(jb.Request.Steps)}
+	sidecars := map[string]bool{}
+	for _, tsks := range jb.Tasks {
+		det.Tasks += len(tsks)
+		for _, tsk := range tsks {
+			det.Failures += tsk.Failures
+			switch tsk.State {
+			case TaskDone:
+				det.Done++
+			case TaskPlaced:
+				det.Placed++
+			case TaskHeld:
+				det.Held++
+				sidecars[tsk.Sidecar] = true
+			}
+			for nam := range tsk.Avoid {
+				sidecars[nam] = true
+			}
+		}
+	}
+	det.Sidecars = slices.Sorted(maps.Keys(sidecars))
+	return det
+}
--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -93,7 +93,8 @@
 // missing tells a step that no executor can run from one that no executor can run now.
 func missing(sta *State, jb *Job, stp Step) rgmodel.Reason {
 	for _, mem := range sta.Members {
-		if runnable(mem, jb, stp) {
+		// A sidecar that has just started may not know its executor yet.
+		if mem.Executor.Service == "" || runnable(mem, jb, stp) {
 			return rgmodel.ReasonNoUpstream
 		}
 	}
--- a/core/rgmodel/order.go
+++ b/core/rgmodel/order.go
@@ -132,3 +132,43 @@
 func (StartOrder) isOrder() {}
 func (StopOrder) isOrder()  {}
 func (LookOrder) isOrder()  {}
+
+// String returns the name that logs use.
+func (end EndKind) String() string {
+	switch end {
+	case EndDone:
+		return "done"
+	case EndFailed:
+		return "failed"
+	case EndLost:
+		return "lost"
+	case EndReturned:
+		return "returned"
+	default:
+		return "unknown"
+	}
+}
+
+// String returns the name that logs use.
+func (ref Refusal) String() string {
+	switch ref {
+	case RefusalNone:
+		return "none"
+	case RefusalFenced:
+		return "fenced"
+	case RefusalOldRun:
+		return "oldRun"
+	case RefusalLate:
+		return "late"
+	case RefusalRoom:
+		return "room"
+	case RefusalUnhealthy:
+		return "unhealthy"
+	case RefusalInvalid:
+		return "invalid"
+	case RefusalLifetime:
+		return "lifetime"
+	default:
+		return "unknown"
+	}
+}
--- a/io/rgcli/cli.go
+++ b/io/rgcli/cli.go
@@ -86,6 +86,8 @@
 		return cmd.run(ctx, out)
 	case *BurnQuery:
 		return cmd.run(ctx, out)
+	case *ExplainRequestQuery:
+		return cmd.run(out)
 	case *VersionQuery:
 		return cmd.run(out)
 	default:
--- a/io/rgcli/command_platform.go
+++ b/io/rgcli/command_platform.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"os"
 
 	"github.com/juju/errors"
 
+	"ragwortgap/io/rgmetrics"
 	"ragwortgap/platform"
 )
 
@@ -31,10 +33,9 @@
 }
 
 func runOnPlatform(ctx context.Context, run platform.Run) error {
-	log, met, err := openOutput()
-	if err != nil {
-		return err
-	}
+	met := rgmetrics.Open()
 	defer func() { _ = met.Closer.Close() }()
-	return errors.Trace(run(ctx, log, met.Scope))
+	out := rgmetrics.OpenOutput(os.Stdout)
+	defer out.Close()
+	return errors.Trace(run(ctx, rgmetrics.OpenBoundedLog(out, met.Scope), met))
 }
--- /dev/null
+++ b/io/rgcli/request_test.go
@@ -0,0 +1,65 @@
+package rgcli
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// TestExplainRequest guards against a story with lines of other requests, out of order, or broken off by a bad line.
+func TestExplainRequest(t *testing.T) {
+	tests := map[string]struct {
+		logs []string
+		want string
+		bad  string
+	}{
+		"two processes in order of time": {
+			logs: []string{
+				`{"time":"2026-01-01T00:00:02Z","message":"job not done","job":"a1"}` + "\n",
+				`{"time":"2026-01-01T00:00:01Z","message":"run is stopped","job":"a1"}` + "\n",
+			},
+			want: "run is stopped,job not done",
+		},
+		"other requests and lines that are no JSON": {
+			logs: []string{"a1 {broken\n" + `{"message":"job not done","job":"b2","other":"a1"}` + "\n" +
+				`  4.1 edge-1 {"message":"job not done","job":"a1"}` + "\n"},
+			want: "job not done",
+		},
+		"unknown request": {logs: []string{"\n"}, bad: "not found"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			qry := ExplainRequestQuery{ID: "a1"}
+			for i, txt := range tc.logs {
+				nam := filepath.Join(t.TempDir(), string(rune('a'+i))+".log")
+				if err := os.WriteFile(nam, []byte(txt), 0o600); err != nil {
+					t.Fatal(err)
+				}
+				qry.Files = append(qry.Files, nam)
+			}
+			var out strings.Builder
+			err := qry.run(&out)
+			if tc.bad != "" {
+				if err == nil || !strings.Contains(err.Error(), tc.bad) {
+					t.Errorf("error %v, want %q", err, tc.bad)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			var got []string
+			for _, lin := range strings.Split(out.String(), "\n") {
+				for _, msg := range []string{"job not done", "run is stopped"} {
+					if strings.HasSuffix(lin, msg) {
+						got = append(got, msg)
+					}
+				}
+			}
+			if strings.Join(got, ",") != tc.want {
+				t.Errorf("messages %v, want %s", got, tc.want)
+			}
+		})
+	}
+}
--- a/io/rgdispatcher/command_peer.go
+++ b/io/rgdispatcher/command_peer.go
@@ -59,7 +59,12 @@
 	}
 	delete(sta.Peers, id)
 	if per.Sidecar != "" {
-		pro.log.Warn("sidecar lost", zap.String("sidecar", per.Sidecar))
+		mem := sta.Dispatch.Members[rgdispatch.LinkID(id)]
+		silent, placed := time.Duration(0), 0
+		if mem != nil {
+			silent, placed = now.Sub(mem.Heard), len(mem.Places)
+		}
+		pro.log.Warn("sidecar lost", zap.String("sidecar", per.Sidecar), zap.Duration("silent", silent), zap.Int("placed", placed))
 	}
 	pro.act(sta, now, rgdispatch.Part(&sta.Dispatch, now, rgdispatch.LinkID(id)))
 }
@@ -84,6 +89,7 @@
 			pro.act(sta, now, rgdispatch.Update(&sta.Dispatch, now, lnk, *msg.Load, msg.Received))
 			pro.usable.Store(pro.usable.Load() || msg.Load.Usable)
 		}
+		pro.logEnds(sta, evt.ID, msg.Ends)
 		pro.act(sta, now, rgdispatch.Finish(&sta.Dispatch, now, lnk, msg.Ends))
 	case rgwire.Meet:
 		per.Entry = msg.Entry.Name
--- a/io/rgdispatcher/control.go
+++ b/io/rgdispatcher/control.go
@@ -108,8 +108,7 @@
 	pro.scope.Tagged(map[string]string{"verdict": ans.Verdict.String()}).Counter("answers").Inc(1)
 	pro.scope.Timer("answerTime").Record(ans.Took)
 	if ans.Verdict != rgmodel.RanOK {
-		pro.log.Info("answer", zap.String("job", ans.Job), zap.Stringer("verdict", ans.Verdict),
-			zap.String("reason", string(ans.Reason)), zap.Duration("took", ans.Took))
+		pro.logAnswer(ans)
 	}
 	if rpl := sta.Replies[ans.Token]; rpl != nil {
 		delete(sta.Replies, ans.Token)
@@ -117,6 +116,33 @@
 	}
 }
 
+// logAnswer tells what a job was given up on. Jobs that succeed are counted only.
+func (pro *Process) logAnswer(ans rgdispatch.Answer) {
+	det := ans.Detail
+	pro.log.Info("job not done", zap.String("job", ans.Job), zap.Stringer("verdict", ans.Verdict),
+		zap.String("reason", string(ans.Reason)), zap.Duration("took", ans.Took), zap.String("route", det.Route),
+		zap.Uint64("version", version(pro.Config())), zap.Int("tasks", det.Tasks), zap.Int("done", det.Done),
+		zap.Int("placed", det.Placed), zap.Int("held", det.Held), zap.Int("failures", det.Failures),
+		zap.Duration("left", det.Left), zap.Duration("estimate", det.Estimate), zap.Strings("sidecars", det.Sidecars))
+}
+
+// logEnds tells which tasks have not succeeded, and where.
+func (pro *Process) logEnds(sta *State, id uint64, ends []rgmodel.TaskEnd) {
+	mem := sta.Dispatch.Members[rgdispatch.LinkID(id)]
+	if mem == nil {
+		return
+	}
+	for _, end := range ends {
+		plc, found := mem.Places[end.Ticket]
+		if !found || end.How == rgmodel.EndDone {
+			continue
+		}
+		pro.log.Info("task not done", zap.String("job", plc.Job), zap.Int("step", plc.Step), zap.Int("task", plc.Index),
+			zap.String("sidecar", mem.Name), zap.Stringer("how", end.How), zap.String("reason", string(end.Reason)),
+			zap.Duration("took", end.Took.Duration))
+	}
+}
+
 func (pro *Process) adopt(sta *State, now time.Time, evt Configured) {
 	cfg, news := rgroute.Adopt(pro.config.Load(), evt.Config)
 	if !news {
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -105,7 +105,7 @@
 		if !evt.Reply.Answered || evt.Reply.Refusal != rgmodel.RefusalNone {
 			pro.scope.Counter("ordersRefused").Inc(1)
 			pro.log.Info("start not carried out", zap.String("job", ord.Task.Job), zap.Int("task", ord.Task.Index),
-				zap.Uint64("run", ord.Run), zap.Bool("answered", evt.Reply.Answered), zap.Uint8("refusal", uint8(evt.Reply.Refusal)))
+				zap.Uint64("run", ord.Run), zap.Bool("answered", evt.Reply.Answered), zap.Stringer("refusal", evt.Reply.Refusal))
 		}
 	case rgmodel.StopOrder:
 		efs = rgroom.StopAnswered(&sta.Room, now, ord, evt.Reply)
@@ -138,6 +138,9 @@
 	for _, eff := range efs {
 		switch eff := eff.(type) {
 		case rgroom.Give:
+			if ord, ok := eff.Order.(rgmodel.StopOrder); ok {
+				pro.logStop(sta, ord)
+			}
 			pro.traffic.Go(func() { pro.tell(work, Replied{Order: eff.Order, Reply: pro.give(work, eff.Order)}) })
 		case rgroom.Tell:
 			if lnk := sta.Links[eff.Link]; lnk != nil {
@@ -147,6 +150,15 @@
 	}
 }
 
+func (pro *Process) logStop(sta *State, ord rgmodel.StopOrder) {
+	rsn, age := rgmodel.Reason("foreign"), time.Duration(0)
+	if run := sta.Room.Runs[ord.Task]; run != nil {
+		rsn, age = run.Reason, run.StopSent.Sub(run.Started)
+	}
+	pro.log.Info("run is stopped", zap.String("job", ord.Task.Job), zap.Int("step", ord.Task.Step),
+		zap.Int("task", ord.Task.Index), zap.Uint64("run", ord.Run), zap.String("reason", string(rsn)), zap.Duration("age", age))
+}
+
 func (pro *Process) markChanged(sta *State) {
 	for _, lnk := range sta.Links {
 		lnk.Changed = true
--- a/io/rgsettings/deployment.go
+++ b/io/rgsettings/deployment.go
@@ -87,6 +87,7 @@
 		checkName("availabilityZone", set.AvailabilityZone),
 		checkAddresses("seeds", set.Seeds),
 		checkAddress("store", set.Store),
+		checkOptionalAddress("metricsAddress", set.MetricsAddress),
 		checkAtLeast("longestLease", set.LongestLease, 100*time.Millisecond),
 		checkAtLeast("grace", set.Grace, time.Second),
 	)
