Spread a job over executors of about the same speed, and leave more margin to the deadline

Change: of executors within 1.25 of each other, the one with fewer tasks of the job and less room taken; the margin to the deadline is 2 instead of 1.6.

--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -32,7 +32,9 @@
 	snugShare = 0.8
 	// deadlineMargin is how much longer than expected a task may take and still end before its deadline on a slow
 	// executor. What is in time grows with the true work of a job, but the deadline does not.
-	deadlineMargin = 1.6
+	deadlineMargin = 2
+	// similarRun is the factor up to which executors count as about as slow. What is learned of them varies by as much.
+	similarRun = 1.25
 )
 
 const (
--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -21,6 +21,10 @@
 		mem   *Member
 		run   time.Duration
 		count int
+		// last is when the task would end behind all others; snug says that it starts at once and ends early enough.
+		last time.Duration
+		snug bool
+		busy float64
 	}
 )
 
@@ -101,13 +105,11 @@
 	return rgmodel.ReasonNeverRunnable
 }
 
-// best prefers executors that start the task at once and are fast enough, and of these the slowest, so that fast ones
-// stay free for tasks that need them. Otherwise it takes the one on which the task would end first if it went behind all
+// best prefers executors that start the task at once and are fast enough, and of these a slow one, so that fast ones stay
+// free for tasks that need them. Otherwise it takes the one on which the task would end first if it went behind all
 // others: an urgent task that overtakes a queue delays everything in it. It returns when the task is expected to end.
 func best(now time.Time, jb *Job, stp Step, sts []*seat, tsk *Task, taken map[LinkID]float64) (*seat, time.Duration) {
 	var found *seat
-	var least, end time.Duration
-	snug := false
 	goal := jb.InTime.Sub(now)
 	snugGoal := time.Duration(snugShare * float64(goal))
 	safe := time.Duration(float64(jb.Deadline.Sub(now)) / deadlineMargin)
@@ -118,16 +120,53 @@
 		if stp.AntiAffinity > 0 && sea.count+placedOn(jb, stp, sea.link) >= stp.AntiAffinity {
 			continue
 		}
-		rep := &sea.mem.Report
 		own := sea.run + networkTime
-		last := wait(now, sea, rep.LongestWait(), stp.Needs.Cores, taken[sea.link]) + own
-		fit := last == own && own <= snugGoal && own <= safe
-		if found == nil || fit && !snug || fit == snug && (last < least) != fit {
-			found, least, snug = sea, last, fit
-			end = wait(now, sea, rep.Wait(goal-own), stp.Needs.Cores, taken[sea.link]) + own
+		sea.last = wait(now, sea, sea.mem.Report.LongestWait(), stp.Needs.Cores, taken[sea.link]) + own
+		sea.snug = sea.last == own && own <= snugGoal && own <= safe
+		sea.busy = busy(sea, taken[sea.link])
+		if found == nil || suits(sea, found) {
+			found = sea
 		}
 	}
-	return found, end
+	if found == nil {
+		return nil, 0
+	}
+	own := found.run + networkTime
+	return found, wait(now, found, found.mem.Report.Wait(goal-own), stp.Needs.Cores, taken[found.link]) + own
+}
+
+// suits says whether the first sidecar is a better place than the second one. Of executors that are about as slow, the
+// less busy one is better: its sidecar has fewer orders to give.
+func suits(one, two *seat) bool {
+	switch {
+	case one.snug != two.snug:
+		return one.snug
+	case !one.snug:
+		return one.last < two.last
+	case float64(one.run) > similarRun*float64(two.run):
+		return true
+	case float64(two.run) > similarRun*float64(one.run):
+		return false
+	case one.count != two.count:
+		return one.count < two.count
+	default:
+		return one.busy < two.busy
+	}
+}
+
+// busy returns the part of the sidecar's room that is taken, as far as this entry knows.
+func busy(sea *seat, taken float64) float64 {
+	rep := &sea.mem.Report
+	return 1 - free(sea, taken)/max(rep.Room.Cores, 1)
+}
+
+// free returns the cores that are free at the sidecar, less those that this entry has taken since its last report.
+func free(sea *seat, taken float64) float64 {
+	left := sea.mem.Report.Room.Cores - sea.mem.Report.Used.Cores - taken
+	for _, snt := range sea.mem.Unseen {
+		left -= snt.Cores
+	}
+	return left
 }
 
 func placedOn(jb *Job, stp Step, lnk LinkID) int {
@@ -148,14 +187,11 @@
 // wait returns how long a task is expected to wait for room at the sidecar, given what its last report says.
 func wait(now time.Time, sea *seat, reported time.Duration, cores, taken float64) time.Duration {
 	rep := &sea.mem.Report
-	free := rep.Room.Cores - rep.Used.Cores - taken
-	for _, snt := range sea.mem.Unseen {
-		free -= snt.Cores
-	}
+	left := free(sea, taken)
 	base := max(0, reported-now.Sub(sea.mem.Reported))
-	if free >= cores {
+	if left >= cores {
 		return base
 	}
 	// What is beyond the room waits until as many cores have been released, on average one room in a run time.
-	return base + time.Duration((cores-free)/max(rep.Room.Cores, 1)*float64(sea.run))
+	return base + time.Duration((cores-left)/max(rep.Room.Cores, 1)*float64(sea.run))
 }
