--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -116,6 +116,8 @@
 		Tasks [][]Task
 		// Ran is set once a task may have been started.
 		Ran bool
+		// Late is what the last plan failed on.
+		Late Reckoning
 	}
 
 	// Place is where a ticket leads.
@@ -181,11 +183,23 @@
 		Placed   int
 		Held     int
 		Failures int
-		// Left is the time until the deadline, Estimate the longest chain of the job.
+		// Left is the time until the deadline, Over the time since the job would have been in time, Estimate the longest
+		// chain of the job.
 		Left     time.Duration
+		Over     time.Duration
 		Estimate time.Duration
 		// Sidecars are those that have failed or returned a task of the job, or were lost with one.
 		Sidecars []string
+		Late     Reckoning
+	}
+
+	// Reckoning is why a task was expected to end too late, even on the best sidecar.
+	Reckoning struct {
+		Sidecar string
+		Wait    time.Duration
+		Run     time.Duration
+		// Age is that of the report that the wait is from.
+		Age time.Duration
 	}
 
 	// Close ends the connection to a sidecar.
--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -35,7 +35,7 @@
 }
 
 // plan chooses a sidecar for each waiting task of the job: the one on which it is expected to end first. It returns a
-// reason if a task has no sidecar, or if the job would end too late.
+// reason if a task has no sidecar, or if the job would end too late, and keeps with the job why.
 func plan(sta *State, now time.Time, jb *Job) ([]choice, rgmodel.Reason) {
 	var pln []choice
 	taken := map[LinkID]float64{}
@@ -52,6 +52,9 @@
 				return nil, missing(sta, jb, stp)
 			}
 			if now.Add(end).After(latest(jb)) && end > sea.run+networkTime {
+				jb.Late = Reckoning{
+					Sidecar: sea.mem.Name, Wait: end - sea.run - networkTime, Run: sea.run, Age: now.Sub(sea.mem.Reported),
+				}
 				return nil, rgmodel.ReasonExpectedWait
 			}
 			sea.count++
--- a/io/rgcli/cli.go
+++ b/io/rgcli/cli.go
@@ -26,12 +26,13 @@
 type (
 	// Arguments are the subcommands and their arguments, as go-arg reads them.
 	Arguments struct {
-		Entry    *EntryCommand    `arg:"subcommand:entry" help:"run an entry"`
-		Sidecar  *SidecarCommand  `arg:"subcommand:sidecar" help:"run the sidecar of an upstream"`
-		Platform *PlatformCommand `arg:"subcommand:platform" help:"run a process on the users' platform"`
-		Demo     *DemoCommand     `arg:"subcommand:demo" help:"run the whole system with stand-ins in one process"`
-		Burn     *BurnQuery       `arg:"subcommand:burn" help:"print the error budgets of the flows, summed over entries"`
-		Version  *VersionQuery    `arg:"subcommand:version" help:"print the version"`
+		Entry          *EntryCommand        `arg:"subcommand:entry" help:"run an entry"`
+		Sidecar        *SidecarCommand      `arg:"subcommand:sidecar" help:"run the sidecar of an upstream"`
+		Platform       *PlatformCommand     `arg:"subcommand:platform" help:"run a process on the users' platform"`
+		Demo           *DemoCommand         `arg:"subcommand:demo" help:"run the whole system with stand-ins in one process"`
+		ExplainRequest *ExplainRequestQuery `arg:"subcommand:explain-request" help:"print the log lines about a request, in order"`
+		Burn           *BurnQuery           `arg:"subcommand:burn" help:"print the error budgets of the flows, summed over entries"`
+		Version        *VersionQuery        `arg:"subcommand:version" help:"print the version"`
 
 		Questionnaire *QuestionnaireCommand `arg:"subcommand:questionnaire" help:"ask a team's questions, or check its answers"`
 		Generate      *GenerateQuery        `arg:"subcommand:generate" help:"print the configuration that answers ask for"`
--- a/io/rgdispatcher/control.go
+++ b/io/rgdispatcher/control.go
@@ -107,8 +107,12 @@
 func (pro *Process) answer(sta *State, ans rgdispatch.Answer) {
 	pro.scope.Tagged(map[string]string{"verdict": ans.Verdict.String()}).Counter("answers").Inc(1)
 	pro.scope.Timer("answerTime").Record(ans.Took)
-	if ans.Verdict != rgmodel.RanOK {
-		pro.logAnswer(ans)
+	switch {
+	case ans.Verdict != rgmodel.RanOK:
+		pro.logAnswer("job not done", ans)
+	case ans.Detail.Over > 0:
+		pro.scope.Counter("answersLate").Inc(1)
+		pro.logAnswer("job late", ans)
 	}
 	if rpl := sta.Replies[ans.Token]; rpl != nil {
 		delete(sta.Replies, ans.Token)
@@ -116,14 +120,16 @@
 	}
 }
 
-// logAnswer tells what a job was given up on. Jobs that succeed are counted only.
-func (pro *Process) logAnswer(ans rgdispatch.Answer) {
+// logAnswer tells what an answer was decided on. Jobs that succeed in time are counted only.
+func (pro *Process) logAnswer(msg string, ans rgdispatch.Answer) {
 	det := ans.Detail
-	pro.log.Info("job not done", zap.String("job", ans.Job), zap.Stringer("verdict", ans.Verdict),
+	pro.log.Info(msg, zap.String("job", ans.Job), zap.Stringer("verdict", ans.Verdict),
 		zap.String("reason", string(ans.Reason)), zap.Duration("took", ans.Took), zap.String("route", det.Route),
 		zap.Uint64("version", version(pro.Config())), zap.Int("tasks", det.Tasks), zap.Int("done", det.Done),
 		zap.Int("placed", det.Placed), zap.Int("held", det.Held), zap.Int("failures", det.Failures),
-		zap.Duration("left", det.Left), zap.Duration("estimate", det.Estimate), zap.Strings("sidecars", det.Sidecars))
+		zap.Duration("left", det.Left), zap.Duration("over", det.Over), zap.Duration("estimate", det.Estimate), zap.Strings("sidecars", det.Sidecars),
+		zap.String("best", det.Late.Sidecar), zap.Duration("bestWait", det.Late.Wait), zap.Duration("bestRun", det.Late.Run),
+		zap.Duration("reportAge", det.Late.Age))
 }
 
 // logEnds tells which tasks have not succeeded, and where.
