--- a/io/rgdispatcher/control.go
+++ b/io/rgdispatcher/control.go
@@ -112,7 +112,7 @@
 		pro.logAnswer("job not done", ans)
 	case ans.Detail.Over > 0:
 		pro.scope.Counter("answersLate").Inc(1)
-		pro.logAnswer("job late", ans)
+		pro.logAnswer("job late by its estimate", ans)
 	}
 	if rpl := sta.Replies[ans.Token]; rpl != nil {
 		delete(sta.Replies, ans.Token)
