--- a/core/rgdispatch/job_test.go
+++ b/core/rgdispatch/job_test.go
@@ -7,124 +7,125 @@
 	"ragwortgap/core/rgmodel"
 )
 
-// TestJob guards against answers that are not true, not given at once, or given twice.
-func TestJob(t *testing.T) {
-	tests := map[string]struct {
-		play func(bnc *bench)
-		want string
-	}{
-		"done": {
-			play: func(bnc *bench) {
-				bnc.sidecar("one", 1)
-				bnc.submit(1, request("job", 3, 100*time.Millisecond))
-				bnc.end(bnc.placed(), rgmodel.EndDone)
-			},
-			want: "1:ranOK: ",
-		},
-		"no sidecar": {
-			play: func(bnc *bench) { bnc.submit(1, request("job", 1, 100*time.Millisecond)) },
-			want: "1:notRun:neverRunnable ",
+var jobTests = map[string]struct {
+	play func(bnc *bench)
+	want string
+}{
+	"done": {
+		play: func(bnc *bench) {
+			bnc.sidecar("one", 1)
+			bnc.submit(1, request("job", 3, 100*time.Millisecond))
+			bnc.end(bnc.placed(), rgmodel.EndDone)
 		},
-		"property that is not built": {
-			play: func(bnc *bench) {
-				bnc.sidecar("one", 1)
-				req := request("job", 1, 100*time.Millisecond)
-				req.Unsupported = "a gang"
-				bnc.submit(1, req)
-			},
-			want: "1:notRun:neverRunnable ",
+		want: "1:ranOK: ",
+	},
+	"no sidecar": {
+		play: func(bnc *bench) { bnc.submit(1, request("job", 1, 100*time.Millisecond)) },
+		want: "1:notRun:neverRunnable ",
+	},
+	"property that is not built": {
+		play: func(bnc *bench) {
+			bnc.sidecar("one", 1)
+			req := request("job", 1, 100*time.Millisecond)
+			req.Unsupported = "a gang"
+			bnc.submit(1, req)
 		},
-		"fails once and succeeds": {
-			play: func(bnc *bench) {
-				bnc.sidecar("one", 1)
-				bnc.sidecar("two", 1)
-				bnc.submit(1, request("job", 1, 100*time.Millisecond))
-				bnc.end(bnc.placed(), rgmodel.EndFailed)
-				bnc.end(bnc.placed(), rgmodel.EndDone)
-			},
-			want: "1:ranOK: ",
+		want: "1:notRun:neverRunnable ",
+	},
+	"fails once and succeeds": {
+		play: func(bnc *bench) {
+			bnc.sidecar("one", 1)
+			bnc.sidecar("two", 1)
+			bnc.submit(1, request("job", 1, 100*time.Millisecond))
+			bnc.end(bnc.placed(), rgmodel.EndFailed)
+			bnc.end(bnc.placed(), rgmodel.EndDone)
 		},
-		"fails as often as the route allows": {
-			play: func(bnc *bench) {
-				bnc.sidecar("one", 1)
-				bnc.submit(1, request("job", 1, 100*time.Millisecond))
-				bnc.end(bnc.placed(), rgmodel.EndFailed)
-				bnc.end(bnc.placed(), rgmodel.EndFailed)
-			},
-			want: "1:ranFailed: ",
+		want: "1:ranOK: ",
+	},
+	"fails as often as the route allows": {
+		play: func(bnc *bench) {
+			bnc.sidecar("one", 1)
+			bnc.submit(1, request("job", 1, 100*time.Millisecond))
+			bnc.end(bnc.placed(), rgmodel.EndFailed)
+			bnc.end(bnc.placed(), rgmodel.EndFailed)
 		},
-		"returned again and again without a start": {
-			play: func(bnc *bench) {
-				bnc.sidecar("one", 1)
-				bnc.submit(1, request("job", 1, 100*time.Millisecond))
-				for range 20 {
-					bnc.end(bnc.placed(), rgmodel.EndReturned)
-					bnc.wait(TickInterval)
-				}
-			},
-			want: "1:notRun:expectedWait ",
+		want: "1:ranFailed: ",
+	},
+	"returned again and again without a start": {
+		play: func(bnc *bench) {
+			bnc.sidecar("one", 1)
+			bnc.submit(1, request("job", 1, 100*time.Millisecond))
+			for range 20 {
+				bnc.end(bnc.placed(), rgmodel.EndReturned)
+				bnc.wait(TickInterval)
+			}
 		},
-		"silent to the deadline": {
-			play: func(bnc *bench) {
-				bnc.sidecar("one", 1)
-				bnc.submit(1, request("job", 1, 100*time.Millisecond))
-				bnc.wait(2 * time.Second)
-			},
-			want: "1:mayHaveRun:deadlineExceeded ",
+		want: "1:notRun:expectedWait ",
+	},
+	"silent to the deadline": {
+		play: func(bnc *bench) {
+			bnc.sidecar("one", 1)
+			bnc.submit(1, request("job", 1, 100*time.Millisecond))
+			bnc.wait(2 * time.Second)
 		},
-		"sidecar lost and no time to wait": {
-			play: func(bnc *bench) {
-				bnc.sidecar("one", 1)
-				bnc.sidecar("two", 1)
-				bnc.submit(1, request("job", 1, 100*time.Millisecond))
-				for lnk := range bnc.placed() {
-					bnc.efs = append(bnc.efs, Part(&bnc.sta, bnc.now, lnk)...)
-				}
-			},
-			want: "1:mayHaveRun:sidecarLost ",
+		want: "1:mayHaveRun:deadlineExceeded ",
+	},
+	"sidecar lost and no time to wait": {
+		play: func(bnc *bench) {
+			bnc.sidecar("one", 1)
+			bnc.sidecar("two", 1)
+			bnc.submit(1, request("job", 1, 100*time.Millisecond))
+			for lnk := range bnc.placed() {
+				bnc.efs = append(bnc.efs, Part(&bnc.sta, bnc.now, lnk)...)
+			}
 		},
-		"sent again while it runs": {
-			play: func(bnc *bench) {
-				bnc.sidecar("one", 1)
-				bnc.submit(1, request("job", 1, 100*time.Millisecond))
-				bnc.submit(2, request("job", 1, 100*time.Millisecond))
-				bnc.end(bnc.placed(), rgmodel.EndDone)
-			},
-			want: "1:mayHaveRun:connectionLost 2:ranOK: ",
+		want: "1:mayHaveRun:sidecarLost ",
+	},
+	"sent again while it runs": {
+		play: func(bnc *bench) {
+			bnc.sidecar("one", 1)
+			bnc.submit(1, request("job", 1, 100*time.Millisecond))
+			bnc.submit(2, request("job", 1, 100*time.Millisecond))
+			bnc.end(bnc.placed(), rgmodel.EndDone)
 		},
-		"caller left": {
-			play: func(bnc *bench) {
-				bnc.sidecar("one", 1)
-				bnc.submit(1, request("job", 1, 100*time.Millisecond))
-				tks := bnc.placed()
-				bnc.efs = append(bnc.efs, Abandon(&bnc.sta, 1, "job")...)
-				bnc.end(tks, rgmodel.EndDone)
-			},
+		want: "1:mayHaveRun:connectionLost 2:ranOK: ",
+	},
+	"caller left": {
+		play: func(bnc *bench) {
+			bnc.sidecar("one", 1)
+			bnc.submit(1, request("job", 1, 100*time.Millisecond))
+			tks := bnc.placed()
+			bnc.efs = append(bnc.efs, Abandon(&bnc.sta, 1, "job")...)
+			bnc.end(tks, rgmodel.EndDone)
 		},
-		"after the process has stood still": {
-			play: func(bnc *bench) {
-				bnc.sidecar("one", 1)
-				bnc.now = bnc.now.Add(3 * time.Second)
-				Observe(&bnc.sta, bnc.now)
-				bnc.submit(1, request("job", 1, 100*time.Millisecond))
-			},
-			want: "1:notRun:notReady ",
+	},
+	"after the process has stood still": {
+		play: func(bnc *bench) {
+			bnc.sidecar("one", 1)
+			bnc.now = bnc.now.Add(3 * time.Second)
+			Observe(&bnc.sta, bnc.now)
+			bnc.submit(1, request("job", 1, 100*time.Millisecond))
 		},
-		"a step after another": {
-			play: func(bnc *bench) {
-				bnc.sidecar("one", 1)
-				req := request("job", 2, 100*time.Millisecond)
-				req.Steps = append(req.Steps, req.Steps[0])
-				req.Steps[1].After = []int{0}
-				bnc.submit(1, req)
-				first := bnc.placed()
-				bnc.end(first, rgmodel.EndDone)
-				bnc.end(bnc.placed(), rgmodel.EndDone)
-			},
-			want: "1:ranOK: ",
+		want: "1:notRun:notReady ",
+	},
+	"a step after another": {
+		play: func(bnc *bench) {
+			bnc.sidecar("one", 1)
+			req := request("job", 2, 100*time.Millisecond)
+			req.Steps = append(req.Steps, req.Steps[0])
+			req.Steps[1].After = []int{0}
+			bnc.submit(1, req)
+			first := bnc.placed()
+			bnc.end(first, rgmodel.EndDone)
+			bnc.end(bnc.placed(), rgmodel.EndDone)
 		},
-	}
-	for name, tc := range tests {
+		want: "1:ranOK: ",
+	},
+}
+
+// TestJob guards against answers that are not true, not given at once, or given twice.
+func TestJob(t *testing.T) {
+	for name, tc := range jobTests {
 		t.Run(name, func(t *testing.T) {
 			bnc := newBench()
 			tc.play(bnc)
@@ -153,8 +154,16 @@
 		"short task goes to the slow one":                {estimate: 60 * time.Millisecond, want: "slow"},
 		"long task goes to the fast one":                 {estimate: 900 * time.Millisecond, want: "fast"},
 		"urgent task does not go on top of a long queue": {estimate: 900 * time.Millisecond, fast: &busy, want: "slow"},
-		"requirement": {estimate: 60 * time.Millisecond, change: func(req *Request) { req.Steps[0].Requirement = "fast" }, want: "fast"},
-		"data near the fast one, three times longer elsewhere": {estimate: 60 * time.Millisecond, change: func(req *Request) { req.Steps[0].Affinity = "fast" }, want: "fast"},
+		"requirement": {
+			estimate: 60 * time.Millisecond,
+			change:   func(req *Request) { req.Steps[0].Requirement = "fast" },
+			want:     "fast",
+		},
+		"data near the fast one, three times longer elsewhere": {
+			estimate: 60 * time.Millisecond,
+			change:   func(req *Request) { req.Steps[0].Affinity = "fast" },
+			want:     "fast",
+		},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/core/rgdispatch/query_job.go
+++ b/core/rgdispatch/query_job.go
@@ -139,7 +139,10 @@
 }
 
 func describe(now time.Time, jb *Job) Detail {
-	det := Detail{Route: jb.Request.Route.Name, Left: jb.Deadline.Sub(now), Over: now.Sub(jb.InTime), Estimate: chain(jb.Request.Steps), Late: jb.Late}
+	det := Detail{
+		Route: jb.Request.Route.Name, Left: jb.Deadline.Sub(now), Over: now.Sub(jb.InTime), Estimate: chain(jb.Request.Steps),
+		Late: jb.Late,
+	}
 	sidecars := map[string]bool{}
 	for _, tsks := range jb.Tasks {
 		det.Tasks += len(tsks)
--- a/core/rgroom/harness_test.go
+++ b/core/rgroom/harness_test.go
@@ -104,15 +104,6 @@
 	bnc.efs = append(bnc.efs, LookAnswered(&bnc.sta, bnc.now, ord, rep)...)
 }
 
-// running lists all runs as the executor would.
-func (bnc *bench) running() []rgmodel.RunningRun {
-	var rows []rgmodel.RunningRun
-	for tsk, run := range bnc.sta.Runs {
-		rows = append(rows, rgmodel.RunningRun{Task: tsk, Run: run.Number})
-	}
-	return rows
-}
-
 // end lists the end of each run.
 func (bnc *bench) end(t *testing.T, how rgmodel.EndKind) {
 	t.Helper()
--- a/core/rgroom/stretch_test.go
+++ b/core/rgroom/stretch_test.go
@@ -16,14 +16,18 @@
 		least float64
 		most  float64
 	}{
-		"one end seen 2 s late":             {took: []time.Duration{2 * time.Second}, least: 1, most: 1.3},
-		"three times slower learned":        {took: repeat(300*time.Millisecond, 40), least: 2.5, most: 3.1},
-		"twice as fast learned":             {took: repeat(50*time.Millisecond, 40), least: 0.5, most: 0.6},
-		"forgotten when nothing runs":       {took: repeat(time.Second, 40), idle: 10 * time.Second, least: 0.9, most: 1.2},
-		"a fast one is not forgotten":       {took: repeat(50*time.Millisecond, 40), idle: 10 * time.Second, least: 0.5, most: 0.6},
-		"wrong estimates even out":          {took: mixed(100), least: 0.8, most: 1.25},
-		"a late end among many good ones":   {took: append(repeat(100*time.Millisecond, 20), 5*time.Second), least: 1, most: 1.3},
-		"several late ends in a row of ten": {took: append(repeat(100*time.Millisecond, 20), repeat(time.Second, 2)...), least: 1, most: 1.5},
+		"one end seen 2 s late":           {took: []time.Duration{2 * time.Second}, least: 1, most: 1.3},
+		"three times slower learned":      {took: repeat(300*time.Millisecond, 40), least: 2.5, most: 3.1},
+		"twice as fast learned":           {took: repeat(50*time.Millisecond, 40), least: 0.5, most: 0.6},
+		"forgotten when nothing runs":     {took: repeat(time.Second, 40), idle: 10 * time.Second, least: 0.9, most: 1.2},
+		"a fast one is not forgotten":     {took: repeat(50*time.Millisecond, 40), idle: 10 * time.Second, least: 0.5, most: 0.6},
+		"wrong estimates even out":        {took: mixed(100), least: 0.8, most: 1.25},
+		"a late end among many good ones": {took: append(repeat(100*time.Millisecond, 20), 5*time.Second), least: 1, most: 1.3},
+		"several late ends in a row of ten": {
+			took:  append(repeat(100*time.Millisecond, 20), repeat(time.Second, 2)...),
+			least: 1,
+			most:  1.5,
+		},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/core/rgroom/world_test.go
+++ b/core/rgroom/world_test.go
@@ -184,9 +184,8 @@
 		exe.wor.failf("%v cores of %d in use", sum, worldCores)
 	}
 	exe.highest[ord.Task] = ord.Run
-	exe.runs[ord.Task] = worldRun{
-		number: ord.Run, cores: 1, until: exe.wor.now.Add(50*time.Millisecond + time.Duration(exe.wor.rnd.Int64N(int64(900*time.Millisecond)))),
-	}
+	length := 50*time.Millisecond + time.Duration(exe.wor.rnd.Int64N(int64(900*time.Millisecond)))
+	exe.runs[ord.Task] = worldRun{number: ord.Run, cores: 1, until: exe.wor.now.Add(length)}
 	return rgmodel.RefusalNone
 }
 
--- a/io/rgdispatcher/command_store.go
+++ b/io/rgdispatcher/command_store.go
@@ -89,11 +89,16 @@
 		var err error
 		if lea == "" {
 			lea, err = pro.announce(work)
+			if err == nil {
+				pro.log.Info("announced in the store", zap.String("lease", lea))
+			}
 		} else if err = pro.source.Store.Renew(work, lea); errors.Is(err, errors.NotFound) {
+			pro.log.Warn("announcement has lapsed", zap.String("lease", lea))
 			lea = ""
 			continue
 		}
 		if err != nil {
+			// followConfig logs that the store is lost.
 			pause(work, 4*storePause)
 			continue
 		}
@@ -135,15 +140,15 @@
 // followEntries reads which entries have announced themselves.
 func (pro *Process) followEntries(work context.Context) {
 	for work.Err() == nil {
-		ents, err := ListEntries(work, pro.source.Store)
-		if err == nil {
+		// followConfig logs that the store is lost; until it is back, the other entries tell what they know.
+		if ents, err := ListEntries(work, pro.source.Store); err == nil {
 			pro.tell(work, Listed{Entries: ents})
 		}
 		pause(work, listInterval)
 	}
 }
 
-// ListEntries returns the entries that have announced themselves. Those that cannot be read are left out.
+// ListEntries returns the entries that have announced themselves. What cannot be read is from another writer and is left out.
 func ListEntries(ctx context.Context, str Store) ([]rgmodel.Entry, error) {
 	lis, err := str.List(ctx, EntryPrefix)
 	if err != nil {
--- a/io/rgdispatcher/control.go
+++ b/io/rgdispatcher/control.go
@@ -127,7 +127,8 @@
 		zap.String("reason", string(ans.Reason)), zap.Duration("took", ans.Took), zap.String("route", det.Route),
 		zap.Uint64("version", version(pro.Config())), zap.Int("tasks", det.Tasks), zap.Int("done", det.Done),
 		zap.Int("placed", det.Placed), zap.Int("held", det.Held), zap.Int("failures", det.Failures),
-		zap.Duration("left", det.Left), zap.Duration("over", det.Over), zap.Duration("estimate", det.Estimate), zap.Strings("sidecars", det.Sidecars),
+		zap.Duration("left", det.Left), zap.Duration("over", det.Over),
+		zap.Duration("estimate", det.Estimate), zap.Strings("sidecars", det.Sidecars),
 		zap.String("best", det.Late.Sidecar), zap.Duration("bestWait", det.Late.Wait), zap.Duration("bestRun", det.Late.Run),
 		zap.Duration("reportAge", det.Late.Age))
 }
