Recall the executor from the store when a sidecar starts

Cause: a new sidecar process knows its executor only with the next liveness report, up to 1.5 s later.

Change: the sidecar writes its executor to the store once for each lifetime and drain, and reads it at start. The first look fences it, or finds that the lifetime is gone.

--- a/core/rgroom/world_test.go
+++ b/core/rgroom/world_test.go
@@ -48,6 +48,8 @@
 		process int
 		beat    time.Time
 		beats   uint64
+		// saved is what the store remembers of the executor.
+		saved rgmodel.Executor
 	}
 
 	// worldEvent is something that happens at a time.
@@ -358,6 +360,10 @@
 	case 0:
 		sid.process++
 		sid.sta = State{}
+		if sid.saved.Service != "" {
+			efs, _ := Announce(&sid.sta, wor.now, sid.saved)
+			wor.act(sid, efs)
+		}
 	case 1:
 		sid.frozen = wor.now.Add(time.Duration(wor.rnd.Int64N(int64(4 * time.Second))))
 	case 2:
@@ -372,10 +378,12 @@
 	if wor.now.Sub(sid.beat) >= 300*time.Millisecond {
 		sid.beat = wor.now
 		sid.beats++
-		efs, _ := Announce(&sid.sta, wor.now, rgmodel.Executor{
+		sid.saved = rgmodel.Executor{
 			Lifetime: sid.exe.lifetime(), Service: "desk", Capacity: rgmodel.Resources{Cores: worldCores},
-			Clock: rgmodel.ExecutorTime(sid.exe.clock), Sequence: sid.beats,
-		})
+		}
+		exe := sid.saved
+		exe.Clock, exe.Sequence = rgmodel.ExecutorTime(sid.exe.clock), sid.beats
+		efs, _ := Announce(&sid.sta, wor.now, exe)
 		wor.act(sid, efs)
 	}
 	if wor.now.UnixMilli()%TickInterval.Milliseconds() == 0 {
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -54,16 +54,14 @@
 func (pro *Process) handle(work context.Context, sta *State, now time.Time, evt Event) {
 	switch evt := evt.(type) {
 	case Announced:
-		before, phase := sta.Room.Executor, sta.Room.Phase
-		efs, _ := rgroom.Announce(&sta.Room, now, evt.Executor)
-		if before.Lifetime != sta.Room.Executor.Lifetime || before.Draining != sta.Room.Executor.Draining || phase == rgroom.PhaseAbsent {
-			exe := sta.Room.Executor
-			pro.log.Info("executor", zap.String("id", exe.Lifetime.ID), zap.Int64("born", exe.Lifetime.Born),
-				zap.Bool("draining", exe.Draining), zap.Float64("cores", exe.Capacity.Cores))
-			pro.markChanged(sta)
-		}
-		pro.act(work, sta, efs)
+		pro.announce(work, sta, now, evt.Executor)
 		evt.Reply <- struct{}{}
+	case Recalled:
+		// What the executor has said itself in the meantime is newer.
+		if sta.Room.Phase == rgroom.PhaseAbsent {
+			pro.log.Info("executor recalled", zap.String("id", evt.Executor.Lifetime.ID))
+			pro.announce(work, sta, now, evt.Executor)
+		}
 	case Departed:
 		pro.act(work, sta, rgroom.Depart(&sta.Room, evt.ID))
 		pro.log.Info("executor has left", zap.String("id", evt.ID))
@@ -87,6 +85,18 @@
 	}
 }
 
+func (pro *Process) announce(work context.Context, sta *State, now time.Time, exe rgmodel.Executor) {
+	before, phase := sta.Room.Executor, sta.Room.Phase
+	efs, _ := rgroom.Announce(&sta.Room, now, exe)
+	if exe = sta.Room.Executor; phase == rgroom.PhaseAbsent || !sameExecutor(before, exe) {
+		pro.log.Info("executor", zap.String("id", exe.Lifetime.ID), zap.Int64("born", exe.Lifetime.Born),
+			zap.Bool("draining", exe.Draining), zap.Float64("cores", exe.Capacity.Cores))
+		pro.offer(exe)
+		pro.markChanged(sta)
+	}
+	pro.act(work, sta, efs)
+}
+
 func (pro *Process) configure(work context.Context, sta *State, set rgsettings.Deployment) {
 	sta.Room.Limits = rgroom.Limits{
 		LongestLease: set.LongestLease.Duration, Resend: set.Resend.Duration, TaskStop: set.TaskStop.Duration,
--- a/io/rgorders/event.go
+++ b/io/rgorders/event.go
@@ -17,6 +17,9 @@
 		Reply    chan<- struct{}
 	}
 
+	// Recalled is the executor that the store remembers.
+	Recalled struct{ Executor rgmodel.Executor }
+
 	// Departed says that a lifetime of the executor has ended as planned.
 	Departed struct {
 		ID    string
@@ -56,6 +59,7 @@
 )
 
 func (Announced) isEvent() {}
+func (Recalled) isEvent()  {}
 func (Departed) isEvent()  {}
 func (Replied) isEvent()   {}
 func (Linked) isEvent()    {}
--- a/io/rgorders/process.go
+++ b/io/rgorders/process.go
@@ -78,9 +78,12 @@
 		settings rgsettings.Deployment
 		give     Give
 		list     List
-		log      *zap.Logger
-		scope    tally.Scope
-		events   chan Event
+		store    Store
+		// known holds the executor that is to be remembered next.
+		known  chan rgmodel.Executor
+		log    *zap.Logger
+		scope  tally.Scope
+		events chan Event
 		// ended is closed when the control goroutine takes no more events.
 		ended   chan struct{}
 		traffic conc.WaitGroup
@@ -88,10 +91,10 @@
 )
 
 // Start runs a sidecar until ctx ends; then it drains within the grace time of its settings and closes Done.
-func Start(ctx context.Context, set rgsettings.Deployment, giv Give, lis List, log *zap.Logger, sco tally.Scope) *Process {
+func Start(ctx context.Context, set rgsettings.Deployment, giv Give, sto Store, lis List, log *zap.Logger, sco tally.Scope) *Process {
 	pro := &Process{
 		Done: make(chan struct{}), ended: make(chan struct{}), events: make(chan Event, eventBuffer),
-		settings: set, give: giv, list: lis, log: log, scope: sco,
+		settings: set, give: giv, store: sto, list: lis, known: make(chan rgmodel.Executor, 1), log: log, scope: sco,
 	}
 	go pro.run(ctx)
 	return pro
@@ -101,6 +104,8 @@
 	defer close(pro.Done)
 	// Orders and connections outlive ctx, because the drain needs them.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	pro.traffic.Go(func() { pro.recall(work) })
+	pro.traffic.Go(func() { pro.remember(work) })
 	pro.control(ctx, work)
 	close(pro.ended)
 	stop()
