Use one HTTP client for both stores, and one pause

Cause: the adapter's store client repeated the requests of io/rgstore, and five packages had a pause of their own.

--- /dev/null
+++ b/io/rgclock/pause.go
@@ -0,0 +1,18 @@
+package rgclock
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits, and returns false when ctx ends first.
+func Pause(ctx context.Context, dur time.Duration) bool {
+	tmr := time.NewTimer(dur)
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/io/rgdispatcher/command_store.go
+++ b/io/rgdispatcher/command_store.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgclock"
 	"ragwortgap/io/rgstore"
 )
 
@@ -38,7 +39,7 @@
 			}
 			healthy = pro.noteStore(err, healthy)
 			if err != nil {
-				pause(work, storePause)
+				rgclock.Pause(work, storePause)
 			}
 			continue
 		}
@@ -99,10 +100,10 @@
 		}
 		if err != nil {
 			// followConfig logs that the store is lost.
-			pause(work, 4*storePause)
+			rgclock.Pause(work, 4*storePause)
 			continue
 		}
-		pause(work, renewInterval)
+		rgclock.Pause(work, renewInterval)
 	}
 	if lea == "" {
 		return
@@ -144,7 +145,7 @@
 		if ents, err := ListEntries(work, pro.source.Store); err == nil {
 			pro.tell(work, Listed{Entries: ents})
 		}
-		pause(work, listInterval)
+		rgclock.Pause(work, listInterval)
 	}
 }
 
@@ -163,12 +164,3 @@
 	}
 	return ents, nil
 }
-
-func pause(ctx context.Context, dur time.Duration) {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-	case <-ctx.Done():
-	}
-}
--- a/io/rgentry/command_call.go
+++ b/io/rgentry/command_call.go
@@ -10,6 +10,7 @@
 
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgring"
+	"ragwortgap/io/rgclock"
 	"ragwortgap/io/rgwire"
 )
 
@@ -89,7 +90,7 @@
 			if rep, ok := pro.forwardJob(ctx, jb, dec.Home, hops); ok {
 				return rep
 			}
-			pause(ctx, forwardPause)
+			rgclock.Pause(ctx, forwardPause)
 		}
 		// After a first decision, another entry may have seen the id.
 		own = false
--- a/io/rgentry/command_drive.go
+++ b/io/rgentry/command_drive.go
@@ -10,6 +10,7 @@
 	"ragwortgap/core/rgjob"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgring"
+	"ragwortgap/io/rgclock"
 	"ragwortgap/io/rgwire"
 )
 
@@ -118,7 +119,7 @@
 			unsure = true
 			drv.Process.scope.Counter("unanswered").Inc(1)
 		}
-		pause(ctx, resendPause)
+		rgclock.Pause(ctx, resendPause)
 	}
 }
 
@@ -143,12 +144,3 @@
 		Tasks:      prt.Tasks,
 	}}
 }
-
-func pause(ctx context.Context, dur time.Duration) {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-	case <-ctx.Done():
-	}
-}
--- a/io/rgentry/command_follow.go
+++ b/io/rgentry/command_follow.go
@@ -13,6 +13,7 @@
 	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rghome"
 	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgclock"
 	"ragwortgap/io/rgstore"
 	"ragwortgap/io/rgwire"
 )
@@ -66,7 +67,7 @@
 			fol.noteCall(err)
 		}
 		if err != nil && work.Err() == nil {
-			pause(work, storeRetry)
+			rgclock.Pause(work, storeRetry)
 			fol.read(work)
 		}
 	}
@@ -94,7 +95,7 @@
 				fol.syncPeer(ctx)
 			}
 		}
-		pause(ctx, storeRetry)
+		rgclock.Pause(ctx, storeRetry)
 	}
 }
 
--- a/io/rgentry/command_lease.go
+++ b/io/rgentry/command_lease.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgclock"
 	"ragwortgap/io/rgstore"
 )
 
@@ -27,7 +28,7 @@
 			pro.scope.Counter("storeErrors").Inc(1)
 		}
 		pro.checkRing(ctx)
-		pause(ctx, ttl/3)
+		rgclock.Pause(ctx, ttl/3)
 	}
 	if lease != "" {
 		giveBack, stop := context.WithTimeout(work, callTimeout)
--- a/io/rgentry/command_ring.go
+++ b/io/rgentry/command_ring.go
@@ -14,6 +14,7 @@
 	"ragwortgap/core/rghome"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgring"
+	"ragwortgap/io/rgclock"
 	"ragwortgap/io/rgwire"
 )
 
@@ -93,7 +94,7 @@
 			pro.tell(work, Confirmed{Incarnation: ent.Incarnation, Ended: true})
 			return
 		}
-		pause(ctx, tellPause)
+		rgclock.Pause(ctx, tellPause)
 	}
 }
 
@@ -183,7 +184,7 @@
 		sta.Learning = true
 		rng := sta.Home.Ring.Ring
 		pro.traffic.Go(func() {
-			pause(work, learnInterval)
+			rgclock.Pause(work, learnInterval)
 			pro.askEntries(work, rng, slices.Concat(rng.Entries, unaccounted))
 		})
 	}
--- a/io/rgorders/command_remember.go
+++ b/io/rgorders/command_remember.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgclock"
 	"ragwortgap/io/rgstore"
 )
 
@@ -36,7 +37,7 @@
 		case errors.Is(err, errors.NotFound):
 			return
 		case err != nil:
-			pause(work, rememberPause)
+			rgclock.Pause(work, rememberPause)
 			continue
 		}
 		var exe rgmodel.Executor
@@ -80,7 +81,7 @@
 			expected = res.Current.Version
 		case rgstore.Unknown:
 			failure = res.Err
-			pause(work, rememberPause)
+			rgclock.Pause(work, rememberPause)
 		}
 	}
 	return errors.Annotatef(failure, "%d tries", rememberTries)
@@ -96,12 +97,3 @@
 	}
 	pro.known <- exe
 }
-
-func pause(ctx context.Context, dur time.Duration) {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-	case <-ctx.Done():
-	}
-}
--- a/io/rgsidecar/command_link.go
+++ b/io/rgsidecar/command_link.go
@@ -11,6 +11,7 @@
 
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgqueue"
+	"ragwortgap/io/rgclock"
 	"ragwortgap/io/rgwire"
 )
 
@@ -53,7 +54,7 @@
 			break
 		}
 	}
-	pause(work, bootstrapWait)
+	rgclock.Pause(work, bootstrapWait)
 	pro.tell(work, Bootstrapped{Err: failure})
 }
 
@@ -124,7 +125,7 @@
 				pro.log.Warn("entry unreachable", zap.String("entry", ent.Name), zap.String("address", ent.Address), zap.Error(err))
 			}
 			pro.tell(work, Unlinked{Entry: ent})
-			pause(ctx, wait/2+rand.N(wait/2+1))
+			rgclock.Pause(ctx, wait/2+rand.N(wait/2+1))
 			wait = min(2*wait, redialLong)
 			continue
 		}
@@ -236,12 +237,3 @@
 		return nil, errors.Trace(ctx.Err())
 	}
 }
-
-func pause(ctx context.Context, dur time.Duration) {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-	case <-ctx.Done():
-	}
-}
--- a/io/rgstore/command_apply.go
+++ b/io/rgstore/command_apply.go
@@ -9,6 +9,7 @@
 
 	"ragwortgap/core/rgconfig"
 	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgclock"
 )
 
 // applyPause is the pause after a call that the store did not answer.
@@ -99,7 +100,7 @@
 				return compare(mine, cur, tries, true), nil
 			}
 		}
-		if !pause(ctx, applyPause) {
+		if !rgclock.Pause(ctx, applyPause) {
 			return nil, errors.Annotatef(ctx.Err(), "change %s may have taken effect", mine.ChangeID)
 		}
 	}
@@ -124,7 +125,7 @@
 			cur, err := decodeTeam(itm)
 			return itm, cur, err
 		}
-		if !pause(ctx, applyPause) {
+		if !rgclock.Pause(ctx, applyPause) {
 			return Item{}, rgmodel.TeamConfig{}, errors.Annotatef(ctx.Err(), "read %s", key)
 		}
 	}
@@ -138,15 +139,3 @@
 	err := json.Unmarshal(itm.Value, &tc)
 	return tc, errors.Annotatef(err, "configuration at %s", itm.Key)
 }
-
-// pause returns false when ctx ends first.
-func pause(ctx context.Context, dur time.Duration) bool {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/io/rgstore/command_write.go
+++ b/io/rgstore/command_write.go
@@ -14,9 +14,7 @@
 
 // Put writes a key by compare-and-swap.
 func (cli Client) Put(ctx context.Context, key string, wri Write) WriteResult {
-	ctx, stop := context.WithTimeout(ctx, callTimeout)
-	defer stop()
-	status, raw, err := cli.do(ctx, http.MethodPut, "/v1/keys/"+url.PathEscape(key), wri)
+	status, raw, err := cli.Do(ctx, callTimeout, http.MethodPut, "/v1/keys/"+url.PathEscape(key), wri)
 	if err != nil {
 		return Unknown{Err: errors.Annotatef(err, "put %s", key)}
 	}
--- a/io/rgstore/query_read.go
+++ b/io/rgstore/query_read.go
@@ -32,18 +32,17 @@
 func (cli Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Listing, error) {
 	var lis Listing
 	path := fmt.Sprintf("/v1/watch?prefix=%s&after=%d&wait=%s", url.QueryEscape(prefix), after, wait)
-	err := cli.callWithin(ctx, wait+callTimeout, http.MethodGet, path, nil, &lis)
+	err := cli.Call(ctx, wait+callTimeout, http.MethodGet, path, nil, &lis)
 	return lis, errors.Annotatef(err, "watch %s", prefix)
 }
 
 func (cli Client) call(ctx context.Context, method, path string, body, reply any) error {
-	return cli.callWithin(ctx, callTimeout, method, path, body, reply)
+	return cli.Call(ctx, callTimeout, method, path, body, reply)
 }
 
-func (cli Client) callWithin(ctx context.Context, bound time.Duration, method, path string, body, reply any) error {
-	ctx, stop := context.WithTimeout(ctx, bound)
-	defer stop()
-	status, raw, err := cli.do(ctx, method, path, body)
+// Call sends a request and decodes its reply, which may be nil. It fails with errors.NotFound on the status 404.
+func (cli Client) Call(ctx context.Context, bound time.Duration, method, path string, body, reply any) error {
+	status, raw, err := cli.Do(ctx, bound, method, path, body)
 	switch {
 	case err != nil:
 		return err
@@ -58,7 +57,10 @@
 	}
 }
 
-func (cli Client) do(ctx context.Context, method, path string, body any) (int, []byte, error) {
+// Do sends a request, and returns the status and the body of its answer.
+func (cli Client) Do(ctx context.Context, bound time.Duration, method, path string, body any) (int, []byte, error) {
+	ctx, stop := context.WithTimeout(ctx, bound)
+	defer stop()
 	var buf bytes.Buffer
 	if body != nil {
 		if err := json.NewEncoder(&buf).Encode(body); err != nil {
@@ -69,6 +71,9 @@
 	if err != nil {
 		return 0, nil, errors.Trace(err)
 	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
 	hcl := cli.HTTP
 	if hcl == nil {
 		hcl = http.DefaultClient
--- a/io/rgwire/keep.go
+++ b/io/rgwire/keep.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"ragwortgap/io/rgclock"
 )
 
 const (
@@ -49,11 +51,7 @@
 			attend(ctx, Accept(con))
 		}
 		// The random part keeps the fleet from dialling a returned entry in step.
-		pause := time.NewTimer(wait/2 + rand.N(wait))
-		select {
-		case <-pause.C:
-		case <-ctx.Done():
-			pause.Stop()
+		if !rgclock.Pause(ctx, wait/2+rand.N(wait)) {
 			return
 		}
 		wait = min(2*wait, redialLong)
