--- a/core/rgdispatch/command_member.go
+++ b/core/rgdispatch/command_member.go
@@ -7,11 +7,11 @@
 )
 
 // Join takes note of a new connection to a sidecar.
-func Join(sta *State, now time.Time, lnk LinkID, name, zone string, echo rgmodel.Instant) {
+func Join(sta *State, now time.Time, lnk LinkID, name string, echo rgmodel.Instant) {
 	if sta.Members == nil {
 		sta.Members = map[LinkID]*Member{}
 	}
-	sta.Members[lnk] = &Member{Name: name, Zone: zone, Heard: now, Echo: echo, Places: map[rgmodel.Ticket]Place{}}
+	sta.Members[lnk] = &Member{Name: name, Heard: now, Echo: echo, Places: map[rgmodel.Ticket]Place{}}
 }
 
 // Hear takes note of the sidecar's clock in a message.
--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -136,7 +136,6 @@
 	// Member is a connected sidecar.
 	Member struct {
 		Name     string
-		Zone     string
 		Executor rgmodel.Executor
 		Report   rgmodel.RoomReport
 		Reported time.Time
@@ -208,7 +207,6 @@
 	// State is the control state of the entry.
 	State struct {
 		Limits  Limits
-		Zone    string
 		Members map[LinkID]*Member
 		Jobs    map[string]*Job
 		// RemoteFactor is how much longer tasks take away from their data; zero means that it does not matter.
--- a/core/rgdispatch/harness_test.go
+++ b/core/rgdispatch/harness_test.go
@@ -27,7 +27,7 @@
 // sidecar connects a sidecar with 8 cores.
 func (bnc *bench) sidecar(name string, stretch float64) LinkID {
 	bnc.link++
-	Join(&bnc.sta, bnc.now, bnc.link, name, "a", rgmodel.InstantOf(bnc.now))
+	Join(&bnc.sta, bnc.now, bnc.link, name, rgmodel.InstantOf(bnc.now))
 	Describe(&bnc.sta, bnc.link, rgmodel.Executor{Service: "desk", Capacity: rgmodel.Resources{Cores: 8}, Labels: []string{name}})
 	bnc.report(bnc.link, rgmodel.RoomReport{Stretch: stretch, Usable: true, Room: rgmodel.Resources{Cores: 8}})
 	return bnc.link
--- a/core/rgroom/room.go
+++ b/core/rgroom/room.go
@@ -87,7 +87,6 @@
 		Priority int
 		Needs    rgmodel.Resources
 		Spec     string
-		Arrived  time.Time
 		Deadline time.Time
 		// InTime is when the task has to end for its job to be in time.
 		InTime time.Time
--- a/core/rgroute/route.go
+++ b/core/rgroute/route.go
@@ -1,4 +1,4 @@
-// Package rgroute holds the operator's configuration in force at a process: routes, services and limits.
+// Package rgroute holds the operator's configuration in force at a process: routes and limits.
 package rgroute
 
 import "time"
@@ -24,18 +24,10 @@
 		Advised bool
 	}
 
-	// Service is a pool of executors.
-	Service struct {
-		Name string
-		// Guarded is set if the executors refuse what does not fit.
-		Guarded bool
-	}
-
 	// Config is one version of the operator's configuration.
 	Config struct {
-		Version  uint64
-		Routes   []Route
-		Services map[string]Service
+		Version uint64
+		Routes  []Route
 		// MaxBodyBytes bounds a request; zero means the default.
 		MaxBodyBytes int64
 		// Raw is the form in which it is passed on to other instances.
--- a/io/rgdispatcher/command_peer.go
+++ b/io/rgdispatcher/command_peer.go
@@ -77,7 +77,7 @@
 	switch msg := evt.Message.(type) {
 	case rgwire.Enlist:
 		per.Sidecar = msg.Name
-		rgdispatch.Join(&sta.Dispatch, now, lnk, msg.Name, msg.Zone, msg.Clock)
+		rgdispatch.Join(&sta.Dispatch, now, lnk, msg.Name, msg.Clock)
 		pro.log.Info("sidecar connected", zap.String("sidecar", msg.Name))
 		pro.pulse(sta, evt.ID, per, now)
 	case rgwire.Progress:
--- a/io/rgdispatcher/control.go
+++ b/io/rgdispatcher/control.go
@@ -18,7 +18,6 @@
 		Peers: map[uint64]*Peer{}, Replies: map[rgdispatch.Token]chan<- rgdispatch.Answer{},
 		Entries: map[string]Known{}, Dials: map[string]context.CancelFunc{},
 	}
-	sta.Dispatch.Zone = pro.settings.AvailabilityZone
 	pro.configure(work, sta)
 	tick := time.NewTicker(rgdispatch.TickInterval)
 	defer tick.Stop()
--- a/io/rgorders/command_link.go
+++ b/io/rgorders/command_link.go
@@ -38,7 +38,7 @@
 func (pro *Process) attend(ctx context.Context, adr string, con *rgwire.Connection) {
 	id := rgroom.LinkID(con.ID)
 	obx := con.Open(ctx, func(msg rgwire.Message) { pro.tell(ctx, Received{Link: id, Message: msg}) })
-	obx.Post(rgwire.Enlist{Name: pro.settings.Name, Zone: pro.settings.AvailabilityZone, Clock: rgmodel.InstantOf(rgclock.Now())})
+	obx.Post(rgwire.Enlist{Name: pro.settings.Name, Clock: rgmodel.InstantOf(rgclock.Now())})
 	pro.tell(ctx, Linked{Address: adr, ID: id, Outbox: obx})
 	select {
 	case <-obx.Done:
--- a/io/rgwire/order_message.go
+++ b/io/rgwire/order_message.go
@@ -7,7 +7,6 @@
 	// Enlist introduces a sidecar to an entry, at the start of each connection.
 	Enlist struct {
 		Name  string          `json:"name"`
-		Zone  string          `json:"availabilityZone"`
 		Clock rgmodel.Instant `json:"clock"`
 	}
 
