Write the ends of jobs and lifetimes, stop orders, reloads and defaults once

The free room of a sidecar was summed up three times for each task and sidecar of a plan. Announce returned a flag and Link held an entry that nothing read, and the drain stopped dials that the end of their context stops.

Behaviour is the same; the tests keep their assertions.

--- a/core/rgdispatch/command_job.go
+++ b/core/rgdispatch/command_job.go
@@ -90,6 +90,11 @@
 	if jb.Ran || outstanding(jb) {
 		vdt = rgmodel.MayHaveRun
 	}
+	return conclude(sta, now, jb, vdt, rsn)
+}
+
+// conclude ends a job with its final answer.
+func conclude(sta *State, now time.Time, jb *Job, vdt rgmodel.Verdict, rsn rgmodel.Reason) []Effect {
 	ans := answer(now, jb, vdt, rsn)
 	return append(remove(sta, jb), ans)
 }
@@ -150,15 +155,13 @@
 		tsk.State = TaskDone
 		open(jb)
 		if done(jb) {
-			delete(sta.Jobs, jb.Request.ID)
-			return []Effect{answer(now, jb, rgmodel.RanOK, "")}
+			return conclude(sta, now, jb, rgmodel.RanOK, "")
 		}
 	case rgmodel.EndFailed:
 		tsk.Failures++
 		avoid(tsk, sidecar)
 		if tsk.Failures >= jb.Request.Route.Attempts {
-			ans := answer(now, jb, rgmodel.RanFailed, end.Reason)
-			return append(remove(sta, jb), ans)
+			return conclude(sta, now, jb, rgmodel.RanFailed, end.Reason)
 		}
 	case rgmodel.EndLost, rgmodel.EndReturned:
 		avoid(tsk, sidecar)
--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -24,7 +24,8 @@
 		// last is when the task would end behind all others; snug says that it starts at once and ends early enough.
 		last time.Duration
 		snug bool
-		busy float64
+		// left is the room that is free for the task.
+		left float64
 	}
 )
 
@@ -124,9 +125,9 @@
 			continue
 		}
 		own := sea.run + networkTime
-		sea.last = wait(now, sea, sea.mem.Report.LongestWait(), stp.Needs.Cores, taken[sea.link]) + own
+		sea.left = free(sea, taken[sea.link])
+		sea.last = wait(now, sea, sea.mem.Report.LongestWait(), stp.Needs.Cores) + own
 		sea.snug = sea.last == own && own <= snugGoal && own <= safe
-		sea.busy = busy(sea, taken[sea.link])
 		if found == nil || suits(sea, found) {
 			found = sea
 		}
@@ -135,7 +136,7 @@
 		return nil, 0
 	}
 	own := found.run + networkTime
-	return found, wait(now, found, found.mem.Report.Wait(goal-own), stp.Needs.Cores, taken[found.link]) + own
+	return found, wait(now, found, found.mem.Report.Wait(goal-own), stp.Needs.Cores) + own
 }
 
 // suits says whether the first sidecar is a better place than the second one. Of executors that are about as slow, the
@@ -153,14 +154,13 @@
 	case one.count != two.count:
 		return one.count < two.count
 	default:
-		return one.busy < two.busy
+		return busy(one) < busy(two)
 	}
 }
 
 // busy returns the part of the sidecar's room that is taken, as far as this entry knows.
-func busy(sea *seat, taken float64) float64 {
-	rep := &sea.mem.Report
-	return 1 - free(sea, taken)/max(rep.Room.Cores, 1)
+func busy(sea *seat) float64 {
+	return 1 - sea.left/max(sea.mem.Report.Room.Cores, 1)
 }
 
 // free returns the cores that are free at the sidecar, less those that this entry has taken since its last report.
@@ -188,13 +188,11 @@
 }
 
 // wait returns how long a task is expected to wait for room at the sidecar, given what its last report says.
-func wait(now time.Time, sea *seat, reported time.Duration, cores, taken float64) time.Duration {
-	rep := &sea.mem.Report
-	left := free(sea, taken)
+func wait(now time.Time, sea *seat, reported time.Duration, cores float64) time.Duration {
 	base := max(0, reported-now.Sub(sea.mem.Reported))
-	if left >= cores {
+	if sea.left >= cores {
 		return base
 	}
 	// What is beyond the room waits until as many cores have been released, on average one room in a run time.
-	return base + time.Duration((cores-left)/max(rep.Room.Cores, 1)*float64(sea.run))
+	return base + time.Duration((cores-sea.left)/max(sea.mem.Report.Room.Cores, 1)*float64(sea.run))
 }
--- a/core/rgroom/command_executor.go
+++ b/core/rgroom/command_executor.go
@@ -6,15 +6,15 @@
 	"ragwortgap/core/rgmodel"
 )
 
-// Announce takes note of what the executor says of itself, and reports whether it is news of the current lifetime.
-func Announce(sta *State, now time.Time, exe rgmodel.Executor) ([]Effect, bool) {
+// Announce takes note of what the executor says of itself, unless it is older than what is known.
+func Announce(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
 	cur := sta.Executor.Lifetime
 	switch {
 	case sta.Phase != PhaseAbsent && exe.Lifetime.Born < cur.Born:
-		return nil, false
+		return nil
 	case sta.Phase != PhaseAbsent && exe.Lifetime == cur:
 		if exe.Sequence <= sta.Executor.Sequence {
-			return nil, false
+			return nil
 		}
 		drained := exe.Draining && !sta.Executor.Draining
 		if exe.Clock > sta.Executor.Clock {
@@ -25,17 +25,16 @@
 		}
 		sta.Executor = exe
 		if drained {
-			return returnQueue(sta, rgmodel.ReasonDraining), true
+			return returnQueue(sta, rgmodel.ReasonDraining)
 		}
-		return proceed(sta, now), true
+		return proceed(sta, now)
 	default:
 		efs := forget(sta, rgmodel.ReasonSidecarLost)
 		sta.Executor = exe
 		sta.ClockAt = now
 		sta.Stretch = 0
 		sta.Health = Health{}
-		efs = append(efs, fence(sta, now)...)
-		return efs, true
+		return append(efs, fence(sta, now)...)
 	}
 }
 
@@ -44,8 +43,7 @@
 	if sta.Phase == PhaseAbsent || sta.Executor.Lifetime.ID != id {
 		return nil
 	}
-	sta.Phase = PhaseAbsent
-	return forget(sta, rgmodel.ReasonDraining)
+	return leave(sta, rgmodel.ReasonDraining)
 }
 
 // fence makes orders of earlier processes void and asks for their runs. The executor's own clock gives a fence that is
@@ -58,6 +56,17 @@
 	return look(sta, now)
 }
 
+// leave waits for the next lifetime, because the current one is over.
+func leave(sta *State, rsn rgmodel.Reason) []Effect {
+	sta.Phase = PhaseAbsent
+	return forget(sta, rsn)
+}
+
+// refence takes control of the same lifetime anew, when what runs there is no longer known or goes on no longer.
+func refence(sta *State, now time.Time, rsn rgmodel.Reason) []Effect {
+	return append(forget(sta, rsn), fence(sta, now)...)
+}
+
 // forget drops everything that ran or waited on a lifetime that is over.
 func forget(sta *State, rsn rgmodel.Reason) []Effect {
 	efs := returnQueue(sta, rsn)
--- a/core/rgroom/command_link.go
+++ b/core/rgroom/command_link.go
@@ -7,11 +7,11 @@
 )
 
 // Join takes note of a new connection to an entry.
-func Join(sta *State, now time.Time, id LinkID, entry string) {
+func Join(sta *State, now time.Time, id LinkID) {
 	if sta.Links == nil {
 		sta.Links = map[LinkID]*Link{}
 	}
-	sta.Links[id] = &Link{Entry: entry, Fresh: now}
+	sta.Links[id] = &Link{Fresh: now}
 }
 
 // Hear takes note of a time at which the entry was alive for certain.
--- a/core/rgroom/command_look.go
+++ b/core/rgroom/command_look.go
@@ -37,12 +37,11 @@
 		return look(sta, now)
 	}
 	if rep.Refusal == rgmodel.RefusalLifetime || rep.Born != 0 && rep.Born != ord.Lifetime.Born {
-		sta.Phase = PhaseAbsent
-		return forget(sta, rgmodel.ReasonSidecarLost)
+		return leave(sta, rgmodel.ReasonSidecarLost)
 	}
 	observe(sta, now, ord.Lifetime, rep)
 	if rep.Refusal == rgmodel.RefusalFenced {
-		return append(forget(sta, rgmodel.ReasonUpstreamRefused), fence(sta, now)...)
+		return refence(sta, now, rgmodel.ReasonUpstreamRefused)
 	}
 	if rep.Refusal != rgmodel.RefusalNone {
 		return nil
@@ -142,9 +141,7 @@
 			continue
 		}
 		sta.Foreign[key] = now
-		efs = append(efs, Give{Order: rgmodel.StopOrder{
-			Lifetime: sta.Executor.Lifetime, Fence: sta.Fence, Task: key.Task, Run: key.Number,
-		}})
+		efs = append(efs, giveStop(sta, key.Task, key.Number))
 	}
 	return efs
 }
--- a/core/rgroom/command_run.go
+++ b/core/rgroom/command_run.go
@@ -120,10 +120,9 @@
 			return give(sta, now, run, 2*run.Number+1)
 		}
 	case rgmodel.RefusalFenced:
-		return append(forget(sta, rgmodel.ReasonUpstreamRefused), fence(sta, now)...)
+		return refence(sta, now, rgmodel.ReasonUpstreamRefused)
 	case rgmodel.RefusalLifetime:
-		sta.Phase = PhaseAbsent
-		return forget(sta, rgmodel.ReasonSidecarLost)
+		return leave(sta, rgmodel.ReasonSidecarLost)
 	case rgmodel.RefusalRoom, rgmodel.RefusalUnhealthy:
 		sta.Health.Until = now.Add(refusalPause)
 	case rgmodel.RefusalInvalid:
@@ -148,9 +147,11 @@
 
 func sendStop(sta *State, now time.Time, run *Run) []Effect {
 	run.StopSent = now
-	return []Effect{Give{Order: rgmodel.StopOrder{
-		Lifetime: sta.Executor.Lifetime, Fence: sta.Fence, Task: run.Work.Task.Name, Run: run.Number,
-	}}}
+	return []Effect{giveStop(sta, run.Work.Task.Name, run.Number)}
+}
+
+func giveStop(sta *State, tsk rgmodel.TaskName, number uint64) Effect {
+	return Give{Order: rgmodel.StopOrder{Lifetime: sta.Executor.Lifetime, Fence: sta.Fence, Task: tsk, Run: number}}
 }
 
 // StopAnswered takes note of what came back of a stop order.
@@ -159,8 +160,7 @@
 		return nil
 	}
 	if rep.Refusal == rgmodel.RefusalLifetime {
-		sta.Phase = PhaseAbsent
-		return forget(sta, rgmodel.ReasonSidecarLost)
+		return leave(sta, rgmodel.ReasonSidecarLost)
 	}
 	run := sta.Runs[ord.Task]
 	if run == nil || run.Number != ord.Run || rep.Refusal != rgmodel.RefusalNone {
--- a/core/rgroom/command_tick.go
+++ b/core/rgroom/command_tick.go
@@ -10,8 +10,7 @@
 func Tick(sta *State, now time.Time) []Effect {
 	var efs []Effect
 	if len(sta.Runs) > 0 && lapsed(sta, now) {
-		efs = append(efs, forget(sta, rgmodel.ReasonUpstreamUnreach)...)
-		efs = append(efs, fence(sta, now)...)
+		efs = append(efs, refence(sta, now, rgmodel.ReasonUpstreamUnreach)...)
 	}
 	silent := map[LinkID]bool{}
 	for id, lnk := range sta.Links {
--- a/core/rgroom/harness_test.go
+++ b/core/rgroom/harness_test.go
@@ -20,7 +20,7 @@
 func newBench(t *testing.T) *bench {
 	t.Helper()
 	bnc := &bench{now: time.Unix(1000, 0)}
-	Join(&bnc.sta, bnc.now, benchLink, "entry")
+	Join(&bnc.sta, bnc.now, benchLink)
 	bnc.announce(executor(1))
 	bnc.look(t, nil, nil)
 	if bnc.sta.Phase != PhaseServing {
@@ -38,8 +38,7 @@
 }
 
 func (bnc *bench) announce(exe rgmodel.Executor) {
-	efs, _ := Announce(&bnc.sta, bnc.now, exe)
-	bnc.efs = append(bnc.efs, efs...)
+	bnc.efs = append(bnc.efs, Announce(&bnc.sta, bnc.now, exe)...)
 }
 
 // take returns the effects since the last call.
--- a/core/rgroom/query_room.go
+++ b/core/rgroom/query_room.go
@@ -7,15 +7,17 @@
 )
 
 const (
-	defaultLongestLease = time.Second
-	defaultResend       = 1300 * time.Millisecond
+	// DefaultLongestLease is the longest lease of an executor where the deployment names none.
+	DefaultLongestLease = time.Second
+	// DefaultResend is how soon after a lost answer a caller may send its job again where the deployment names nothing.
+	DefaultResend = 1300 * time.Millisecond
 )
 
 // LeaseTime returns how long a lease is asked for.
 func LeaseTime(sta *State) time.Duration {
 	lon := sta.Limits.LongestLease
 	if lon <= 0 {
-		lon = defaultLongestLease
+		lon = DefaultLongestLease
 	}
 	return time.Duration(leaseShare * float64(lon))
 }
@@ -25,7 +27,7 @@
 func MaxSilence(sta *State) time.Duration {
 	res := sta.Limits.Resend
 	if res <= 0 {
-		res = defaultResend
+		res = DefaultResend
 	}
 	lapse := time.Duration(float64(LeaseTime(sta)) / slowestClock)
 	return max(res-lapse-2*TickInterval, 2*TickInterval)
--- a/core/rgroom/room.go
+++ b/core/rgroom/room.go
@@ -112,7 +112,6 @@
 
 	// Link is a connection to an entry.
 	Link struct {
-		Entry string
 		// Fresh is a time at which the entry was alive for certain.
 		Fresh time.Time
 	}
--- a/core/rgroom/world_test.go
+++ b/core/rgroom/world_test.go
@@ -275,7 +275,7 @@
 	wor.links++
 	id := wor.links
 	wor.alive[id] = true
-	Join(&sid.sta, wor.now, id, fmt.Sprint("entry", id))
+	Join(&sid.sta, wor.now, id)
 	deadline := wor.now.Add(1500 * time.Millisecond)
 	wor.act(sid, Place(&sid.sta, wor.now, id, rgmodel.Placement{
 		Issued: rgmodel.InstantOf(wor.now), Deadline: rgmodel.InstantOf(deadline), Service: "desk",
@@ -361,8 +361,7 @@
 		sid.process++
 		sid.sta = State{}
 		if sid.saved.Service != "" {
-			efs, _ := Announce(&sid.sta, wor.now, sid.saved)
-			wor.act(sid, efs)
+			wor.act(sid, Announce(&sid.sta, wor.now, sid.saved))
 		}
 	case 1:
 		sid.frozen = wor.now.Add(time.Duration(wor.rnd.Int64N(int64(4 * time.Second))))
@@ -383,8 +382,7 @@
 		}
 		exe := sid.saved
 		exe.Clock, exe.Sequence = rgmodel.ExecutorTime(sid.exe.clock), sid.beats
-		efs, _ := Announce(&sid.sta, wor.now, exe)
-		wor.act(sid, efs)
+		wor.act(sid, Announce(&sid.sta, wor.now, exe))
 	}
 	if wor.now.UnixMilli()%TickInterval.Milliseconds() == 0 {
 		wor.act(sid, Tick(&sid.sta, wor.now))
--- a/io/rgmetrics/metrics.go
+++ b/io/rgmetrics/metrics.go
@@ -52,9 +52,16 @@
 	cfg := zap.NewProductionConfig()
 	cfg.Sampling = nil
 	cfg.DisableStacktrace = true
-	cfg.EncoderConfig.TimeKey = "time"
-	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	cfg.EncoderConfig.MessageKey = "message"
+	cfg.EncoderConfig = encoding()
 	log, err := cfg.Build()
 	return log, errors.Annotate(err, "open log")
 }
+
+// encoding returns the form of all log lines.
+func encoding() zapcore.EncoderConfig {
+	enc := zap.NewProductionEncoderConfig()
+	enc.TimeKey = "time"
+	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	enc.MessageKey = "message"
+	return enc
+}
--- a/io/rgmetrics/output.go
+++ b/io/rgmetrics/output.go
@@ -60,11 +60,7 @@
 // OpenBoundedLog returns a log of at most 20 lines a second for each message, and counts what is left out in the metric
 // logLinesDropped.
 func OpenBoundedLog(out *Output, sco tally.Scope) *zap.Logger {
-	enc := zap.NewProductionEncoderConfig()
-	enc.TimeKey = "time"
-	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	enc.MessageKey = "message"
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), out, zapcore.InfoLevel)
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding()), out, zapcore.InfoLevel)
 	dropped := sco.Counter("logLinesDropped")
 	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, linesPerSecond, 0,
 		zapcore.SamplerHook(func(_ zapcore.Entry, dec zapcore.SamplingDecision) {
--- a/io/rgorders/command_link.go
+++ b/io/rgorders/command_link.go
@@ -53,7 +53,7 @@
 	if dia := sta.Dials[evt.Address]; dia != nil {
 		dia.Linked = true
 	}
-	rgroom.Join(&sta.Room, now, evt.ID, evt.Address)
+	rgroom.Join(&sta.Room, now, evt.ID)
 	pro.log.Info("entry connected", zap.String("address", evt.Address))
 }
 
@@ -116,10 +116,3 @@
 		pro.log.Warn("unexpected message", zap.String("address", lnk.Address))
 	}
 }
-
-func (pro *Process) close(sta *State) {
-	for _, dia := range sta.Dials {
-		dia.Stop()
-	}
-	pro.log.Info("drain ends", zap.Int("runs", len(sta.Room.Runs)))
-}
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -45,7 +45,7 @@
 		now := rgclock.Now()
 		pro.report(sta, now)
 		if !sta.Draining.IsZero() && (len(sta.Room.Runs) == 0 || now.Sub(sta.Draining) > pro.settings.Grace.Duration-drainMargin) {
-			pro.close(sta)
+			pro.log.Info("drain ends", zap.Int("runs", len(sta.Room.Runs)))
 			return
 		}
 	}
@@ -87,7 +87,7 @@
 
 func (pro *Process) announce(work context.Context, sta *State, now time.Time, exe rgmodel.Executor) {
 	before, phase := sta.Room.Executor, sta.Room.Phase
-	efs, _ := rgroom.Announce(&sta.Room, now, exe)
+	efs := rgroom.Announce(&sta.Room, now, exe)
 	if exe = sta.Room.Executor; phase == rgroom.PhaseAbsent || !sameExecutor(before, exe) {
 		pro.log.Info("executor", zap.String("id", exe.Lifetime.ID), zap.Int64("born", exe.Lifetime.Born),
 			zap.Bool("draining", exe.Draining), zap.Float64("cores", exe.Capacity.Cores))
--- a/io/rgsettings/deployment.go
+++ b/io/rgsettings/deployment.go
@@ -4,15 +4,12 @@
 	"time"
 
 	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgroom"
 )
 
 const (
 	// DefaultGrace is how long a planned stop may take.
 	DefaultGrace = 6 * time.Second
-	// DefaultLongestLease is the longest lease of an executor that is driven by orders.
-	DefaultLongestLease = time.Second
-	// DefaultResend is how soon after a lost answer a caller may send its job again.
-	DefaultResend = 1300 * time.Millisecond
 	// DefaultTaskStop is how long an executor takes to stop a run.
 	DefaultTaskStop = 50 * time.Millisecond
 	// DefaultPeerPort is where entries listen for sidecars and other entries.
@@ -76,8 +73,8 @@
 		return Deployment{}, err
 	}
 	fill(&set.Grace, DefaultGrace)
-	fill(&set.LongestLease, DefaultLongestLease)
-	fill(&set.Resend, DefaultResend)
+	fill(&set.LongestLease, rgroom.DefaultLongestLease)
+	fill(&set.Resend, rgroom.DefaultResend)
 	fill(&set.TaskStop, DefaultTaskStop)
 	if set.PeerPort == 0 {
 		set.PeerPort = DefaultPeerPort
