Share the mailbox and the attendance of connections between the two processes

The entry and the sidecar for the users' platform had the same tell, ask and event buffer, and the same loop that keeps a connection until it is lost. io/rgmailbox and rgwire.Connection.Attend take their place.

--- a/io/rgdispatcher/command_peer.go
+++ b/io/rgdispatcher/command_peer.go
@@ -39,17 +39,10 @@
 
 // attend hands an open connection to the control goroutine until it is lost.
 func (pro *Process) attend(ctx context.Context, con *rgwire.Connection, first rgwire.Message) {
-	obx := con.Open(ctx, func(msg rgwire.Message) { pro.tell(ctx, Received{ID: con.ID, Message: msg}) })
-	if first != nil {
-		obx.Post(first)
-	}
-	pro.tell(ctx, Opened{ID: con.ID, Outbox: obx})
-	select {
-	case <-obx.Done:
-	case <-ctx.Done():
-		obx.Close()
-	}
-	pro.tell(context.WithoutCancel(ctx), Closed{ID: con.ID})
+	con.Attend(ctx, first,
+		func(msg rgwire.Message) { pro.mailbox.Tell(ctx, Received{ID: con.ID, Message: msg}) },
+		func(obx *rgwire.Outbox) { pro.mailbox.Tell(ctx, Opened{ID: con.ID, Outbox: obx}) })
+	pro.mailbox.Tell(context.WithoutCancel(ctx), Closed{ID: con.ID})
 }
 
 func (pro *Process) closed(sta *State, now time.Time, id uint64) {
--- a/io/rgdispatcher/control.go
+++ b/io/rgdispatcher/control.go
@@ -25,7 +25,7 @@
 		select {
 		case <-work.Done():
 			return
-		case evt := <-pro.events:
+		case evt := <-pro.mailbox.Events:
 			now := rgclock.Now()
 			rgdispatch.Observe(&sta.Dispatch, now)
 			pro.handle(work, sta, now, evt)
--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -17,14 +17,12 @@
 	"ragwortgap/core/rgdispatch"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgroute"
+	"ragwortgap/io/rgmailbox"
 	"ragwortgap/io/rgsettings"
 	"ragwortgap/io/rgstore"
 	"ragwortgap/io/rgwire"
 )
 
-// eventBuffer lets traffic goroutines go on while the control goroutine handles a burst.
-const eventBuffer = 256
-
 type (
 	// Store is the key-value service of the platform.
 	Store interface {
@@ -89,14 +87,12 @@
 		source   Source
 		log      *zap.Logger
 		scope    tally.Scope
-		events   chan Event
-		// ended is closed when the control goroutine takes no more events.
-		ended   chan struct{}
-		config  atomic.Pointer[rgroute.Config]
-		usable  atomic.Bool
-		tokens  atomic.Uint64
-		stop    context.CancelFunc
-		traffic conc.WaitGroup
+		mailbox  rgmailbox.Mailbox[Event]
+		config   atomic.Pointer[rgroute.Config]
+		usable   atomic.Bool
+		tokens   atomic.Uint64
+		stop     context.CancelFunc
+		traffic  conc.WaitGroup
 	}
 )
 
@@ -109,7 +105,7 @@
 	}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	pro := &Process{
-		Done: make(chan struct{}), ended: make(chan struct{}), events: make(chan Event, eventBuffer),
+		Done: make(chan struct{}), mailbox: rgmailbox.New[Event](),
 		settings: set, source: src, log: log, scope: sco, stop: stop,
 		self: rgmodel.Entry{Name: set.Name, Incarnation: uuid.NewString(), Address: adr, AvailabilityZone: set.AvailabilityZone},
 	}
@@ -124,7 +120,7 @@
 func (pro *Process) run(work context.Context, lis net.Listener) {
 	defer close(pro.Done)
 	pro.control(work)
-	close(pro.ended)
+	close(pro.mailbox.Ended)
 	// Nothing is in flight that a closed listener could lose.
 	_ = lis.Close()
 	pro.traffic.Wait()
@@ -146,64 +142,42 @@
 func (pro *Process) Submit(ctx context.Context, req rgdispatch.Request) rgdispatch.Answer {
 	tok := rgdispatch.Token(pro.tokens.Add(1))
 	rpl := make(chan rgdispatch.Answer, 1)
-	if !pro.tell(ctx, Submitted{Token: tok, Request: req, Reply: rpl}) {
+	if !pro.mailbox.Tell(ctx, Submitted{Token: tok, Request: req, Reply: rpl}) {
 		return rgdispatch.Answer{Token: tok, Job: req.ID, Verdict: rgmodel.NotRun, Reason: rgmodel.ReasonNotReady}
 	}
 	select {
 	case ans := <-rpl:
 		return ans
 	case <-ctx.Done():
-		pro.tell(context.WithoutCancel(ctx), CallerLeft{Token: tok, Job: req.ID})
-	case <-pro.ended:
+		pro.mailbox.Tell(context.WithoutCancel(ctx), CallerLeft{Token: tok, Job: req.ID})
+	case <-pro.mailbox.Ended:
 	}
 	return rgdispatch.Answer{Token: tok, Job: req.ID, Verdict: rgmodel.MayHaveRun, Reason: rgmodel.ReasonConnectionLost}
 }
 
-// Cancel ends a job, and reports whether it was in progress here.
+// Cancel ends a job, and reports whether it was in progress here. Like the queries below, it returns the zero value if the
+// process ends first.
 func (pro *Process) Cancel(ctx context.Context, id string) bool {
 	rpl := make(chan bool, 1)
-	return ask(ctx, pro, CancelAsked{Job: id, Reply: rpl}, rpl)
+	val, _ := rgmailbox.Ask[Event](ctx, pro.mailbox, CancelAsked{Job: id, Reply: rpl}, rpl)
+	return val
 }
 
 // JobState returns how far a job is at this entry.
 func (pro *Process) JobState(ctx context.Context, id string) JobState {
 	rpl := make(chan JobState, 1)
-	return ask(ctx, pro, JobAsked{Job: id, Reply: rpl}, rpl)
+	val, _ := rgmailbox.Ask[Event](ctx, pro.mailbox, JobAsked{Job: id, Reply: rpl}, rpl)
+	return val
 }
 
 // Pending returns how many jobs of the route have not begun.
 func (pro *Process) Pending(ctx context.Context, route string) int {
 	rpl := make(chan int, 1)
-	return ask(ctx, pro, CountAsked{Route: route, Reply: rpl}, rpl)
+	val, _ := rgmailbox.Ask[Event](ctx, pro.mailbox, CountAsked{Route: route, Reply: rpl}, rpl)
+	return val
 }
 
 // Reload puts settings in force that were read again.
 func (pro *Process) Reload(ctx context.Context, set rgsettings.Deployment) {
-	pro.tell(ctx, Reloaded{Settings: set})
-}
-
-// ask returns the zero value if the process ends first.
-func ask[Reply any](ctx context.Context, pro *Process, evt Event, rpl <-chan Reply) Reply {
-	var none Reply
-	if !pro.tell(ctx, evt) {
-		return none
-	}
-	select {
-	case val := <-rpl:
-		return val
-	case <-ctx.Done():
-	case <-pro.ended:
-	}
-	return none
-}
-
-func (pro *Process) tell(ctx context.Context, evt Event) bool {
-	select {
-	case pro.events <- evt:
-		return true
-	case <-ctx.Done():
-		return false
-	case <-pro.ended:
-		return false
-	}
+	pro.mailbox.Tell(ctx, Reloaded{Settings: set})
 }
--- a/io/rgorders/command_link.go
+++ b/io/rgorders/command_link.go
@@ -37,15 +37,10 @@
 // attend hands an open connection to the control goroutine until it is lost.
 func (pro *Process) attend(ctx context.Context, adr string, con *rgwire.Connection) {
 	id := rgroom.LinkID(con.ID)
-	obx := con.Open(ctx, func(msg rgwire.Message) { pro.tell(ctx, Received{Link: id, Message: msg}) })
-	obx.Post(rgwire.Enlist{Name: pro.settings.Name, Clock: rgmodel.InstantOf(rgclock.Now())})
-	pro.tell(ctx, Linked{Address: adr, ID: id, Outbox: obx})
-	select {
-	case <-obx.Done:
-	case <-ctx.Done():
-		obx.Close()
-	}
-	pro.tell(context.WithoutCancel(ctx), Unlinked{Address: adr, ID: id})
+	con.Attend(ctx, rgwire.Enlist{Name: pro.settings.Name, Clock: rgmodel.InstantOf(rgclock.Now())},
+		func(msg rgwire.Message) { pro.mailbox.Tell(ctx, Received{Link: id, Message: msg}) },
+		func(obx *rgwire.Outbox) { pro.mailbox.Tell(ctx, Linked{Address: adr, ID: id, Outbox: obx}) })
+	pro.mailbox.Tell(context.WithoutCancel(ctx), Unlinked{Address: adr, ID: id})
 }
 
 func (pro *Process) link(sta *State, now time.Time, evt Linked) {
@@ -89,7 +84,7 @@
 			pro.log.Warn("the store does not list the entries", zap.Error(err))
 			return
 		}
-		pro.tell(work, Listed{Addresses: ads})
+		pro.mailbox.Tell(work, Listed{Addresses: ads})
 	})
 }
 
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -28,12 +28,12 @@
 			pro.log.Info("drain begins", zap.Int("runs", len(sta.Room.Runs)), zap.Int("queued", len(sta.Room.Queue)))
 			pro.act(work, sta, rgroom.Drain(&sta.Room))
 			pro.markChanged(sta)
-		case evt := <-pro.events:
+		case evt := <-pro.mailbox.Events:
 			pro.handle(work, sta, rgclock.Now(), evt)
 			// What has arrived meanwhile goes into the same reports.
 			for drained := false; !drained; {
 				select {
-				case more := <-pro.events:
+				case more := <-pro.mailbox.Events:
 					pro.handle(work, sta, rgclock.Now(), more)
 				default:
 					drained = true
@@ -151,7 +151,7 @@
 			if ord, ok := eff.Order.(rgmodel.StopOrder); ok {
 				pro.logStop(sta, ord)
 			}
-			pro.traffic.Go(func() { pro.tell(work, Replied{Order: eff.Order, Reply: pro.give(work, eff.Order)}) })
+			pro.traffic.Go(func() { pro.mailbox.Tell(work, Replied{Order: eff.Order, Reply: pro.give(work, eff.Order)}) })
 		case rgroom.Tell:
 			if lnk := sta.Links[eff.Link]; lnk != nil {
 				lnk.Ends = append(lnk.Ends, eff.End)
--- a/io/rgorders/process.go
+++ b/io/rgorders/process.go
@@ -12,13 +12,12 @@
 
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgroom"
+	"ragwortgap/io/rgmailbox"
 	"ragwortgap/io/rgsettings"
 	"ragwortgap/io/rgwire"
 )
 
 const (
-	// eventBuffer lets traffic goroutines go on while the control goroutine handles a burst.
-	eventBuffer = 256
 	// reportInterval is the shortest time between two reports of a load that changes.
 	reportInterval = 25 * time.Millisecond
 	// drainMargin is what is left of the grace time when a planned stop no longer waits for runs.
@@ -80,12 +79,10 @@
 		list     List
 		store    Store
 		// known holds the executor that is to be remembered next.
-		known  chan rgmodel.Executor
-		log    *zap.Logger
-		scope  tally.Scope
-		events chan Event
-		// ended is closed when the control goroutine takes no more events.
-		ended   chan struct{}
+		known   chan rgmodel.Executor
+		log     *zap.Logger
+		scope   tally.Scope
+		mailbox rgmailbox.Mailbox[Event]
 		traffic conc.WaitGroup
 	}
 )
@@ -93,7 +90,7 @@
 // Start runs a sidecar until ctx ends; then it drains within the grace time of its settings and closes Done.
 func Start(ctx context.Context, set rgsettings.Deployment, giv Give, sto Store, lis List, log *zap.Logger, sco tally.Scope) *Process {
 	pro := &Process{
-		Done: make(chan struct{}), ended: make(chan struct{}), events: make(chan Event, eventBuffer),
+		Done: make(chan struct{}), mailbox: rgmailbox.New[Event](),
 		settings: set, give: giv, store: sto, list: lis, known: make(chan rgmodel.Executor, 1), log: log, scope: sco,
 	}
 	go pro.run(ctx)
@@ -107,7 +104,7 @@
 	pro.traffic.Go(func() { pro.recall(work) })
 	pro.traffic.Go(func() { pro.remember(work) })
 	pro.control(ctx, work)
-	close(pro.ended)
+	close(pro.mailbox.Ended)
 	stop()
 	pro.traffic.Wait()
 }
@@ -115,41 +112,18 @@
 // Announce passes on what the executor says of itself, and returns once it has taken effect.
 func (pro *Process) Announce(ctx context.Context, exe rgmodel.Executor) bool {
 	rpl := make(chan struct{}, 1)
-	return pro.ask(ctx, Announced{Executor: exe, Reply: rpl}, rpl)
+	_, ok := rgmailbox.Ask[Event](ctx, pro.mailbox, Announced{Executor: exe, Reply: rpl}, rpl)
+	return ok
 }
 
 // Depart passes on that a lifetime of the executor has ended as planned.
 func (pro *Process) Depart(ctx context.Context, id string) bool {
 	rpl := make(chan struct{}, 1)
-	return pro.ask(ctx, Departed{ID: id, Reply: rpl}, rpl)
+	_, ok := rgmailbox.Ask[Event](ctx, pro.mailbox, Departed{ID: id, Reply: rpl}, rpl)
+	return ok
 }
 
 // Reload puts settings in force that were read again.
 func (pro *Process) Reload(ctx context.Context, set rgsettings.Deployment) {
-	pro.tell(ctx, Reloaded{Settings: set})
-}
-
-func (pro *Process) ask(ctx context.Context, evt Event, rpl <-chan struct{}) bool {
-	if !pro.tell(ctx, evt) {
-		return false
-	}
-	select {
-	case <-rpl:
-		return true
-	case <-ctx.Done():
-		return false
-	case <-pro.ended:
-		return false
-	}
-}
-
-func (pro *Process) tell(ctx context.Context, evt Event) bool {
-	select {
-	case pro.events <- evt:
-		return true
-	case <-ctx.Done():
-		return false
-	case <-pro.ended:
-		return false
-	}
+	pro.mailbox.Tell(ctx, Reloaded{Settings: set})
 }
--- a/io/rgwire/keep.go
+++ b/io/rgwire/keep.go
@@ -34,9 +34,19 @@
 	return &Connection{ID: lastConnection.Add(1), conn: con}
 }
 
-// Open starts to exchange notifications.
-func (cn *Connection) Open(ctx context.Context, hdl func(Message)) *Outbox {
-	return Open(ctx, cn.conn, hdl)
+// Attend exchanges notifications until the connection is lost or ctx ends. It sends the first one, unless that is nil, and
+// hands the outbox to opened.
+func (cn *Connection) Attend(ctx context.Context, first Message, hdl func(Message), opened func(*Outbox)) {
+	obx := Open(ctx, cn.conn, hdl)
+	if first != nil {
+		obx.Post(first)
+	}
+	opened(obx)
+	select {
+	case <-obx.Done:
+	case <-ctx.Done():
+		obx.Close()
+	}
 }
 
 // Keep connects to the address again and again until ctx ends. Each connection is handed to attend, which returns when
