Bound the reports that an entry asks for, and place in its own zone first

Cause: each of 52 sidecars reports its load every 25 ms to each of 8 entries, so that an entry of 0.192 cores reads some 2,000 reports a second, most of them of executors that it places nothing on.

Ruled out: fewer reports to all entries alike, which makes the view of large entries as old as that of small ones.

Change: an entry asks for 1,200 reports a second with each core that it may use (new setting cores). Sidecars of its own zone are watched first, then as many others as come at least every 40 ms; the rest report every 300 ms. Ends are told at once as before, without the load unless that is due. A sidecar says when its next message comes, and an entry counts it as lost by that; with tasks placed there the bound stays 350 ms. Among executors that start a task at once, those of the own zone come first; elsewhere a task has to end 15 ms earlier.

--- a/core/rgdispatch/command_member.go
+++ b/core/rgdispatch/command_member.go
@@ -11,14 +11,30 @@
 	if sta.Members == nil {
 		sta.Members = map[LinkID]*Member{}
 	}
-	sta.Members[lnk] = &Member{Name: name, Heard: now, Echo: echo, Places: map[rgmodel.Ticket]Place{}}
+	sta.Members[lnk] = &Member{
+		Name: name, Heard: now, Due: now.Add(memberSilence), Echo: echo, Every: shortestInterval, Rank: rank(sta.Name, name),
+		Places: map[rgmodel.Ticket]Place{},
+	}
+}
+
+// Hear takes note of the sidecar's clock in a message, and of the time within which it sends the next one.
+func Hear(sta *State, now time.Time, lnk LinkID, echo rgmodel.Instant, next time.Duration) {
+	mem := sta.Members[lnk]
+	if mem == nil || echo < mem.Echo {
+		return
+	}
+	mem.Echo = echo
+	mem.Heard = now
+	mem.Due = now.Add(next + memberTolerance)
+	if len(mem.Places) > 0 {
+		expect(mem, now)
+	}
 }
 
-// Hear takes note of the sidecar's clock in a message.
-func Hear(sta *State, now time.Time, lnk LinkID, echo rgmodel.Instant) {
-	if mem := sta.Members[lnk]; mem != nil && echo >= mem.Echo {
-		mem.Echo = echo
-		mem.Heard = now
+// expect takes note that a sidecar that has tasks sends messages often.
+func expect(mem *Member, now time.Time) {
+	if due := now.Add(memberSilence); due.Before(mem.Due) {
+		mem.Due = due
 	}
 }
 
@@ -98,9 +114,10 @@
 
 // Tick ends what has run out of time and places what waits.
 func Tick(sta *State, now time.Time) []Effect {
+	watch(sta)
 	var efs []Effect
 	for lnk, mem := range sta.Members {
-		if now.Sub(mem.Heard) > MemberSilence {
+		if now.After(mem.Due) {
 			efs = append(efs, Close{Link: lnk})
 			efs = append(efs, Part(sta, now, lnk)...)
 		}
--- a/core/rgdispatch/command_place.go
+++ b/core/rgdispatch/command_place.go
@@ -24,6 +24,7 @@
 			order = append(order, key)
 		}
 		mem.Tickets++
+		expect(mem, now)
 		stp := jb.Request.Steps[cho.step]
 		mem.Places[mem.Tickets] = Place{Job: jb.Request.ID, Step: cho.step, Index: cho.index}
 		mem.Unseen = append(mem.Unseen, Sent{Ticket: mem.Tickets, Cores: stp.Needs.Cores})
--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -12,8 +12,10 @@
 const (
 	// TickInterval is how often deadlines and silent sidecars are checked.
 	TickInterval = 100 * time.Millisecond
-	// MemberSilence is how long a sidecar may be silent before its tasks count as lost. It reports every 100 ms.
-	MemberSilence = 350 * time.Millisecond
+	// memberTolerance is how late a sidecar's next message may be before the sidecar counts as lost.
+	memberTolerance = 250 * time.Millisecond
+	// memberSilence is how long a sidecar may be silent that has tasks. It reports every 100 ms then.
+	memberSilence = 350 * time.Millisecond
 	// maxGap is the longest time between two events of a process that is running: ticks come every 100 ms.
 	maxGap = 400 * time.Millisecond
 	// resumeWait is how long jobs are refused after the process has stood still. Their callers may have left long ago,
@@ -35,6 +37,9 @@
 	deadlineMargin = 2
 	// similarRun is the factor up to which executors count as about as slow. What is learned of them varies by as much.
 	similarRun = 1.25
+	// distantCost is how much earlier a task has to end in another zone to be placed there: messages take longer, and what
+	// is known of its sidecars is older.
+	distantCost = 15 * time.Millisecond
 )
 
 const (
@@ -62,6 +67,8 @@
 	Limits struct {
 		// RunsGone is how long after the loss of a sidecar everything has ended that this entry had placed there.
 		RunsGone time.Duration
+		// Cores is the part of the processor that the entry may use; zero means that it does not matter.
+		Cores float64
 	}
 
 	// Step is a set of equal tasks of a job.
@@ -140,6 +147,12 @@
 		Report   rgmodel.RoomReport
 		Reported time.Time
 		Heard    time.Time
+		// Due is when the sidecar counts as lost unless it is heard before.
+		Due time.Time
+		// Every is how often the sidecar is asked to report a load that changes.
+		Every time.Duration
+		// Rank orders the sidecars of other zones.
+		Rank uint64
 		// Echo is the last time of the sidecar's clock that was received, at Heard.
 		Echo    rgmodel.Instant
 		Tickets rgmodel.Ticket
@@ -206,7 +219,10 @@
 
 	// State is the control state of the entry.
 	State struct {
-		Limits  Limits
+		Limits Limits
+		// Name and Zone are those of the entry. Without a zone, all sidecars count as near.
+		Name    string
+		Zone    string
 		Members map[LinkID]*Member
 		Jobs    map[string]*Job
 		// RemoteFactor is how much longer tasks take away from their data; zero means that it does not matter.
--- a/core/rgdispatch/harness_test.go
+++ b/core/rgdispatch/harness_test.go
@@ -35,7 +35,7 @@
 
 func (bnc *bench) report(lnk LinkID, rep rgmodel.RoomReport) {
 	mem := bnc.sta.Members[lnk]
-	Hear(&bnc.sta, bnc.now, lnk, rgmodel.InstantOf(bnc.now))
+	Hear(&bnc.sta, bnc.now, lnk, rgmodel.InstantOf(bnc.now), TickInterval)
 	bnc.efs = append(bnc.efs, Update(&bnc.sta, bnc.now, lnk, rep, mem.Tickets)...)
 }
 
@@ -58,7 +58,7 @@
 		bnc.now = bnc.now.Add(min(dur, TickInterval))
 		for lnk := range bnc.sta.Members {
 			if len(silent) == 0 || lnk != silent[0] {
-				Hear(&bnc.sta, bnc.now, lnk, rgmodel.InstantOf(bnc.now))
+				Hear(&bnc.sta, bnc.now, lnk, rgmodel.InstantOf(bnc.now), TickInterval)
 			}
 		}
 		Observe(&bnc.sta, bnc.now)
--- a/core/rgdispatch/job_test.go
+++ b/core/rgdispatch/job_test.go
@@ -185,6 +185,39 @@
 	}
 }
 
+// TestNearPlacement guards against traffic between zones that nothing is won by, and against a queue in the own zone while
+// another one has room.
+func TestNearPlacement(t *testing.T) {
+	busy := rgmodel.RoomReport{Stretch: 1, Usable: true, Room: rgmodel.Resources{Cores: 8}, Used: rgmodel.Resources{Cores: 8}}
+	for range len(rgmodel.WaitSlacks) + 1 {
+		busy.Waits = append(busy.Waits, time.Second)
+	}
+	tests := map[string]struct {
+		near *rgmodel.RoomReport
+		want string
+	}{
+		"both have room": {want: "near"},
+		"near is busy":   {near: &busy, want: "far"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			bnc := newBench()
+			bnc.sta.Zone = "a"
+			links := map[string]LinkID{"far": bnc.sidecar("far", 1), "near": bnc.sidecar("near", 1)}
+			exe := bnc.sta.Members[links["near"]].Executor
+			exe.Zone = "a"
+			Describe(&bnc.sta, links["near"], exe)
+			if tc.near != nil {
+				bnc.report(links["near"], *tc.near)
+			}
+			bnc.submit(1, request("job", 1, 100*time.Millisecond))
+			if tks := bnc.placed(); len(tks[links[tc.want]]) != 1 {
+				t.Errorf("placed %v, want one on %s (%v)", tks, tc.want, links)
+			}
+		})
+	}
+}
+
 // TestAntiAffinity guards against more tasks of a step on one executor than the job allows.
 func TestAntiAffinity(t *testing.T) {
 	bnc := newBench()
--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -21,6 +21,8 @@
 		mem   *Member
 		run   time.Duration
 		count int
+		// near says that the sidecar is in the entry's zone.
+		near bool
 		// last is when the task would end behind all others; snug says that it starts at once and ends early enough.
 		last time.Duration
 		snug bool
@@ -82,8 +84,8 @@
 func seats(sta *State, now time.Time, jb *Job, stp Step) []*seat {
 	var sts []*seat
 	for lnk, mem := range sta.Members {
-		if mem.Report.Usable && now.Sub(mem.Heard) <= MemberSilence && runnable(mem, jb, stp) {
-			sts = append(sts, &seat{link: lnk, mem: mem, run: runTime(sta, stp, mem)})
+		if mem.Report.Usable && !now.After(mem.Due) && runnable(mem, jb, stp) {
+			sts = append(sts, &seat{link: lnk, mem: mem, run: runTime(sta, stp, mem), near: isNear(sta, mem)})
 		}
 	}
 	// The order of a map would make plans differ from run to run.
@@ -146,7 +148,9 @@
 	case one.snug != two.snug:
 		return one.snug
 	case !one.snug:
-		return one.last < two.last
+		return one.last+distance(one) < two.last+distance(two)
+	case one.near != two.near:
+		return one.near
 	case float64(one.run) > similarRun*float64(two.run):
 		return true
 	case float64(two.run) > similarRun*float64(one.run):
@@ -158,6 +162,14 @@
 	}
 }
 
+// distance returns how much earlier a task has to end in another zone to be placed there.
+func distance(sea *seat) time.Duration {
+	if sea.near {
+		return 0
+	}
+	return distantCost
+}
+
 // busy returns the part of the sidecar's room that is taken, as far as this entry knows.
 func busy(sea *seat) float64 {
 	return 1 - sea.left/max(sea.mem.Report.Room.Cores, 1)
--- /dev/null
+++ b/core/rgdispatch/watch_test.go
@@ -0,0 +1,58 @@
+package rgdispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// TestWatch guards against an entry that asks for more reports than its processor can take, and against sidecars of its
+// own zone that it knows less of than of others.
+func TestWatch(t *testing.T) {
+	tests := map[string]struct {
+		cores     float64
+		near, far int
+		// wantNear and wantFar are the most reports a second of one sidecar of either kind, wantWatched how many far ones
+		// report more often than distant ones.
+		wantNear    time.Duration
+		wantWatched int
+	}{
+		"no limit":                     {near: 20, far: 60, wantNear: shortestInterval, wantWatched: 60},
+		"few sidecars":                 {cores: 0.4, near: 4, far: 7, wantNear: shortestInterval, wantWatched: 7},
+		"many sidecars, large entry":   {cores: 0.8, near: 17, far: 35, wantNear: 40 * time.Millisecond, wantWatched: 21},
+		"many sidecars, small entry":   {cores: 0.192, near: 17, far: 35, wantNear: 75 * time.Millisecond, wantWatched: 0},
+		"no sidecar in the own zone":   {cores: 0.192, far: 35, wantWatched: 9},
+		"as many as can be ever asked": {cores: 0.01, near: 60, wantNear: distantInterval},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			bnc := newBench()
+			bnc.sta.Name, bnc.sta.Zone, bnc.sta.Limits.Cores = "entry-1", "a", tc.cores
+			for i := range tc.near + tc.far {
+				lnk := bnc.sidecar(fmt.Sprintf("side-%d", i), 1)
+				zon := "b"
+				if i < tc.near {
+					zon = "a"
+				}
+				Describe(&bnc.sta, lnk, rgmodel.Executor{Service: "desk", Zone: zon})
+			}
+			watch(&bnc.sta)
+			watched := 0
+			for _, mem := range bnc.sta.Members {
+				switch {
+				case mem.Executor.Zone == "a":
+					if mem.Every > tc.wantNear {
+						t.Errorf("%s reports every %v, want %v", mem.Name, mem.Every, tc.wantNear)
+					}
+				case mem.Every < distantInterval:
+					watched++
+				}
+			}
+			if watched != tc.wantWatched {
+				t.Errorf("%d sidecars of other zones are watched, want %d", watched, tc.wantWatched)
+			}
+		})
+	}
+}
--- a/core/rgroom/command_link.go
+++ b/core/rgroom/command_link.go
@@ -11,7 +11,7 @@
 	if sta.Links == nil {
 		sta.Links = map[LinkID]*Link{}
 	}
-	sta.Links[id] = &Link{Fresh: now}
+	sta.Links[id] = &Link{Fresh: now, Changed: true}
 }
 
 // Hear takes note of a time at which the entry was alive for certain.
--- a/core/rgroom/query_report.go
+++ b/core/rgroom/query_report.go
@@ -21,13 +21,12 @@
 	cores float64
 }
 
-// Report returns what an entry needs to know to place tasks here.
-func Report(sta *State, now time.Time, id LinkID) rgmodel.RoomReport {
-	rep := rgmodel.RoomReport{
+// report returns what entries need to know to place tasks here.
+func report(sta *State, now time.Time) *rgmodel.RoomReport {
+	rep := &rgmodel.RoomReport{
 		Used:    Used(sta),
 		Room:    room(sta),
 		Usable:  Usable(sta, now),
-		Cleared: sta.Phase != PhaseFencing && cleared(sta, id),
 		Stretch: math.Round(stretchDigits*sta.Stretch) / stretchDigits,
 	}
 	if rep.Usable && (len(sta.Queue) > 0 || rep.Used.Cores > crowded*rep.Room.Cores) {
@@ -36,8 +35,21 @@
 	return rep
 }
 
-// cleared says whether no run is left that the entry has placed on an earlier connection.
-func cleared(sta *State, id LinkID) bool {
+// hasWork says whether a task of the entry runs or waits.
+func hasWork(sta *State, id LinkID) bool {
+	for _, run := range sta.Runs {
+		if run.Work.Link == id {
+			return true
+		}
+	}
+	return slices.ContainsFunc(sta.Queue, func(wrk Work) bool { return wrk.Link == id })
+}
+
+// isCleared says whether no run is left that the entry has placed on an earlier connection.
+func isCleared(sta *State, id LinkID) bool {
+	if sta.Phase == PhaseFencing {
+		return false
+	}
 	for _, run := range sta.Runs {
 		if run.Work.Link != id && sta.Links[run.Work.Link] == nil {
 			return false
--- a/core/rgroom/room.go
+++ b/core/rgroom/room.go
@@ -114,6 +114,16 @@
 	Link struct {
 		// Fresh is a time at which the entry was alive for certain.
 		Fresh time.Time
+		// Every is how often the entry wants to be told of a load that changes.
+		Every time.Duration
+		// Told is when the last message was sent, Loaded when the last one with the load was.
+		Told   time.Time
+		Loaded time.Time
+		// Changed is set while the entry's view of the load is not the newest one.
+		Changed bool
+		// Usable and Cleared are what the entry knows of the executor.
+		Usable  bool
+		Cleared bool
 	}
 
 	// Number is the highest run number that was used for a task.
--- a/io/rgdispatcher/command_peer.go
+++ b/io/rgdispatcher/command_peer.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	// pulseInterval is the longest time without a message to a sidecar, which stops the tasks of a silent entry.
+	// pulseInterval is the longest time without a message to a sidecar with tasks, which stops those of a silent entry.
 	pulseInterval = 90 * time.Millisecond
+	// idlePulseInterval is the longest time without a message to a sidecar without tasks, which replaces a silent
+	// connection after a second.
+	idlePulseInterval = 400 * time.Millisecond
 	// gossipInterval is how often entries compare what they know.
 	gossipInterval = 500 * time.Millisecond
 	// forgetAfter is how long an entry is passed on that nobody names any more.
@@ -74,7 +77,7 @@
 		pro.log.Info("sidecar connected", zap.String("sidecar", msg.Name))
 		pro.pulse(sta, evt.ID, per, now)
 	case rgwire.Progress:
-		rgdispatch.Hear(&sta.Dispatch, now, lnk, msg.Clock)
+		rgdispatch.Hear(&sta.Dispatch, now, lnk, msg.Clock, msg.Next)
 		if msg.Executor != nil {
 			rgdispatch.Describe(&sta.Dispatch, lnk, *msg.Executor)
 		}
@@ -126,7 +129,7 @@
 	for id, per := range sta.Peers {
 		age := now.Sub(per.Told)
 		switch {
-		case per.Sidecar != "" && age >= pulseInterval:
+		case per.Sidecar != "" && pulseDue(sta, id, per, age):
 			pro.pulse(sta, id, per, now)
 		case per.Entry != "" && age >= gossipInterval:
 			pro.gossip(sta, per, now)
@@ -136,9 +139,21 @@
 	pro.scope.Gauge("sidecars").Update(float64(len(sta.Dispatch.Members)))
 }
 
+// pulseDue says whether a sidecar has to be told that the entry is alive, or how often to report.
+func pulseDue(sta *State, id uint64, per *Peer, age time.Duration) bool {
+	mem := sta.Dispatch.Members[rgdispatch.LinkID(id)]
+	if mem != nil && (len(mem.Places) > 0 && age >= pulseInterval || mem.Every != per.Every) {
+		return true
+	}
+	return age >= idlePulseInterval
+}
+
 func (pro *Process) pulse(sta *State, id uint64, per *Peer, now time.Time) {
 	per.Told = now
-	msg := rgwire.Pulse{Issued: pro.issued(sta, rgdispatch.LinkID(id), now)}
+	if mem := sta.Dispatch.Members[rgdispatch.LinkID(id)]; mem != nil {
+		per.Every = mem.Every
+	}
+	msg := rgwire.Pulse{Issued: pro.issued(sta, rgdispatch.LinkID(id), now), Every: per.Every}
 	if per.Entries != sta.ListVersion {
 		per.Entries = sta.ListVersion
 		msg.Entries = append(pro.known(sta, now), pro.self)
@@ -190,6 +205,9 @@
 func (pro *Process) configure(work context.Context, sta *State) {
 	set := pro.settings
 	sta.Dispatch.RemoteFactor = set.RemoteFactor
+	sta.Dispatch.Name = set.Name
+	sta.Dispatch.Zone = set.AvailabilityZone
+	sta.Dispatch.Limits.Cores = set.Cores
 	// A sidecar stops the tasks of an entry that it has lost, or its executor's lease lapses, before a caller may send
 	// its job again.
 	sta.Dispatch.Limits.RunsGone = set.Resend.Duration + remoteMargin
--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -48,8 +48,10 @@
 		// Sidecar is its name; empty for an entry and for a peer that has not introduced itself.
 		Sidecar string
 		Entry   string
-		// Told is when the last message was sent, Entries the number of the list of entries that it knows.
+		// Told is when the last message was sent, Every the interval of reports that was asked for, Entries the number of
+		// the list of entries that the peer knows.
 		Told    time.Time
+		Every   time.Duration
 		Entries uint64
 		// Version is the configuration that an entry is known to have.
 		Version uint64
--- a/io/rgorders/command_link.go
+++ b/io/rgorders/command_link.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// silenceLimit is when a silent connection is replaced. Entries send a pulse every 100 ms.
+	// silenceLimit is when a silent connection is replaced. Entries send a pulse at least every 400 ms.
 	silenceLimit = time.Second
 	// forgetAfter is how long an address is dialled that nobody names any more.
 	forgetAfter = 10 * time.Second
@@ -44,7 +44,7 @@
 }
 
 func (pro *Process) link(sta *State, now time.Time, evt Linked) {
-	sta.Links[evt.ID] = &Link{Address: evt.Address, Outbox: evt.Outbox, Changed: true}
+	sta.Links[evt.ID] = &Link{Address: evt.Address, Outbox: evt.Outbox}
 	if dia := sta.Dials[evt.Address]; dia != nil {
 		dia.Linked = true
 	}
@@ -96,6 +96,7 @@
 	switch msg := evt.Message.(type) {
 	case rgwire.Pulse:
 		rgroom.Hear(&sta.Room, evt.Link, msg.Issued.Time())
+		rgroom.Watch(&sta.Room, evt.Link, msg.Every)
 		for _, ent := range msg.Entries {
 			pro.dial(work, sta, now, ent.Address, false)
 		}
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -27,7 +27,7 @@
 			sta.Draining = now
 			pro.log.Info("drain begins", zap.Int("runs", len(sta.Room.Runs)), zap.Int("queued", len(sta.Room.Queue)))
 			pro.act(work, sta, rgroom.Drain(&sta.Room))
-			pro.markChanged(sta)
+			rgroom.MarkChanged(&sta.Room)
 		case evt := <-pro.mailbox.Events:
 			pro.handle(work, sta, rgclock.Now(), evt)
 			// What has arrived meanwhile goes into the same reports.
@@ -65,7 +65,7 @@
 	case Departed:
 		pro.act(work, sta, rgroom.Depart(&sta.Room, evt.ID))
 		pro.log.Info("executor has left", zap.String("id", evt.ID))
-		pro.markChanged(sta)
+		rgroom.MarkChanged(&sta.Room)
 		evt.Reply <- struct{}{}
 	case Replied:
 		pro.answered(work, sta, now, evt)
@@ -92,7 +92,7 @@
 		pro.log.Info("executor", zap.String("id", exe.Lifetime.ID), zap.Int64("born", exe.Lifetime.Born),
 			zap.Bool("draining", exe.Draining), zap.Float64("cores", exe.Capacity.Cores))
 		pro.offer(exe)
-		pro.markChanged(sta)
+		rgroom.MarkChanged(&sta.Room)
 	}
 	pro.act(work, sta, efs)
 }
@@ -125,7 +125,7 @@
 	if phase != sta.Room.Phase {
 		pro.log.Info("control of the executor", zap.Uint8("from", uint8(phase)), zap.Uint8("to", uint8(sta.Room.Phase)),
 			zap.Uint64("fence", sta.Room.Fence))
-		pro.markChanged(sta)
+		rgroom.MarkChanged(&sta.Room)
 	}
 	pro.act(work, sta, efs)
 }
@@ -143,7 +143,7 @@
 // act carries out what the decisions ask for.
 func (pro *Process) act(work context.Context, sta *State, efs []rgroom.Effect) {
 	if len(efs) > 0 {
-		pro.markChanged(sta)
+		rgroom.MarkChanged(&sta.Room)
 	}
 	for _, eff := range efs {
 		switch eff := eff.(type) {
@@ -169,12 +169,6 @@
 		zap.Int("task", ord.Task.Index), zap.Uint64("run", ord.Run), zap.String("reason", string(rsn)), zap.Duration("age", age))
 }
 
-func (pro *Process) markChanged(sta *State) {
-	for _, lnk := range sta.Links {
-		lnk.Changed = true
-	}
-}
-
 func (pro *Process) count(sta *State) {
 	add := func(name string, now, before uint64) {
 		if now > before {
--- a/io/rgorders/process.go
+++ b/io/rgorders/process.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// reportInterval is the shortest time between two reports of a load that changes.
-	reportInterval = 25 * time.Millisecond
 	// drainMargin is what is left of the grace time when a planned stop no longer waits for runs.
 	drainMargin = 1500 * time.Millisecond
 	// listInterval is how often the store is asked for entries while none is connected.
@@ -39,11 +37,6 @@
 		Outbox  *rgwire.Outbox
 		// Received is the last ticket that has arrived.
 		Received rgmodel.Ticket
-		// Changed is set while the entry's view of the load is not the newest one.
-		Changed bool
-		// Usable is what the entry knows of the executor.
-		Usable bool
-		Told   time.Time
 		// Described is the executor that the entry knows.
 		Described rgmodel.Executor
 		Ends      []rgmodel.TaskEnd
--- a/io/rgsettings/deployment.go
+++ b/io/rgsettings/deployment.go
@@ -39,6 +39,8 @@
 	Resend         rgmodel.Duration `json:"resend"`
 	TaskStop       rgmodel.Duration `json:"taskStop"`
 	RemoteFactor   float64          `json:"remoteFactor"`
+	// Cores is the part of a processor that the process may use; zero means that it does not matter.
+	Cores float64 `json:"cores"`
 	// MemoryMegabytes is the limit of the process; zero means none.
 	MemoryMegabytes int64 `json:"memoryMegabytes"`
 }
--- a/io/rgwire/order_message.go
+++ b/io/rgwire/order_message.go
@@ -1,6 +1,10 @@
 package rgwire
 
-import "ragwortgap/core/rgmodel"
+import (
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
 
 // Messages between entries and sidecars whose upstreams are driven by orders. All of them are notifications.
 type (
@@ -15,9 +19,11 @@
 		Entry rgmodel.Entry `json:"entry"`
 	}
 
-	// Pulse tells a sidecar that the entry is alive. Entries is set if it has changed.
+	// Pulse tells a sidecar that the entry is alive. Every is how often the entry wants reports of a load that changes.
+	// Entries is set if it has changed.
 	Pulse struct {
 		Issued  rgmodel.Instant `json:"issued"`
+		Every   time.Duration   `json:"every"`
 		Entries []rgmodel.Entry `json:"entries,omitempty"`
 	}
 
@@ -40,9 +46,11 @@
 		Tickets []rgmodel.Ticket `json:"tickets"`
 	}
 
-	// Progress tells an entry what has changed at a sidecar. Executor is set if it has changed.
+	// Progress tells an entry what has changed at a sidecar. Next is the time within which the next one is sent. Executor
+	// is set if it has changed.
 	Progress struct {
 		Clock    rgmodel.Instant     `json:"clock"`
+		Next     time.Duration       `json:"next"`
 		Received rgmodel.Ticket      `json:"received,omitempty"`
 		Executor *rgmodel.Executor   `json:"executor,omitempty"`
 		Load     *rgmodel.RoomReport `json:"load,omitempty"`
