Do not repeat a look that fails at once; count a closed address as an end

A look without an answer is repeated at once. When an executor is taken away nothing listens at its address any more, so that its sidecar asks again and again until the lease has lapsed, for 0.7 s.

Ruled out: starts refused by unhealthy executors (some 600 in the logs), connections that time out (12 starts), the size of the pool.

Change: a look that fails sooner than an executor may hold it back waits for the next tick. Where nothing listens at the address for 50 ms, the executor's process has ended and its tasks are reported as lost, without waiting for the lease. Resets and time-outs of open connections do not count. TestFailedLook failed in four of six cases before.

--- a/core/rgmodel/order.go
+++ b/core/rgmodel/order.go
@@ -118,7 +118,9 @@
 	// OrderReply is what came back of an order. Without an answer, the order may be carried out, now or later.
 	OrderReply struct {
 		Answered bool
-		Refusal  Refusal
+		// Unreachable is set if nothing listens at the executor's address, so that its process has ended.
+		Unreachable bool
+		Refusal     Refusal
 		// Clock and Born are zero if the answer does not have them.
 		Clock   ExecutorTime
 		Born    int64
--- a/core/rgroom/command_executor.go
+++ b/core/rgroom/command_executor.go
@@ -76,6 +76,7 @@
 	sta.Runs = nil
 	sta.Foreign = nil
 	sta.LookSent = time.Time{}
+	sta.UnreachableSince = time.Time{}
 	sta.Lease = 0
 	return efs
 }
--- a/core/rgroom/command_look.go
+++ b/core/rgroom/command_look.go
@@ -29,8 +29,11 @@
 	}
 	sent := sta.LookSent
 	sta.LookSent = time.Time{}
+	if isGone(sta, now, rep) {
+		return leave(sta, rgmodel.ReasonUpstreamUnreach)
+	}
 	if !rep.Answered {
-		if sta.Phase == PhaseFencing {
+		if sta.Phase == PhaseFencing || now.Sub(sent) < lookWait {
 			// The next tick asks again; asking at once would keep both sides busy.
 			return nil
 		}
@@ -60,6 +63,18 @@
 	return append(efs, proceed(sta, now)...)
 }
 
+// isGone takes note of whether anything listens at the executor's address, and says whether its process has ended.
+func isGone(sta *State, now time.Time, rep rgmodel.OrderReply) bool {
+	if !rep.Unreachable {
+		sta.UnreachableSince = time.Time{}
+		return false
+	}
+	if sta.UnreachableSince.IsZero() {
+		sta.UnreachableSince = now
+	}
+	return now.Sub(sta.UnreachableSince) >= goneAfter
+}
+
 func takeEnds(sta *State, now time.Time, ended []rgmodel.EndedRun) []Effect {
 	var efs []Effect
 	for _, row := range ended {
--- /dev/null
+++ b/core/rgroom/look_test.go
@@ -0,0 +1,54 @@
+package rgroom
+
+import (
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+var lookTests = map[string]struct {
+	// took is how long each look took, until it failed in this way.
+	took time.Duration
+	fail rgmodel.OrderReply
+	// looks is how many looks fail; wantAgain says that the next one is sent at once, wantLost that the tasks are lost.
+	looks     int
+	wantAgain bool
+	wantLost  bool
+}{
+	"fails at once":                      {took: time.Millisecond, looks: 1},
+	"fails late":                         {took: lookWait, looks: 1, wantAgain: true},
+	"not listening":                      {took: time.Millisecond, fail: rgmodel.OrderReply{Unreachable: true}, looks: 1},
+	"not listening for some time":        {took: goneAfter, fail: rgmodel.OrderReply{Unreachable: true}, looks: 2, wantLost: true},
+	"not answering for some time":        {took: lookWait, looks: 2, wantAgain: true},
+	"not listening, asked in the moment": {took: time.Millisecond, fail: rgmodel.OrderReply{Unreachable: true}, looks: 2},
+}
+
+// TestFailedLook guards against a sidecar that keeps itself and its executor busy with looks that fail at once, and against
+// tasks that wait for the lease of an executor whose process is gone, or are lost with one that answers late.
+func TestFailedLook(t *testing.T) {
+	for name, tc := range lookTests {
+		t.Run(name, func(t *testing.T) {
+			bnc := newBench(t)
+			bnc.place("job", 1)
+			bnc.starts(bnc.accepted())
+			bnc.take()
+			for range tc.looks {
+				ord := rgmodel.LookOrder{Lifetime: bnc.sta.Executor.Lifetime, Fence: bnc.sta.Fence}
+				bnc.sta.LookSent = bnc.now
+				bnc.now = bnc.now.Add(tc.took)
+				bnc.efs = LookAnswered(&bnc.sta, bnc.now, ord, tc.fail)
+			}
+			if got := !bnc.sta.LookSent.IsZero(); got != tc.wantAgain {
+				t.Errorf("next look is sent at once: %v, want %v", got, tc.wantAgain)
+			}
+			if got := len(bnc.sta.Runs) == 0; got != tc.wantLost {
+				t.Errorf("task is lost: %v, want %v", got, tc.wantLost)
+			}
+			bnc.wait(TickInterval)
+			if bnc.sta.LookSent.IsZero() && !tc.wantLost {
+				t.Error("no look after a tick")
+			}
+		})
+	}
+}
--- a/core/rgroom/room.go
+++ b/core/rgroom/room.go
@@ -22,6 +22,9 @@
 	// lookWait is how long an executor may hold back the list of runs until one ends. It is short, because nothing is
 	// known of any run while the answer to a look is lost.
 	lookWait = 60 * time.Millisecond
+	// goneAfter is how long nothing may listen at the executor's address until its process counts as ended, and its runs
+	// with it.
+	goneAfter = 50 * time.Millisecond
 	// stopRetry is when an unanswered stop is sent again.
 	stopRetry = 100 * time.Millisecond
 	// stopPatience is how long a stop may be unconfirmed before the lease is left to lapse, which ends the run too.
@@ -157,13 +160,15 @@
 		Seen  uint64
 		// LookSent is when the look that is under way was sent; zero if there is none.
 		LookSent time.Time
-		Foreign  map[RunKey]time.Time
-		Runs     map[rgmodel.TaskName]*Run
-		Queue    []Work
-		Links    map[LinkID]*Link
-		Numbers  map[rgmodel.TaskName]Number
-		Stopping bool
-		Health   Health
+		// UnreachableSince is since when nothing listens at the executor's address; zero if something does.
+		UnreachableSince time.Time
+		Foreign          map[RunKey]time.Time
+		Runs             map[rgmodel.TaskName]*Run
+		Queue            []Work
+		Links            map[LinkID]*Link
+		Numbers          map[rgmodel.TaskName]Number
+		Stopping         bool
+		Health           Health
 		// Stretch is the learned ratio of run times to estimates; zero means that none is learned.
 		Stretch float64
 		Counts  Counts
