--- a/io/rgserver/server.go
+++ b/io/rgserver/server.go
@@ -29,8 +29,8 @@
 // connection is an open connection of a caller.
 type connection struct {
 	state http.ConnState
-	// clear is set once a server that ends has found no request on it.
-	clear bool
+	// quiet is set once a server that ends has found no request on it.
+	quiet bool
 }
 
 // Serve answers requests on the address until the server is drained or closed. The header of a request has to arrive within
@@ -95,9 +95,9 @@
 	defer srv.mutex.Unlock()
 	left := 0
 	for con, cur := range srv.conns {
-		clear := cur.state != http.StateActive && !hasUnread(con)
-		if !clear || !cur.clear {
-			srv.conns[con] = connection{state: cur.state, clear: clear}
+		quiet := cur.state != http.StateActive && !hasUnread(con)
+		if !quiet || !cur.quiet {
+			srv.conns[con] = connection{state: cur.state, quiet: quiet}
 			left++
 			continue
 		}
