Learn sooner whether an unanswered start took effect

Such a task waits 100 ms for its answer, then for the look under way (up to 60 ms), then for the next one: about one job of eight tasks in three is late by that.

Ruled out: refused starts; the entries, whose reports were on time.

Change: once the stop of such a run is confirmed, a look that does not wait is sent beside the one under way. An answer that a newer one has overtaken tells ends only.

--- a/core/rgmodel/order.go
+++ b/core/rgmodel/order.go
@@ -99,6 +99,8 @@
 		Lease ExecutorTime
 		// Wait is how long the answer may wait for an end.
 		Wait time.Duration
+		// Sent is when the sidecar sent it.
+		Sent time.Time
 	}
 
 	// RunningRun is a run that an executor lists.
--- a/core/rgroom/command_look.go
+++ b/core/rgroom/command_look.go
@@ -12,14 +12,19 @@
 		return nil
 	}
 	sta.LookSent = now
-	ord := rgmodel.LookOrder{Lifetime: sta.Executor.Lifetime, Fence: sta.Fence, Seen: sta.Seen}
+	ord := newLook(sta, now)
 	if sta.Phase == PhaseServing {
 		ord.Wait = lookWait
 	}
+	return []Effect{Give{Order: ord}}
+}
+
+func newLook(sta *State, now time.Time) rgmodel.LookOrder {
+	ord := rgmodel.LookOrder{Lifetime: sta.Executor.Lifetime, Fence: sta.Fence, Seen: sta.Seen, Sent: now}
 	if renewable(sta, now) {
 		ord.Lease = leaseUntil(sta, now)
 	}
-	return []Effect{Give{Order: ord}}
+	return ord
 }
 
 // LookAnswered takes note of the runs and ends that the executor lists.
@@ -27,13 +32,14 @@
 	if ord.Lifetime != sta.Executor.Lifetime || ord.Fence != sta.Fence {
 		return nil
 	}
-	sent := sta.LookSent
-	sta.LookSent = time.Time{}
+	if ord.Sent.Equal(sta.LookSent) {
+		sta.LookSent = time.Time{}
+	}
 	if isGone(sta, now, rep) {
 		return leave(sta, rgmodel.ReasonUpstreamUnreach)
 	}
 	if !rep.Answered {
-		if sta.Phase == PhaseFencing || now.Sub(sent) < lookWait {
+		if sta.Phase == PhaseFencing || now.Sub(ord.Sent) < lookWait {
 			// The next tick asks again; asking at once would keep both sides busy.
 			return nil
 		}
@@ -42,6 +48,7 @@
 	if rep.Refusal == rgmodel.RefusalLifetime || rep.Born != 0 && rep.Born != ord.Lifetime.Born {
 		return leave(sta, rgmodel.ReasonSidecarLost)
 	}
+	overtaken := rep.Clock < sta.Executor.Clock
 	observe(sta, now, ord.Lifetime, rep)
 	if rep.Refusal == rgmodel.RefusalFenced {
 		return refence(sta, now, rgmodel.ReasonUpstreamRefused)
@@ -50,12 +57,16 @@
 		return nil
 	}
 	sta.Counts.Unreadable += uint64(rep.Unreadable)
+	efs := takeEnds(sta, now, rep.Ended)
+	if overtaken && sta.Phase == PhaseServing {
+		// A newer answer has said more of the runs.
+		return append(efs, proceed(sta, now)...)
+	}
 	listed := make(map[RunKey]bool, len(rep.Running))
 	for _, row := range rep.Running {
 		listed[RunKey{Task: row.Task, Number: row.Run}] = true
 	}
-	efs := takeEnds(sta, now, rep.Ended)
-	efs = append(efs, settle(sta, now, sent, listed)...)
+	efs = append(efs, settle(sta, now, ord.Sent, listed)...)
 	efs = append(efs, stopForeign(sta, now, listed)...)
 	if sta.Phase == PhaseFencing && len(sta.Foreign) == 0 {
 		sta.Phase = PhaseServing
@@ -127,7 +138,7 @@
 			continue
 		}
 		confirmed := run.State == RunRunning && run.Started.Before(sent)
-		stopped := run.State == RunStopping && !run.StopDone.IsZero() && run.StopDone.Before(sent)
+		stopped := run.State == RunStopping && !run.StopDone.IsZero() && !run.StopDone.After(sent)
 		if confirmed || stopped {
 			delete(sta.Runs, tsk)
 			efs = append(efs, end(sta, now, run, rgmodel.EndLost)...)
--- a/core/rgroom/command_run.go
+++ b/core/rgroom/command_run.go
@@ -167,5 +167,10 @@
 		return nil
 	}
 	run.StopDone = now
-	return proceed(sta, now)
+	efs := proceed(sta, now)
+	if run.Again {
+		// The look under way may wait for an end and was sent before, so that it does not tell whether the task may start.
+		efs = append(efs, Give{Order: newLook(sta, now)})
+	}
+	return efs
 }
--- a/core/rgroom/harness_test.go
+++ b/core/rgroom/harness_test.go
@@ -92,13 +92,35 @@
 	return count
 }
 
+// stops answers all stop orders among the effects in the same way, and returns how many looks that leads to.
+func (bnc *bench) stops(rep rgmodel.OrderReply) int {
+	looks := 0
+	for _, eff := range bnc.take() {
+		giv, ok := eff.(Give)
+		if !ok {
+			continue
+		}
+		if ord, ok := giv.Order.(rgmodel.StopOrder); ok {
+			bnc.efs = append(bnc.efs, StopAnswered(&bnc.sta, bnc.now, ord, rep)...)
+		}
+	}
+	for _, eff := range bnc.efs {
+		if giv, ok := eff.(Give); ok {
+			if ord, ok := giv.Order.(rgmodel.LookOrder); ok && ord.Wait == 0 {
+				looks++
+			}
+		}
+	}
+	return looks
+}
+
 // look answers the look that is under way.
 func (bnc *bench) look(t *testing.T, running []rgmodel.RunningRun, ended []rgmodel.EndedRun) {
 	t.Helper()
 	if bnc.sta.LookSent.IsZero() {
 		t.Fatal("no look under way")
 	}
-	ord := rgmodel.LookOrder{Lifetime: bnc.sta.Executor.Lifetime, Fence: bnc.sta.Fence}
+	ord := rgmodel.LookOrder{Lifetime: bnc.sta.Executor.Lifetime, Fence: bnc.sta.Fence, Sent: bnc.sta.LookSent}
 	rep := rgmodel.OrderReply{Answered: true, Clock: bnc.clock(), Born: ord.Lifetime.Born, Running: running, Ended: ended}
 	bnc.efs = append(bnc.efs, LookAnswered(&bnc.sta, bnc.now, ord, rep)...)
 }
--- a/core/rgroom/look_test.go
+++ b/core/rgroom/look_test.go
@@ -34,7 +34,7 @@
 			bnc.starts(bnc.accepted())
 			bnc.take()
 			for range tc.looks {
-				ord := rgmodel.LookOrder{Lifetime: bnc.sta.Executor.Lifetime, Fence: bnc.sta.Fence}
+				ord := rgmodel.LookOrder{Lifetime: bnc.sta.Executor.Lifetime, Fence: bnc.sta.Fence, Sent: bnc.now}
 				bnc.sta.LookSent = bnc.now
 				bnc.now = bnc.now.Add(tc.took)
 				bnc.efs = LookAnswered(&bnc.sta, bnc.now, ord, tc.fail)
@@ -52,3 +52,39 @@
 		})
 	}
 }
+
+// TestUnansweredStart guards against a task that waits long for the certainty that its first start takes no effect, and
+// against one that is started again without it.
+func TestUnansweredStart(t *testing.T) {
+	tests := map[string]struct {
+		// effective says that the first start was carried out; lost that the answer to the stop is lost.
+		effective bool
+		lost      bool
+		wantStart bool
+	}{
+		"no effect":             {wantStart: true},
+		"it has run":            {effective: true},
+		"stop is not confirmed": {lost: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			bnc := newBench(t)
+			bnc.place("job", 1)
+			bnc.starts(rgmodel.OrderReply{})
+			looks := bnc.stops(rgmodel.OrderReply{Answered: !tc.lost, Clock: bnc.clock()})
+			if (looks > 0) == tc.lost {
+				t.Fatalf("%d looks after the stop", looks)
+			}
+			var running []rgmodel.RunningRun
+			for tsk, run := range bnc.sta.Runs {
+				if tc.effective {
+					running = append(running, rgmodel.RunningRun{Task: tsk, Run: run.Number})
+				}
+			}
+			bnc.look(t, running, nil)
+			if got := bnc.starts(bnc.accepted()) > 0; got != tc.wantStart {
+				t.Errorf("started again: %v, want %v", got, tc.wantStart)
+			}
+		})
+	}
+}
