Keep two looks under way while orders are left unanswered

Cause: while one order in twenty is left unanswered (applied late), so is one look in twenty. Each one hides all runs of its executor for 100 ms, and an executor is looked at 40 times a second: a fifth of the time no end is seen, and few jobs of eight tasks end without such a wait.

Change: for 3 s after an order without an answer, two looks are under way at a time.

--- a/core/rgroom/command_executor.go
+++ b/core/rgroom/command_executor.go
@@ -75,7 +75,7 @@
 	}
 	sta.Runs = nil
 	sta.Foreign = nil
-	sta.LookSent = time.Time{}
+	sta.Looks = nil
 	sta.UnreachableSince = time.Time{}
 	sta.Lease = 0
 	return efs
--- a/core/rgroom/command_look.go
+++ b/core/rgroom/command_look.go
@@ -1,22 +1,35 @@
 package rgroom
 
 import (
+	"slices"
 	"time"
 
 	"ragwortgap/core/rgmodel"
 )
 
-// look sends a look at the executor unless one is under way or there is nothing to see.
+// look keeps looks at the executor under way as long as there is something to see.
 func look(sta *State, now time.Time) []Effect {
-	if !sta.LookSent.IsZero() || sta.Phase == PhaseAbsent || sta.Phase == PhaseServing && len(sta.Runs) == 0 && len(sta.Foreign) == 0 {
+	if sta.Phase == PhaseAbsent || sta.Phase == PhaseServing && len(sta.Runs) == 0 && len(sta.Foreign) == 0 {
 		return nil
 	}
-	sta.LookSent = now
-	ord := newLook(sta, now)
-	if sta.Phase == PhaseServing {
-		ord.Wait = lookWait
+	var efs []Effect
+	for len(sta.Looks) < looksWanted(sta, now) {
+		ord := newLook(sta, now)
+		if sta.Phase == PhaseServing {
+			ord.Wait = lookWait
+		}
+		sta.Looks = append(sta.Looks, now)
+		efs = append(efs, Give{Order: ord})
+	}
+	return efs
+}
+
+// looksWanted returns how many looks are to be under way.
+func looksWanted(sta *State, now time.Time) int {
+	if sta.Phase == PhaseServing && !sta.Unanswered.IsZero() && now.Sub(sta.Unanswered) < spareLookTime {
+		return 2
 	}
-	return []Effect{Give{Order: ord}}
+	return 1
 }
 
 func newLook(sta *State, now time.Time) rgmodel.LookOrder {
@@ -32,13 +45,14 @@
 	if ord.Lifetime != sta.Executor.Lifetime || ord.Fence != sta.Fence {
 		return nil
 	}
-	if ord.Sent.Equal(sta.LookSent) {
-		sta.LookSent = time.Time{}
+	if at := slices.IndexFunc(sta.Looks, ord.Sent.Equal); at >= 0 {
+		sta.Looks = slices.Delete(sta.Looks, at, at+1)
 	}
 	if isGone(sta, now, rep) {
 		return leave(sta, rgmodel.ReasonUpstreamUnreach)
 	}
 	if !rep.Answered {
+		sta.Unanswered = now
 		if sta.Phase == PhaseFencing || now.Sub(ord.Sent) < lookWait {
 			// The next tick asks again; asking at once would keep both sides busy.
 			return nil
--- a/core/rgroom/command_run.go
+++ b/core/rgroom/command_run.go
@@ -104,6 +104,7 @@
 	}
 	if !rep.Answered {
 		// The order may be carried out yet. A confirmed stop excludes that, and then the task may be started anew.
+		sta.Unanswered = now
 		run.Again = run.State != RunStopping
 		return stop(sta, now, run, rgmodel.ReasonUpstreamTimeout)
 	}
--- a/core/rgroom/harness_test.go
+++ b/core/rgroom/harness_test.go
@@ -117,10 +117,10 @@
 // look answers the look that is under way.
 func (bnc *bench) look(t *testing.T, running []rgmodel.RunningRun, ended []rgmodel.EndedRun) {
 	t.Helper()
-	if bnc.sta.LookSent.IsZero() {
+	if len(bnc.sta.Looks) == 0 {
 		t.Fatal("no look under way")
 	}
-	ord := rgmodel.LookOrder{Lifetime: bnc.sta.Executor.Lifetime, Fence: bnc.sta.Fence, Sent: bnc.sta.LookSent}
+	ord := rgmodel.LookOrder{Lifetime: bnc.sta.Executor.Lifetime, Fence: bnc.sta.Fence, Sent: bnc.sta.Looks[0]}
 	rep := rgmodel.OrderReply{Answered: true, Clock: bnc.clock(), Born: ord.Lifetime.Born, Running: running, Ended: ended}
 	bnc.efs = append(bnc.efs, LookAnswered(&bnc.sta, bnc.now, ord, rep)...)
 }
--- a/core/rgroom/look_test.go
+++ b/core/rgroom/look_test.go
@@ -35,24 +35,55 @@
 			bnc.take()
 			for range tc.looks {
 				ord := rgmodel.LookOrder{Lifetime: bnc.sta.Executor.Lifetime, Fence: bnc.sta.Fence, Sent: bnc.now}
-				bnc.sta.LookSent = bnc.now
+				bnc.sta.Looks = []time.Time{bnc.now}
 				bnc.now = bnc.now.Add(tc.took)
 				bnc.efs = LookAnswered(&bnc.sta, bnc.now, ord, tc.fail)
 			}
-			if got := !bnc.sta.LookSent.IsZero(); got != tc.wantAgain {
+			if got := len(bnc.sta.Looks) > 0; got != tc.wantAgain {
 				t.Errorf("next look is sent at once: %v, want %v", got, tc.wantAgain)
 			}
 			if got := len(bnc.sta.Runs) == 0; got != tc.wantLost {
 				t.Errorf("task is lost: %v, want %v", got, tc.wantLost)
 			}
 			bnc.wait(TickInterval)
-			if bnc.sta.LookSent.IsZero() && !tc.wantLost {
+			if len(bnc.sta.Looks) == 0 && !tc.wantLost {
 				t.Error("no look after a tick")
 			}
 		})
 	}
 }
 
+// TestSpareLook guards against an end that is not seen for a while because the answer to the only look is lost, and against
+// twice the looks at an executor that answers them.
+func TestSpareLook(t *testing.T) {
+	tests := map[string]struct {
+		lost bool
+		want int
+	}{
+		"answers":  {want: 1},
+		"one lost": {lost: true, want: 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			bnc := newBench(t)
+			bnc.place("job", 1)
+			bnc.starts(bnc.accepted())
+			for range 2 {
+				ord := rgmodel.LookOrder{Lifetime: bnc.sta.Executor.Lifetime, Fence: bnc.sta.Fence, Sent: bnc.sta.Looks[0]}
+				bnc.now = bnc.now.Add(lookWait)
+				rep := rgmodel.OrderReply{Answered: !tc.lost, Clock: bnc.clock()}
+				for tsk, run := range bnc.sta.Runs {
+					rep.Running = append(rep.Running, rgmodel.RunningRun{Task: tsk, Run: run.Number})
+				}
+				LookAnswered(&bnc.sta, bnc.now, ord, rep)
+			}
+			if len(bnc.sta.Looks) != tc.want {
+				t.Errorf("%d looks under way, want %d", len(bnc.sta.Looks), tc.want)
+			}
+		})
+	}
+}
+
 // TestUnansweredStart guards against a task that waits long for the certainty that its first start takes no effect, and
 // against one that is started again without it.
 func TestUnansweredStart(t *testing.T) {
--- a/core/rgroom/room.go
+++ b/core/rgroom/room.go
@@ -22,6 +22,9 @@
 	// lookWait is how long an executor may hold back the list of runs until one ends. It is short, because nothing is
 	// known of any run while the answer to a look is lost.
 	lookWait = 60 * time.Millisecond
+	// spareLookTime is how long after an order without an answer two looks are under way at a time. Nothing is known of any
+	// run while the only one is lost.
+	spareLookTime = 3 * time.Second
 	// goneAfter is how long nothing may listen at the executor's address until its process counts as ended, and its runs
 	// with it.
 	goneAfter = 50 * time.Millisecond
@@ -158,8 +161,10 @@
 		// Lease is the latest lease that any order has carried.
 		Lease rgmodel.ExecutorTime
 		Seen  uint64
-		// LookSent is when the look that is under way was sent; zero if there is none.
-		LookSent time.Time
+		// Looks holds when the looks that are under way were sent.
+		Looks []time.Time
+		// Unanswered is when an order was last left without an answer.
+		Unanswered time.Time
 		// UnreachableSince is since when nothing listens at the executor's address; zero if something does.
 		UnreachableSince time.Time
 		Foreign          map[RunKey]time.Time
