Return a task at once where it would wait longer than its entry expected

Several entries see the same free room and all place tasks on it.

Change: a task is placed with a patience. A sidecar on which it would wait longer returns it with its load, and the entry places it anew, at most twice; then it is queued. TestPatience and TestMoves are new.

--- a/core/rgdispatch/command_job.go
+++ b/core/rgdispatch/command_job.go
@@ -165,6 +165,9 @@
 		}
 	case rgmodel.EndLost, rgmodel.EndReturned:
 		avoid(tsk, sidecar)
+		if end.Reason == rgmodel.ReasonExpectedWait {
+			tsk.Moves++
+		}
 	}
 	return resume(sta, now, jb, end.Reason)
 }
--- a/core/rgdispatch/command_place.go
+++ b/core/rgdispatch/command_place.go
@@ -35,7 +35,7 @@
 		plc.Tasks = append(plc.Tasks, rgmodel.PlacedTask{
 			Ticket:   mem.Tickets,
 			Name:     rgmodel.TaskName{Job: jb.Request.ID, Step: cho.step, Index: cho.index},
-			Estimate: estimateAt(sta, stp, mem),
+			Estimate: estimateAt(sta, stp, mem), Patience: patience(tsk, cho),
 		})
 	}
 	efs := make([]Effect, 0, len(order))
@@ -45,6 +45,15 @@
 	return efs
 }
 
+// patience returns how long a task may wait where it is placed before it is better placed anew. What an entry knows of a
+// sidecar is some time old, and other entries place tasks there too.
+func patience(tsk *Task, cho choice) time.Duration {
+	if tsk.Moves >= mostMoves {
+		return 0
+	}
+	return cho.wait + max(leastPatience, cho.left/2)
+}
+
 func placement(now time.Time, jb *Job, mem *Member, step int) *rgmodel.Placement {
 	ins := Issued(mem, now)
 	return &rgmodel.Placement{
--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -37,6 +37,10 @@
 	deadlineMargin = 2
 	// similarRun is the factor up to which executors count as about as slow. What is learned of them varies by as much.
 	similarRun = 1.25
+	// mostMoves is how often a task is placed anew because it would wait longer than expected. After that it is queued.
+	mostMoves = 2
+	// leastPatience is how much longer than expected a task may wait without being placed anew, which takes about as long.
+	leastPatience = 10 * time.Millisecond
 	// distantCost is how much earlier a task has to end in another zone to be placed there: messages take longer, and what
 	// is known of its sidecars is older.
 	distantCost = 15 * time.Millisecond
@@ -105,6 +109,8 @@
 		Sidecar  string
 		Ticket   rgmodel.Ticket
 		Failures int
+		// Moves counts how often a sidecar has returned it because it would wait too long there.
+		Moves int
 		// HeldUntil is when a held task has ended for certain.
 		HeldUntil time.Time
 		// Avoid holds the sidecars that have failed or returned it.
--- a/core/rgdispatch/harness_test.go
+++ b/core/rgdispatch/harness_test.go
@@ -83,11 +83,45 @@
 	return tks
 }
 
+// lastPlaced returns the last task that was placed.
+func (bnc *bench) lastPlaced() rgmodel.PlacedTask {
+	var last rgmodel.PlacedTask
+	for _, eff := range bnc.efs {
+		if snd, ok := eff.(Send); ok {
+			last = snd.Placement.Tasks[len(snd.Placement.Tasks)-1]
+		}
+	}
+	return last
+}
+
+// busyReport is the report of a sidecar with 8 cores on which every task waits for a while.
+func busyReport(stretch float64, wait time.Duration) rgmodel.RoomReport {
+	rep := rgmodel.RoomReport{
+		Stretch: stretch, Usable: true, Room: rgmodel.Resources{Cores: 8}, Used: rgmodel.Resources{Cores: 8},
+	}
+	for range len(rgmodel.WaitSlacks) + 1 {
+		rep.Waits = append(rep.Waits, wait)
+	}
+	return rep
+}
+
+// allBusy reports that every task would wait for a second everywhere.
+func (bnc *bench) allBusy() {
+	for lnk := range bnc.sta.Members {
+		bnc.report(lnk, busyReport(1, time.Second))
+	}
+}
+
 // end reports the ends of all tickets.
 func (bnc *bench) end(tks map[LinkID][]rgmodel.Ticket, how rgmodel.EndKind) {
+	bnc.endFor(tks, how, "")
+}
+
+func (bnc *bench) endFor(tks map[LinkID][]rgmodel.Ticket, how rgmodel.EndKind, rsn rgmodel.Reason) {
 	for lnk, all := range tks {
 		for _, tkt := range all {
-			bnc.efs = append(bnc.efs, Finish(&bnc.sta, bnc.now, lnk, []rgmodel.TaskEnd{{Ticket: tkt, How: how}})...)
+			end := rgmodel.TaskEnd{Ticket: tkt, How: how, Reason: rsn}
+			bnc.efs = append(bnc.efs, Finish(&bnc.sta, bnc.now, lnk, []rgmodel.TaskEnd{end})...)
 		}
 	}
 }
--- a/core/rgdispatch/job_test.go
+++ b/core/rgdispatch/job_test.go
@@ -1,6 +1,7 @@
 package rgdispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -188,10 +189,7 @@
 // TestNearPlacement guards against traffic between zones that nothing is won by, and against a queue in the own zone while
 // another one has room.
 func TestNearPlacement(t *testing.T) {
-	busy := rgmodel.RoomReport{Stretch: 1, Usable: true, Room: rgmodel.Resources{Cores: 8}, Used: rgmodel.Resources{Cores: 8}}
-	for range len(rgmodel.WaitSlacks) + 1 {
-		busy.Waits = append(busy.Waits, time.Second)
-	}
+	busy := busyReport(1, time.Second)
 	tests := map[string]struct {
 		near *rgmodel.RoomReport
 		want string
@@ -218,6 +216,44 @@
 	}
 }
 
+// TestMoves guards against a task that is sent from sidecar to sidecar without end, and against a job that is said to have
+// run although every sidecar has returned its only task.
+func TestMoves(t *testing.T) {
+	tests := map[string]struct {
+		returns int
+		busy    bool
+		want    string
+	}{
+		"moved once":           {returns: 1, want: "1:ranOK: "},
+		"moved often":          {returns: mostMoves, want: "1:ranOK: "},
+		"busy, moved nowhere":  {returns: 1, busy: true, want: "1:notRun:expectedWait "},
+		"placed without moves": {want: "1:ranOK: "},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			bnc := newBench()
+			for i := range mostMoves + 1 {
+				bnc.sidecar(fmt.Sprintf("side-%d", i), 1)
+			}
+			bnc.submit(1, request("job", 1, 100*time.Millisecond))
+			for range tc.returns {
+				if tc.busy {
+					bnc.allBusy()
+				}
+				bnc.endFor(bnc.placed(), rgmodel.EndReturned, rgmodel.ReasonExpectedWait)
+			}
+			if jb := bnc.sta.Jobs["job"]; jb != nil {
+				last := bnc.lastPlaced()
+				if got := last.Patience > 0; got == (tc.returns == mostMoves) {
+					t.Errorf("patience %v after %d moves", last.Patience, tc.returns)
+				}
+			}
+			bnc.end(bnc.placed(), rgmodel.EndDone)
+			wantAnswers(t, bnc, tc.want)
+		})
+	}
+}
+
 // TestAntiAffinity guards against more tasks of a step on one executor than the job allows.
 func TestAntiAffinity(t *testing.T) {
 	bnc := newBench()
--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -13,6 +13,9 @@
 		link  LinkID
 		step  int
 		index int
+		// wait is how long the task is expected to wait, left how much time there is then until it is late.
+		wait time.Duration
+		left time.Duration
 	}
 
 	// seat is a sidecar that may run tasks of a step, with the tasks that the plan has given it.
@@ -62,7 +65,9 @@
 			}
 			sea.count++
 			taken[sea.link] += stp.Needs.Cores
-			pln = append(pln, choice{link: sea.link, step: i, index: j})
+			pln = append(pln, choice{
+				link: sea.link, step: i, index: j, wait: end - sea.run - networkTime, left: jb.InTime.Sub(now) - end,
+			})
 		}
 	}
 	return pln, ""
--- a/core/rgmodel/placement.go
+++ b/core/rgmodel/placement.go
@@ -14,6 +14,9 @@
 		Ticket   Ticket        `json:"ticket"`
 		Name     TaskName      `json:"name"`
 		Estimate time.Duration `json:"estimate"`
+		// Patience is how long the task may have to wait; if it would be longer, it is returned at once. Zero means that it
+		// is queued in any case.
+		Patience time.Duration `json:"patience,omitempty"`
 	}
 
 	// Placement is the part of a step that a sidecar is to run.
--- a/core/rgroom/command_link.go
+++ b/core/rgroom/command_link.go
@@ -42,6 +42,12 @@
 			efs = append(efs, tell(sta, wrk, rgmodel.EndReturned, rsn, 0))
 			continue
 		}
+		if tsk.Patience > 0 && waitOf(sta, now, wrk) > tsk.Patience {
+			efs = append(efs, tell(sta, wrk, rgmodel.EndReturned, rgmodel.ReasonExpectedWait, 0))
+			// The entry decides anew, by the load of this moment.
+			sta.Links[id].Stale = true
+			continue
+		}
 		enqueue(sta, now, wrk)
 	}
 	return append(efs, proceed(sta, now)...)
--- a/core/rgroom/command_report.go
+++ b/core/rgroom/command_report.go
@@ -58,7 +58,7 @@
 			}
 			rep := *load
 			rep.Cleared = isCleared(sta, id)
-			lnk.Usable, lnk.Cleared, lnk.Changed, lnk.Loaded = rep.Usable, rep.Cleared, false, now
+			lnk.Usable, lnk.Cleared, lnk.Changed, lnk.Stale, lnk.Loaded = rep.Usable, rep.Cleared, false, false, now
 			not.Load = &rep
 		}
 		lnk.Told = now
@@ -71,7 +71,7 @@
 // too, and an entry that is not told places nothing there any more.
 func loadDue(sta *State, lnk *Link, now time.Time, id LinkID) bool {
 	switch {
-	case lnk.Usable != Usable(sta, now):
+	case lnk.Usable != Usable(sta, now), lnk.Stale:
 		return true
 	case !lnk.Changed:
 		return false
--- /dev/null
+++ b/core/rgroom/patience_test.go
@@ -0,0 +1,56 @@
+package rgroom
+
+import (
+	"testing"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// TestPatience guards against a task that waits here although its entry expected none of it and other executors have room,
+// and against one that is sent away although it can start.
+func TestPatience(t *testing.T) {
+	tests := map[string]struct {
+		running   int
+		patience  time.Duration
+		wantStart bool
+		wantQueue bool
+	}{
+		"room":                         {running: 7, patience: time.Millisecond, wantStart: true},
+		"no room":                      {running: 8, patience: 10 * time.Millisecond},
+		"no room, a wait was expected": {running: 8, patience: 200 * time.Millisecond, wantQueue: true},
+		"no room, moved often enough":  {running: 8, wantQueue: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			bnc := newBench(t)
+			bnc.place("running", tc.running)
+			bnc.starts(bnc.accepted())
+			bnc.take()
+			bnc.efs = Place(&bnc.sta, bnc.now, benchLink, rgmodel.Placement{
+				Issued: rgmodel.InstantOf(bnc.now), Deadline: rgmodel.InstantOf(bnc.now.Add(2 * time.Second)), Service: "desk",
+				Slack: 500 * time.Millisecond, Needs: rgmodel.Resources{Cores: 1}, Tasks: []rgmodel.PlacedTask{{
+					Ticket: 1, Name: rgmodel.TaskName{Job: "job"}, Estimate: 100 * time.Millisecond, Patience: tc.patience,
+				}},
+			})
+			returned := false
+			for _, eff := range bnc.efs {
+				tel, ok := eff.(Tell)
+				returned = returned || ok && tel.End.How == rgmodel.EndReturned && tel.End.Reason == rgmodel.ReasonExpectedWait
+			}
+			if returned == (tc.wantStart || tc.wantQueue) {
+				t.Errorf("returned: %v", returned)
+			}
+			if got := bnc.starts(bnc.accepted()) > 0; got != tc.wantStart {
+				t.Errorf("started: %v, want %v", got, tc.wantStart)
+			}
+			if got := len(bnc.sta.Queue) > 0; got != tc.wantQueue {
+				t.Errorf("queued: %v, want %v", got, tc.wantQueue)
+			}
+			nots := Notify(&bnc.sta, bnc.now, nil)
+			if told := len(nots) > 0 && nots[0].Load != nil; returned && !told {
+				t.Error("the entry is not told of the load that made the task wait")
+			}
+		})
+	}
+}
--- a/core/rgroom/room.go
+++ b/core/rgroom/room.go
@@ -127,6 +127,8 @@
 		Loaded time.Time
 		// Changed is set while the entry's view of the load is not the newest one.
 		Changed bool
+		// Stale is set once the entry has placed a task by a load that is not true any more.
+		Stale bool
 		// Usable and Cleared are what the entry knows of the executor.
 		Usable  bool
 		Cleared bool
