Return late tasks that have waited long in a queue

Ruled out: lost or unanswered orders (one of six); failures (none).

Change: a queued task that is late is returned after 200 ms and placed anew. TestQueuePatience is new.

--- a/core/rgroom/command_link.go
+++ b/core/rgroom/command_link.go
@@ -35,7 +35,7 @@
 	rsn, ok := acceptable(sta, now, id, plc)
 	for _, tsk := range plc.Tasks {
 		wrk := Work{
-			Task: tsk, Link: id, Priority: plc.Priority, Needs: plc.Needs, Spec: plc.Spec,
+			Task: tsk, Link: id, Queued: now, Priority: plc.Priority, Needs: plc.Needs, Spec: plc.Spec,
 			Deadline: plc.Deadline.Time(), InTime: plc.Issued.Time().Add(plc.Slack),
 		}
 		if !ok {
--- a/core/rgroom/command_tick.go
+++ b/core/rgroom/command_tick.go
@@ -30,7 +30,7 @@
 	return append(efs, proceed(sta, now)...)
 }
 
-// expire returns queued tasks that can no longer end in time.
+// expire returns queued tasks that can no longer end before their deadline, and those that are late and have waited long.
 func expire(sta *State, now time.Time) []Effect {
 	var efs []Effect
 	kept := sta.Queue[:0]
@@ -39,6 +39,10 @@
 			efs = append(efs, tell(sta, wrk, rgmodel.EndReturned, rgmodel.ReasonExpired, 0))
 			continue
 		}
+		if latestStart(sta, wrk).Before(now) && now.Sub(wrk.Queued) >= queuePatience {
+			efs = append(efs, tell(sta, wrk, rgmodel.EndReturned, rgmodel.ReasonExpectedWait, 0))
+			continue
+		}
 		kept = append(kept, wrk)
 	}
 	sta.Queue = kept
--- a/core/rgroom/patience_test.go
+++ b/core/rgroom/patience_test.go
@@ -54,3 +54,34 @@
 		})
 	}
 }
+
+// TestQueuePatience guards against a late task that waits for its deadline behind others while there is room elsewhere, and
+// against one in time that loses its place.
+func TestQueuePatience(t *testing.T) {
+	tests := map[string]struct {
+		slack, waits time.Duration
+		want         bool
+	}{
+		"late, waits long":     {slack: 50 * time.Millisecond, waits: queuePatience + TickInterval, want: true},
+		"late, waits a little": {slack: 50 * time.Millisecond, waits: queuePatience - TickInterval},
+		"in time, waits long":  {slack: time.Second, waits: queuePatience + TickInterval},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			bnc := newBench(t)
+			bnc.place("running", 8)
+			bnc.starts(bnc.accepted())
+			bnc.take()
+			bnc.efs = Place(&bnc.sta, bnc.now, benchLink, rgmodel.Placement{
+				Issued: rgmodel.InstantOf(bnc.now), Deadline: rgmodel.InstantOf(bnc.now.Add(2 * time.Second)), Service: "desk",
+				Slack: tc.slack, Needs: rgmodel.Resources{Cores: 1}, Tasks: []rgmodel.PlacedTask{{
+					Ticket: 1, Name: rgmodel.TaskName{Job: "job"}, Estimate: 100 * time.Millisecond,
+				}},
+			})
+			bnc.wait(tc.waits)
+			if got := len(bnc.sta.Queue) == 0; got != tc.want {
+				t.Errorf("returned: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/core/rgroom/room.go
+++ b/core/rgroom/room.go
@@ -34,6 +34,9 @@
 	stopPatience = 250 * time.Millisecond
 	// MaxOrderAge is the oldest placement that is accepted. It covers a round trip between zones and a busy entry.
 	MaxOrderAge = 300 * time.Millisecond
+	// queuePatience is how long a task that is late waits here before it may try its luck elsewhere. Behind tasks that can
+	// be in time, it could wait until its deadline while other executors have room.
+	queuePatience = 200 * time.Millisecond
 	// numberTries bounds how often a run number that was used before is raised.
 	numberTries = 8
 	// numberMemory is how long the run numbers of a task are remembered.
@@ -90,6 +93,7 @@
 	Work struct {
 		Task     rgmodel.PlacedTask
 		Link     LinkID
+		Queued   time.Time
 		Priority int
 		Needs    rgmodel.Resources
 		Spec     string
