Report a task as lost only when no new lifetime can be running it

An executor starts again under its id. Starts that the sidecar sends before it knows are carried out by the new lifetime; their answers name another birth and are dropped. The next look shows the new birth, the sidecar reports all tasks as lost, the entry places them elsewhere, and they run twice until the new lifetime has reported and its foreign runs are stopped (140 ms in the traces, up to one report interval).

Ruled out: the header of the intended lifetime, which holds the id alone; late orders on the same lifetime, which find their lease lapsed; resends of callers (the doubled tasks belonged to attempts in progress).

Change: tasks whose start the lost lifetime has not confirmed are kept in doubt until the sidecar is in control of the executor and nothing foreign is left there, or until the longest lease is over. If another process has fenced the sidecar off, all its runs are. Beside it, by reading: the lease is not renewed at all while the stop of a run of a lost entry is unconfirmed; the 250 ms of patience came on top of the silence before, and the sum exceeded the time until a caller sends its job again. TestRenewal failed for it before. Entries can advertise another address than they listen on.

--- a/core/rgroom/command_executor.go
+++ b/core/rgroom/command_executor.go
@@ -29,7 +29,11 @@
 		}
 		return proceed(sta, now)
 	default:
-		efs := forget(sta, rgmodel.ReasonSidecarLost)
+		doubted := unconfirmed
+		if exe.Lifetime.ID != cur.ID {
+			doubted = none
+		}
+		efs := forget(sta, now, rgmodel.ReasonSidecarLost, doubted)
 		sta.Executor = exe
 		sta.ClockAt = now
 		sta.Stretch = 0
@@ -39,11 +43,11 @@
 }
 
 // Depart takes note that a lifetime has ended as planned.
-func Depart(sta *State, id string) []Effect {
+func Depart(sta *State, now time.Time, id string) []Effect {
 	if sta.Phase == PhaseAbsent || sta.Executor.Lifetime.ID != id {
 		return nil
 	}
-	return leave(sta, rgmodel.ReasonDraining)
+	return leave(sta, now, rgmodel.ReasonDraining, unconfirmed)
 }
 
 // fence makes orders of earlier processes void and asks for their runs. The executor's own clock gives a fence that is
@@ -57,20 +61,30 @@
 }
 
 // leave waits for the next lifetime, because the current one is over.
-func leave(sta *State, rsn rgmodel.Reason) []Effect {
+func leave(sta *State, now time.Time, rsn rgmodel.Reason, doubted func(*Run) bool) []Effect {
 	sta.Phase = PhaseAbsent
-	return forget(sta, rsn)
+	return forget(sta, now, rsn, doubted)
 }
 
 // refence takes control of the same lifetime anew, when what runs there is no longer known or goes on no longer.
-func refence(sta *State, now time.Time, rsn rgmodel.Reason) []Effect {
-	return append(forget(sta, rsn), fence(sta, now)...)
+func refence(sta *State, now time.Time, rsn rgmodel.Reason, doubted func(*Run) bool) []Effect {
+	return append(forget(sta, now, rsn, doubted), fence(sta, now)...)
 }
 
-// forget drops everything that ran or waited on a lifetime that is over.
-func forget(sta *State, rsn rgmodel.Reason) []Effect {
+// none, all and unconfirmed say which runs may go on although their lifetime is over or out of control. An executor that has
+// started again under its id carries out starts that were meant for its last lifetime.
+func none(*Run) bool            { return false }
+func all(*Run) bool             { return true }
+func unconfirmed(run *Run) bool { return !run.Confirmed }
+
+// forget drops everything that ran or waited on a lifetime that is over. Runs that are doubted are reported later.
+func forget(sta *State, now time.Time, rsn rgmodel.Reason, doubted func(*Run) bool) []Effect {
 	efs := returnQueue(sta, rsn)
 	for _, run := range sta.Runs {
+		if doubted(run) {
+			sta.Doubts = append(sta.Doubts, Doubt{Work: run.Work, Reason: rsn, Until: now.Add(longestRun(sta))})
+			continue
+		}
 		efs = append(efs, tell(sta, run.Work, rgmodel.EndLost, rsn, 0))
 	}
 	sta.Runs = nil
@@ -81,6 +95,23 @@
 	return efs
 }
 
+// resolve reports the doubted tasks that have ended for certain: all of them once the sidecar is in control of the executor
+// and nothing that it has not started is left there.
+func resolve(sta *State, now time.Time) []Effect {
+	var efs []Effect
+	controlled := sta.Phase == PhaseServing && len(sta.Foreign) == 0
+	kept := sta.Doubts[:0]
+	for _, dbt := range sta.Doubts {
+		if !controlled && now.Before(dbt.Until) {
+			kept = append(kept, dbt)
+			continue
+		}
+		efs = append(efs, tell(sta, dbt.Work, rgmodel.EndLost, dbt.Reason, 0))
+	}
+	sta.Doubts = kept
+	return efs
+}
+
 func returnQueue(sta *State, rsn rgmodel.Reason) []Effect {
 	efs := make([]Effect, 0, len(sta.Queue))
 	for _, wrk := range sta.Queue {
--- a/core/rgroom/command_look.go
+++ b/core/rgroom/command_look.go
@@ -49,7 +49,7 @@
 		sta.Looks = slices.Delete(sta.Looks, at, at+1)
 	}
 	if isGone(sta, now, rep) {
-		return leave(sta, rgmodel.ReasonUpstreamUnreach)
+		return leave(sta, now, rgmodel.ReasonUpstreamUnreach, unconfirmed)
 	}
 	if !rep.Answered {
 		sta.Unanswered = now
@@ -59,13 +59,16 @@
 		}
 		return look(sta, now)
 	}
-	if rep.Refusal == rgmodel.RefusalLifetime || rep.Born != 0 && rep.Born != ord.Lifetime.Born {
-		return leave(sta, rgmodel.ReasonSidecarLost)
+	if rep.Refusal == rgmodel.RefusalLifetime {
+		return leave(sta, now, rgmodel.ReasonSidecarLost, none)
+	}
+	if rep.Born != 0 && rep.Born != ord.Lifetime.Born {
+		return leave(sta, now, rgmodel.ReasonSidecarLost, unconfirmed)
 	}
 	overtaken := rep.Clock < sta.Executor.Clock
 	observe(sta, now, ord.Lifetime, rep)
 	if rep.Refusal == rgmodel.RefusalFenced {
-		return refence(sta, now, rgmodel.ReasonUpstreamRefused)
+		return refence(sta, now, rgmodel.ReasonUpstreamRefused, all)
 	}
 	if rep.Refusal != rgmodel.RefusalNone {
 		return nil
@@ -85,6 +88,7 @@
 	if sta.Phase == PhaseFencing && len(sta.Foreign) == 0 {
 		sta.Phase = PhaseServing
 	}
+	efs = append(efs, resolve(sta, now)...)
 	return append(efs, proceed(sta, now)...)
 }
 
--- a/core/rgroom/command_run.go
+++ b/core/rgroom/command_run.go
@@ -111,6 +111,7 @@
 	switch rep.Refusal {
 	case rgmodel.RefusalNone:
 		run.Started = now
+		run.Confirmed = true
 		if run.State == RunStarting {
 			run.State = RunRunning
 		}
@@ -121,9 +122,9 @@
 			return give(sta, now, run, 2*run.Number+1)
 		}
 	case rgmodel.RefusalFenced:
-		return refence(sta, now, rgmodel.ReasonUpstreamRefused)
+		return refence(sta, now, rgmodel.ReasonUpstreamRefused, all)
 	case rgmodel.RefusalLifetime:
-		return leave(sta, rgmodel.ReasonSidecarLost)
+		return leave(sta, now, rgmodel.ReasonSidecarLost, none)
 	case rgmodel.RefusalRoom, rgmodel.RefusalUnhealthy:
 		sta.Health.Until = now.Add(refusalPause)
 	case rgmodel.RefusalInvalid:
@@ -161,7 +162,7 @@
 		return nil
 	}
 	if rep.Refusal == rgmodel.RefusalLifetime {
-		return leave(sta, rgmodel.ReasonSidecarLost)
+		return leave(sta, now, rgmodel.ReasonSidecarLost, none)
 	}
 	run := sta.Runs[ord.Task]
 	if run == nil || run.Number != ord.Run || rep.Refusal != rgmodel.RefusalNone {
--- a/core/rgroom/command_tick.go
+++ b/core/rgroom/command_tick.go
@@ -10,7 +10,7 @@
 func Tick(sta *State, now time.Time) []Effect {
 	var efs []Effect
 	if len(sta.Runs) > 0 && lapsed(sta, now) {
-		efs = append(efs, refence(sta, now, rgmodel.ReasonUpstreamUnreach)...)
+		efs = append(efs, refence(sta, now, rgmodel.ReasonUpstreamUnreach, none)...)
 	}
 	silent := map[LinkID]bool{}
 	for id, lnk := range sta.Links {
@@ -27,6 +27,7 @@
 		}
 	}
 	forgetSlowness(sta)
+	efs = append(efs, resolve(sta, now)...)
 	return append(efs, proceed(sta, now)...)
 }
 
--- a/core/rgroom/harness_test.go
+++ b/core/rgroom/harness_test.go
@@ -114,6 +114,26 @@
 	return looks
 }
 
+// refuse lets another lifetime answer the look that is under way, under the same id or under another one.
+func (bnc *bench) refuse(sameID bool) {
+	ord := rgmodel.LookOrder{Lifetime: bnc.sta.Executor.Lifetime, Fence: bnc.sta.Fence, Sent: bnc.sta.Looks[0]}
+	rep := rgmodel.OrderReply{Answered: true, Clock: 1, Born: 2}
+	if !sameID {
+		rep = rgmodel.OrderReply{Answered: true, Refusal: rgmodel.RefusalLifetime}
+	}
+	bnc.efs = append(bnc.efs, LookAnswered(&bnc.sta, bnc.now, ord, rep)...)
+}
+
+// lost says whether the loss of a task was reported since the last call.
+func (bnc *bench) lost() bool {
+	found := false
+	for _, eff := range bnc.take() {
+		tel, ok := eff.(Tell)
+		found = found || ok && tel.End.How == rgmodel.EndLost
+	}
+	return found
+}
+
 // look answers the look that is under way.
 func (bnc *bench) look(t *testing.T, running []rgmodel.RunningRun, ended []rgmodel.EndedRun) {
 	t.Helper()
--- a/core/rgroom/look_test.go
+++ b/core/rgroom/look_test.go
@@ -119,3 +119,32 @@
 		})
 	}
 }
+
+// TestRenewal guards against a run that goes on under a renewed lease until after its caller sends the job again: an entry that
+// is silent has used up a part of that time already, and a lost stop must not add to it.
+func TestRenewal(t *testing.T) {
+	tests := map[string]struct {
+		silent bool
+		after  time.Duration
+		want   bool
+	}{
+		"cancelled a moment ago":       {after: stopPatience / 2, want: true},
+		"cancelled, long unconfirmed":  {after: stopPatience + time.Millisecond},
+		"entry lost, stop unconfirmed": {silent: true, after: time.Millisecond},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			bnc := newBench(t)
+			bnc.place("job", 1)
+			bnc.starts(bnc.accepted())
+			if tc.silent {
+				Part(&bnc.sta, bnc.now, benchLink)
+			} else {
+				Cancel(&bnc.sta, bnc.now, benchLink, []rgmodel.Ticket{rgmodel.Ticket(len("job") * 1000)})
+			}
+			if got := renewable(&bnc.sta, bnc.now.Add(tc.after)); got != tc.want {
+				t.Errorf("lease renewed: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/core/rgroom/query_report.go
+++ b/core/rgroom/query_report.go
@@ -36,7 +36,8 @@
 			return true
 		}
 	}
-	return slices.ContainsFunc(sta.Queue, func(wrk Work) bool { return wrk.Link == id })
+	return slices.ContainsFunc(sta.Queue, func(wrk Work) bool { return wrk.Link == id }) ||
+		slices.ContainsFunc(sta.Doubts, func(dbt Doubt) bool { return dbt.Work.Link == id })
 }
 
 // isCleared says whether no run is left that the entry has placed on an earlier connection.
@@ -49,5 +50,5 @@
 			return false
 		}
 	}
-	return true
+	return !slices.ContainsFunc(sta.Doubts, func(dbt Doubt) bool { return dbt.Work.Link != id && sta.Links[dbt.Work.Link] == nil })
 }
--- a/core/rgroom/query_room.go
+++ b/core/rgroom/query_room.go
@@ -22,6 +22,15 @@
 	return time.Duration(leaseShare * float64(lon))
 }
 
+// longestRun returns how long a run may last that nobody renews.
+func longestRun(sta *State) time.Duration {
+	lon := sta.Limits.LongestLease
+	if lon <= 0 {
+		lon = DefaultLongestLease
+	}
+	return time.Duration(float64(lon)/slowestClock) + sta.Limits.TaskStop
+}
+
 // MaxSilence returns how long an entry may be silent before its tasks are stopped. Even if the stop is lost and only the
 // end of the lease ends them, that is before a caller sends a job again that it believes lost.
 func MaxSilence(sta *State) time.Duration {
@@ -62,10 +71,14 @@
 	return Usable(sta, now) && renewable(sta, now)
 }
 
-// renewable says whether the lease may be renewed: not while a run goes on whose stop stays unconfirmed.
+// renewable says whether the lease may be renewed: not while a run goes on whose stop stays unconfirmed. There is no time to
+// wait for that if the entry is lost, because its caller may send the job again soon.
 func renewable(sta *State, now time.Time) bool {
 	for _, run := range sta.Runs {
-		if run.State == RunStopping && run.StopDone.IsZero() && now.Sub(run.StopAsked) > stopPatience {
+		if run.State != RunStopping || !run.StopDone.IsZero() {
+			continue
+		}
+		if run.Reason == rgmodel.ReasonConnectionLost || now.Sub(run.StopAsked) > stopPatience {
 			return false
 		}
 	}
--- a/core/rgroom/room.go
+++ b/core/rgroom/room.go
@@ -114,12 +114,22 @@
 		StopAsked time.Time
 		StopSent  time.Time
 		StopDone  time.Time
+		// Confirmed is set once the executor has confirmed the start.
+		Confirmed bool
 		// Again is set if the task may be started anew once the run has surely ended.
 		Again bool
 		// Reason is what the entry is told if the run ends by the stop.
 		Reason rgmodel.Reason
 	}
 
+	// Doubt is a task that may be running on a lifetime of the executor that the sidecar is not in control of.
+	Doubt struct {
+		Work   Work
+		Reason rgmodel.Reason
+		// Until is when it has ended for certain.
+		Until time.Time
+	}
+
 	// Link is a connection to an entry.
 	Link struct {
 		// Fresh is a time at which the entry was alive for certain.
@@ -176,10 +186,12 @@
 		Foreign          map[RunKey]time.Time
 		Runs             map[rgmodel.TaskName]*Run
 		Queue            []Work
-		Links            map[LinkID]*Link
-		Numbers          map[rgmodel.TaskName]Number
-		Stopping         bool
-		Health           Health
+		// Doubts holds the tasks of a lost lifetime that may be running yet.
+		Doubts   []Doubt
+		Links    map[LinkID]*Link
+		Numbers  map[rgmodel.TaskName]Number
+		Stopping bool
+		Health   Health
 		// Stretch is the learned ratio of run times to estimates; zero means that none is learned.
 		Stretch float64
 		Counts  Counts
--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -112,6 +112,9 @@
 		settings: set, source: src, log: log, scope: sco, stop: stop,
 		self: rgmodel.Entry{Name: set.Name, Incarnation: uuid.NewString(), Address: adr, AvailabilityZone: set.AvailabilityZone},
 	}
+	if set.AdvertisedAddress != "" {
+		pro.self.Address = set.AdvertisedAddress
+	}
 	pro.traffic.Go(func() { pro.accept(work, lis) })
 	pro.traffic.Go(func() { pro.followConfig(work) })
 	pro.traffic.Go(func() { pro.keepLease(work) })
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -63,7 +63,7 @@
 			pro.announce(work, sta, now, evt.Executor)
 		}
 	case Departed:
-		pro.act(work, sta, rgroom.Depart(&sta.Room, evt.ID))
+		pro.act(work, sta, rgroom.Depart(&sta.Room, now, evt.ID))
 		pro.log.Info("executor has left", zap.String("id", evt.ID))
 		rgroom.MarkChanged(&sta.Room)
 		evt.Reply <- struct{}{}
--- a/io/rgsettings/deployment.go
+++ b/io/rgsettings/deployment.go
@@ -22,6 +22,8 @@
 	AvailabilityZone string `json:"availabilityZone"`
 	// Address is the IP address of the machine.
 	Address string `json:"address"`
+	// AdvertisedAddress is where other processes reach this one, with a port; empty means Address and PeerPort.
+	AdvertisedAddress string `json:"advertisedAddress"`
 	// PeerPort is the same on all machines.
 	PeerPort int `json:"peerPort"`
 	// Seeds are addresses on machines of entries, with any port. They may be stale.
@@ -86,6 +88,7 @@
 		checkName("availabilityZone", set.AvailabilityZone),
 		checkAddresses("seeds", set.Seeds),
 		checkAddress("store", set.Store),
+		checkOptionalAddress("advertisedAddress", set.AdvertisedAddress),
 		checkOptionalAddress("metricsAddress", set.MetricsAddress),
 		checkAtLeast("longestLease", set.LongestLease, 100*time.Millisecond),
 		checkAtLeast("grace", set.Grace, time.Second),
