--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # KNOWN-RED.txt names the tests that fail because of a known fault, in lines "skip: PATTERN".
 SKIP := $(shell sed -n 's/^skip: //p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
 
-.PHONY: build test lint bench run
+.PHONY: build test lint soak bench run
 
 build:
 	go build -o ragwortgap .
@@ -19,6 +19,10 @@
 	$(TOOLS)/staticcheck ./...
 	$(TOOLS)/revive -config revive.toml -set_exit_status ./...
 
+# soak runs COUNT seeds from SEED on, beside each other as the machine allows.
+soak:
+	SOAK_FROM=$(or $(SEED),1) SOAK_COUNT=$(or $(COUNT),1) go test -count=1 -v -timeout 30m -parallel $(or $(JOBS),4) -run TestSoak ./platform
+
 bench:
 	go test -run '^$$' -bench . -benchtime 1x ./...
 
