--- a/core/rgroom/command_executor.go
+++ b/core/rgroom/command_executor.go
@@ -29,11 +29,11 @@
 		}
 		return proceed(sta, now)
 	default:
-		doubted := unconfirmed
+		var los loss = lossRestarted{}
 		if exe.Lifetime.ID != cur.ID {
-			doubted = none
+			los = lossEnded{}
 		}
-		efs := forget(sta, now, rgmodel.ReasonSidecarLost, doubted)
+		efs := forget(sta, now, rgmodel.ReasonSidecarLost, los)
 		sta.Executor = exe
 		sta.ClockAt = now
 		sta.Stretch = 0
@@ -47,7 +47,7 @@
 	if sta.Phase == PhaseAbsent || sta.Executor.Lifetime.ID != id {
 		return nil
 	}
-	return leave(sta, now, rgmodel.ReasonDraining, unconfirmed)
+	return leave(sta, now, rgmodel.ReasonDraining, lossRestarted{})
 }
 
 // fence makes orders of earlier processes void and asks for their runs. The executor's own clock gives a fence that is
@@ -61,27 +61,21 @@
 }
 
 // leave waits for the next lifetime, because the current one is over.
-func leave(sta *State, now time.Time, rsn rgmodel.Reason, doubted func(*Run) bool) []Effect {
+func leave(sta *State, now time.Time, rsn rgmodel.Reason, los loss) []Effect {
 	sta.Phase = PhaseAbsent
-	return forget(sta, now, rsn, doubted)
+	return forget(sta, now, rsn, los)
 }
 
 // refence takes control of the same lifetime anew, when what runs there is no longer known or goes on no longer.
-func refence(sta *State, now time.Time, rsn rgmodel.Reason, doubted func(*Run) bool) []Effect {
-	return append(forget(sta, now, rsn, doubted), fence(sta, now)...)
+func refence(sta *State, now time.Time, rsn rgmodel.Reason, los loss) []Effect {
+	return append(forget(sta, now, rsn, los), fence(sta, now)...)
 }
 
-// none, all and unconfirmed say which runs may go on although their lifetime is over or out of control. An executor that has
-// started again under its id carries out starts that were meant for its last lifetime.
-func none(*Run) bool            { return false }
-func all(*Run) bool             { return true }
-func unconfirmed(run *Run) bool { return !run.Confirmed }
-
 // forget drops everything that ran or waited on a lifetime that is over. Runs that are doubted are reported later.
-func forget(sta *State, now time.Time, rsn rgmodel.Reason, doubted func(*Run) bool) []Effect {
+func forget(sta *State, now time.Time, rsn rgmodel.Reason, los loss) []Effect {
 	efs := returnQueue(sta, rsn)
 	for _, run := range sta.Runs {
-		if doubted(run) {
+		if isDoubted(los, run) {
 			sta.Doubts = append(sta.Doubts, Doubt{Work: run.Work, Reason: rsn, Until: now.Add(longestRun(sta))})
 			continue
 		}
--- a/core/rgroom/command_look.go
+++ b/core/rgroom/command_look.go
@@ -49,7 +49,7 @@
 		sta.Looks = slices.Delete(sta.Looks, at, at+1)
 	}
 	if isGone(sta, now, rep) {
-		return leave(sta, now, rgmodel.ReasonUpstreamUnreach, unconfirmed)
+		return leave(sta, now, rgmodel.ReasonUpstreamUnreach, lossRestarted{})
 	}
 	if !rep.Answered {
 		sta.Unanswered = now
@@ -60,15 +60,15 @@
 		return look(sta, now)
 	}
 	if rep.Refusal == rgmodel.RefusalLifetime {
-		return leave(sta, now, rgmodel.ReasonSidecarLost, none)
+		return leave(sta, now, rgmodel.ReasonSidecarLost, lossEnded{})
 	}
 	if rep.Born != 0 && rep.Born != ord.Lifetime.Born {
-		return leave(sta, now, rgmodel.ReasonSidecarLost, unconfirmed)
+		return leave(sta, now, rgmodel.ReasonSidecarLost, lossRestarted{})
 	}
 	overtaken := rep.Clock < sta.Executor.Clock
 	observe(sta, now, ord.Lifetime, rep)
 	if rep.Refusal == rgmodel.RefusalFenced {
-		return refence(sta, now, rgmodel.ReasonUpstreamRefused, all)
+		return refence(sta, now, rgmodel.ReasonUpstreamRefused, lossFenced{})
 	}
 	if rep.Refusal != rgmodel.RefusalNone {
 		return nil
--- a/core/rgroom/command_run.go
+++ b/core/rgroom/command_run.go
@@ -122,9 +122,9 @@
 			return give(sta, now, run, 2*run.Number+1)
 		}
 	case rgmodel.RefusalFenced:
-		return refence(sta, now, rgmodel.ReasonUpstreamRefused, all)
+		return refence(sta, now, rgmodel.ReasonUpstreamRefused, lossFenced{})
 	case rgmodel.RefusalLifetime:
-		return leave(sta, now, rgmodel.ReasonSidecarLost, none)
+		return leave(sta, now, rgmodel.ReasonSidecarLost, lossEnded{})
 	case rgmodel.RefusalRoom, rgmodel.RefusalUnhealthy:
 		sta.Health.Until = now.Add(refusalPause)
 	case rgmodel.RefusalInvalid:
@@ -162,7 +162,7 @@
 		return nil
 	}
 	if rep.Refusal == rgmodel.RefusalLifetime {
-		return leave(sta, now, rgmodel.ReasonSidecarLost, none)
+		return leave(sta, now, rgmodel.ReasonSidecarLost, lossEnded{})
 	}
 	run := sta.Runs[ord.Task]
 	if run == nil || run.Number != ord.Run || rep.Refusal != rgmodel.RefusalNone {
--- a/core/rgroom/command_tick.go
+++ b/core/rgroom/command_tick.go
@@ -10,7 +10,7 @@
 func Tick(sta *State, now time.Time) []Effect {
 	var efs []Effect
 	if len(sta.Runs) > 0 && lapsed(sta, now) {
-		efs = append(efs, refence(sta, now, rgmodel.ReasonUpstreamUnreach, none)...)
+		efs = append(efs, refence(sta, now, rgmodel.ReasonUpstreamUnreach, lossEnded{})...)
 	}
 	silent := map[LinkID]bool{}
 	for id, lnk := range sta.Links {
--- a/io/rgsettings/deployment.go
+++ b/io/rgsettings/deployment.go
@@ -88,6 +88,7 @@
 		checkName("availabilityZone", set.AvailabilityZone),
 		checkAddresses("seeds", set.Seeds),
 		checkAddress("store", set.Store),
+		checkNotNegative("cores", set.Cores),
 		checkOptionalAddress("advertisedAddress", set.AdvertisedAddress),
 		checkOptionalAddress("metricsAddress", set.MetricsAddress),
 		checkAtLeast("longestLease", set.LongestLease, 100*time.Millisecond),
--- a/io/rgsettings/settings.go
+++ b/io/rgsettings/settings.go
@@ -265,3 +265,10 @@
 	}
 	return nil
 }
+
+func checkNotNegative(fld string, val float64) error {
+	if val < 0 {
+		return FieldError{Field: fld, Value: val, Reason: "need a number that is not negative"}
+	}
+	return nil
+}
