Let the test of the drain wait for events instead of sleeping

The test slept 50 ms until the server had accepted its connection, so that its verdict depended on load. It waits until the server has noted the connection and the handler has begun, and what keeps the request back is released while the drain goes on.

--- a/io/rgserver/server_test.go
+++ b/io/rgserver/server_test.go
@@ -10,16 +10,19 @@
 	"time"
 )
 
+// drainTime is how long a drain goes on before what keeps a request from its answer is over.
+const drainTime = 10 * drainInterval
+
 type (
-	// busyListener makes connections that are read late, as in a process that gets little of the processor.
+	// busyListener makes connections that are not read for a while, as in a process that gets little of the processor.
 	busyListener struct {
 		net.Listener
-		delay time.Duration
+		unblock <-chan struct{}
 	}
 
 	busyConn struct {
 		*net.TCPConn
-		delay time.Duration
+		unblock <-chan struct{}
 	}
 )
 
@@ -28,11 +31,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return busyConn{TCPConn: con.(*net.TCPConn), delay: lis.delay}, nil
+	return busyConn{TCPConn: con.(*net.TCPConn), unblock: lis.unblock}, nil
 }
 
 func (con busyConn) Read(buf []byte) (int, error) {
-	time.Sleep(con.delay)
+	<-con.unblock
 	return con.TCPConn.Read(buf)
 }
 
@@ -40,13 +43,14 @@
 // stop begins, and against a stop that waits for callers who send nothing.
 func TestDrain(t *testing.T) {
 	tests := map[string]struct {
-		delay, work time.Duration
-		requests    int
-		wantAnswers int
+		// unread and working keep the request from being read and from being answered until the drain has gone on for a while.
+		unread, working bool
+		requests        int
+		wantAnswers     int
 	}{
 		"idle connection":        {requests: 0},
-		"request not read yet":   {delay: 200 * time.Millisecond, requests: 1, wantAnswers: 1},
-		"request being answered": {work: 200 * time.Millisecond, requests: 1, wantAnswers: 1},
+		"request not read yet":   {unread: true, requests: 1, wantAnswers: 1},
+		"request being answered": {working: true, requests: 1, wantAnswers: 1},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -54,10 +58,12 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			srv := serve(busyListener{Listener: lis, delay: tc.delay}, http.HandlerFunc(func(wtr http.ResponseWriter, _ *http.Request) {
-				time.Sleep(tc.work)
+			read, work, begun := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			srv := serve(busyListener{Listener: lis, unblock: read}, http.HandlerFunc(func(wtr http.ResponseWriter, _ *http.Request) {
+				close(begun)
+				<-work
 				wtr.Header().Set("Connection", "close")
-			}), time.Second)
+			}), 5*time.Second)
 			con, err := net.Dial("tcp", lis.Addr().String())
 			if err != nil {
 				t.Fatal(err)
@@ -68,22 +74,61 @@
 					t.Fatal(err)
 				}
 			}
-			// The server has accepted the connection by then.
-			time.Sleep(50 * time.Millisecond)
+			awaitConnection(t, srv)
+			if !tc.unread {
+				close(read)
+			}
+			if tc.working {
+				<-begun
+			} else {
+				close(work)
+			}
+			time.AfterFunc(drainTime, func() {
+				if tc.unread {
+					close(read)
+				}
+				if tc.working {
+					close(work)
+				}
+			})
 			ctx, stop := context.WithTimeout(t.Context(), 5*time.Second)
 			defer stop()
 			if err := srv.Drain(ctx); err != nil {
 				t.Errorf("drain: %v", err)
 			}
-			answers := 0
-			rdr := bufio.NewReader(con)
-			for rsp, err := http.ReadResponse(rdr, nil); err == nil; rsp, err = http.ReadResponse(rdr, nil) {
-				answers++
-				_ = rsp.Body.Close()
-			}
-			if answers != tc.wantAnswers {
-				t.Errorf("%d answers, want %d", answers, tc.wantAnswers)
+			if got := answers(con); got != tc.wantAnswers {
+				t.Errorf("%d answers, want %d", got, tc.wantAnswers)
 			}
 		})
 	}
 }
+
+// awaitConnection returns once the server has noted a connection.
+func awaitConnection(t *testing.T, srv *Server) {
+	t.Helper()
+	noted := func() bool {
+		srv.mutex.Lock()
+		defer srv.mutex.Unlock()
+		return len(srv.conns) > 0
+	}
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for !noted() {
+		select {
+		case <-tick.C:
+		case <-t.Context().Done():
+			t.Fatal("no connection is noted")
+		}
+	}
+}
+
+// answers returns how many answers arrive until the connection ends.
+func answers(con net.Conn) int {
+	count := 0
+	rdr := bufio.NewReader(con)
+	for rsp, err := http.ReadResponse(rdr, nil); err == nil; rsp, err = http.ReadResponse(rdr, nil) {
+		count++
+		_ = rsp.Body.Close()
+	}
+	return count
+}
