--- a/core/rgdispatch/command_member.go
+++ b/core/rgdispatch/command_member.go
@@ -12,7 +12,7 @@
 		sta.Members = map[LinkID]*Member{}
 	}
 	sta.Members[lnk] = &Member{
-		Name: name, Heard: now, Due: now.Add(memberSilence), Echo: echo, Every: shortestInterval, Rank: rank(sta.Name, name),
+		Name: name, Heard: now, Due: now.Add(memberSilence), Echo: echo, Every: rgmodel.ShortestReportInterval, Rank: rank(sta.Name, name),
 		Places: map[rgmodel.Ticket]Place{},
 	}
 }
--- a/core/rgdispatch/command_watch.go
+++ b/core/rgdispatch/command_watch.go
@@ -1,17 +1,18 @@
 package rgdispatch
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"time"
+
+	"ragwortgap/core/rgmodel"
 )
 
 const (
 	// reportsPerCore is how many reports a second an entry asks for with each core that it may use. One takes some 15 us
 	// of it, so that reports take a few hundredths of the processor.
 	reportsPerCore = 1200
-	// shortestInterval is how often a sidecar reports a load that changes, if nothing else bounds it.
-	shortestInterval = 25 * time.Millisecond
 	// usefulInterval is how often reports have to come for a busy sidecar. More sidecars are watched as long as that
 	// holds.
 	usefulInterval = 40 * time.Millisecond
@@ -23,9 +24,9 @@
 // as the processor can take reports of; each entry watches others of these.
 func watch(sta *State) {
 	budget := sta.Limits.Cores * reportsPerCore
-	if budget <= 0 || float64(len(sta.Members)) <= budget*shortestInterval.Seconds() {
+	if budget <= 0 || float64(len(sta.Members)) <= budget*rgmodel.ShortestReportInterval.Seconds() {
 		for _, mem := range sta.Members {
-			mem.Every = shortestInterval
+			mem.Every = rgmodel.ShortestReportInterval
 		}
 		return
 	}
@@ -38,16 +39,17 @@
 		}
 	}
 	slices.SortFunc(mems, func(one, two *Member) int {
-		if isNear(sta, one) != isNear(sta, two) {
-			if isNear(sta, one) {
-				return -1
-			}
+		switch oneNear, twoNear := isNear(sta, one), isNear(sta, two); {
+		case oneNear && !twoNear:
+			return -1
+		case twoNear && !oneNear:
 			return 1
+		default:
+			return cmp.Compare(one.Rank, two.Rank)
 		}
-		return int(one.Rank>>1) - int(two.Rank>>1)
 	})
 	watched := min(max(near, int(budget*usefulInterval.Seconds())), len(mems))
-	every := max(shortestInterval, time.Duration(float64(watched)/budget*float64(time.Second)))
+	every := max(rgmodel.ShortestReportInterval, time.Duration(float64(watched)/budget*float64(time.Second)))
 	for i, mem := range mems {
 		mem.Every = distantInterval
 		if i < watched {
--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -53,21 +53,18 @@
 			if tsk.State != TaskWaiting {
 				continue
 			}
-			sea, end := best(now, jb, stp, sts, tsk, taken)
+			sea, dly := best(now, jb, stp, sts, tsk, taken)
 			if sea == nil {
 				return nil, missing(sta, jb, stp)
 			}
-			if now.Add(end).After(latest(jb)) && end > sea.run+networkTime {
-				jb.Late = Reckoning{
-					Sidecar: sea.mem.Name, Wait: end - sea.run - networkTime, Run: sea.run, Age: now.Sub(sea.mem.Reported),
-				}
+			end := dly + sea.run + networkTime
+			if dly > 0 && now.Add(end).After(latest(jb)) {
+				jb.Late = Reckoning{Sidecar: sea.mem.Name, Wait: dly, Run: sea.run, Age: now.Sub(sea.mem.Reported)}
 				return nil, rgmodel.ReasonExpectedWait
 			}
 			sea.count++
 			taken[sea.link] += stp.Needs.Cores
-			pln = append(pln, choice{
-				link: sea.link, step: i, index: j, wait: end - sea.run - networkTime, left: jb.InTime.Sub(now) - end,
-			})
+			pln = append(pln, choice{link: sea.link, step: i, index: j, wait: dly, left: jb.InTime.Sub(now) - end})
 		}
 	}
 	return pln, ""
@@ -118,7 +115,7 @@
 
 // best prefers executors that start the task at once and are fast enough, and of these a slow one, so that fast ones stay
 // free for tasks that need them. Otherwise it takes the one on which the task would end first if it went behind all
-// others: an urgent task that overtakes a queue delays everything in it. It returns when the task is expected to end.
+// others: an urgent task that overtakes a queue delays everything in it. It returns how long the task is expected to wait.
 func best(now time.Time, jb *Job, stp Step, sts []*seat, tsk *Task, taken map[LinkID]float64) (*seat, time.Duration) {
 	var found *seat
 	goal := jb.InTime.Sub(now)
@@ -143,7 +140,7 @@
 		return nil, 0
 	}
 	own := found.run + networkTime
-	return found, wait(now, found, found.mem.Report.Wait(goal-own), stp.Needs.Cores) + own
+	return found, wait(now, found, found.mem.Report.Wait(goal-own), stp.Needs.Cores)
 }
 
 // suits says whether the first sidecar is a better place than the second one. Of executors that are about as slow, the
--- a/core/rgdispatch/watch_test.go
+++ b/core/rgdispatch/watch_test.go
@@ -19,8 +19,8 @@
 		wantNear    time.Duration
 		wantWatched int
 	}{
-		"no limit":                     {near: 20, far: 60, wantNear: shortestInterval, wantWatched: 60},
-		"few sidecars":                 {cores: 0.4, near: 4, far: 7, wantNear: shortestInterval, wantWatched: 7},
+		"no limit":                     {near: 20, far: 60, wantNear: rgmodel.ShortestReportInterval, wantWatched: 60},
+		"few sidecars":                 {cores: 0.4, near: 4, far: 7, wantNear: rgmodel.ShortestReportInterval, wantWatched: 7},
 		"many sidecars, large entry":   {cores: 0.8, near: 17, far: 35, wantNear: 40 * time.Millisecond, wantWatched: 21},
 		"many sidecars, small entry":   {cores: 0.192, near: 17, far: 35, wantNear: 75 * time.Millisecond, wantWatched: 0},
 		"no sidecar in the own zone":   {cores: 0.192, far: 35, wantWatched: 9},
--- a/core/rgmodel/placement.go
+++ b/core/rgmodel/placement.go
@@ -58,6 +58,9 @@
 	}
 )
 
+// ShortestReportInterval is the shortest time between two reports of a load that changes.
+const ShortestReportInterval = 25 * time.Millisecond
+
 // WaitSlacks are the slacks for which a sidecar reports its waits: the time until the latest start that is in time.
 var WaitSlacks = []time.Duration{
 	0, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond,
--- a/core/rgroom/command_look.go
+++ b/core/rgroom/command_look.go
@@ -26,7 +26,7 @@
 
 // looksWanted returns how many looks are to be under way.
 func looksWanted(sta *State, now time.Time) int {
-	if sta.Phase == PhaseServing && !sta.Unanswered.IsZero() && now.Sub(sta.Unanswered) < spareLookTime {
+	if sta.Phase == PhaseServing && now.Sub(sta.Unanswered) < spareLookTime {
 		return 2
 	}
 	return 1
--- a/core/rgroom/command_report.go
+++ b/core/rgroom/command_report.go
@@ -7,12 +7,8 @@
 	"ragwortgap/core/rgmodel"
 )
 
-const (
-	// shortestInterval is the shortest time between two reports of a load that changes.
-	shortestInterval = 25 * time.Millisecond
-	// tickMargin keeps a message that is due at a tick from waiting for the next one.
-	tickMargin = 25 * time.Millisecond
-)
+// tickMargin keeps a message that is due at a tick from waiting for the next one.
+const tickMargin = 25 * time.Millisecond
 
 // Notice is a message to an entry that is due.
 type Notice struct {
@@ -78,6 +74,6 @@
 	case lnk.Cleared != isCleared(sta, id):
 		return true
 	default:
-		return now.Sub(lnk.Loaded) >= max(lnk.Every, shortestInterval)
+		return now.Sub(lnk.Loaded) >= max(lnk.Every, rgmodel.ShortestReportInterval)
 	}
 }
--- a/core/rgroom/harness_test.go
+++ b/core/rgroom/harness_test.go
@@ -41,6 +41,16 @@
 	bnc.efs = append(bnc.efs, Announce(&bnc.sta, bnc.now, exe)...)
 }
 
+// placeOne asks for a task of one core and 100 ms, with the slack and the patience.
+func (bnc *bench) placeOne(slack, patience time.Duration) {
+	bnc.efs = append(bnc.efs, Place(&bnc.sta, bnc.now, benchLink, rgmodel.Placement{
+		Issued: rgmodel.InstantOf(bnc.now), Deadline: rgmodel.InstantOf(bnc.now.Add(2 * time.Second)), Service: "desk",
+		Slack: slack, Needs: rgmodel.Resources{Cores: 1}, Tasks: []rgmodel.PlacedTask{{
+			Ticket: 1, Name: rgmodel.TaskName{Job: "job"}, Estimate: 100 * time.Millisecond, Patience: patience,
+		}},
+	})...)
+}
+
 // take returns the effects since the last call.
 func (bnc *bench) take() []Effect {
 	efs := bnc.efs
@@ -114,9 +124,14 @@
 	return looks
 }
 
+// lookOrder returns the first look that is under way.
+func (bnc *bench) lookOrder() rgmodel.LookOrder {
+	return rgmodel.LookOrder{Lifetime: bnc.sta.Executor.Lifetime, Fence: bnc.sta.Fence, Sent: bnc.sta.Looks[0]}
+}
+
 // refuse lets another lifetime answer the look that is under way, under the same id or under another one.
 func (bnc *bench) refuse(sameID bool) {
-	ord := rgmodel.LookOrder{Lifetime: bnc.sta.Executor.Lifetime, Fence: bnc.sta.Fence, Sent: bnc.sta.Looks[0]}
+	ord := bnc.lookOrder()
 	rep := rgmodel.OrderReply{Answered: true, Clock: 1, Born: 2}
 	if !sameID {
 		rep = rgmodel.OrderReply{Answered: true, Refusal: rgmodel.RefusalLifetime}
@@ -140,7 +155,7 @@
 	if len(bnc.sta.Looks) == 0 {
 		t.Fatal("no look under way")
 	}
-	ord := rgmodel.LookOrder{Lifetime: bnc.sta.Executor.Lifetime, Fence: bnc.sta.Fence, Sent: bnc.sta.Looks[0]}
+	ord := bnc.lookOrder()
 	rep := rgmodel.OrderReply{Answered: true, Clock: bnc.clock(), Born: ord.Lifetime.Born, Running: running, Ended: ended}
 	bnc.efs = append(bnc.efs, LookAnswered(&bnc.sta, bnc.now, ord, rep)...)
 }
--- a/core/rgroom/look_test.go
+++ b/core/rgroom/look_test.go
@@ -34,8 +34,8 @@
 			bnc.starts(bnc.accepted())
 			bnc.take()
 			for range tc.looks {
-				ord := rgmodel.LookOrder{Lifetime: bnc.sta.Executor.Lifetime, Fence: bnc.sta.Fence, Sent: bnc.now}
 				bnc.sta.Looks = []time.Time{bnc.now}
+				ord := bnc.lookOrder()
 				bnc.now = bnc.now.Add(tc.took)
 				bnc.efs = LookAnswered(&bnc.sta, bnc.now, ord, tc.fail)
 			}
@@ -69,7 +69,7 @@
 			bnc.place("job", 1)
 			bnc.starts(bnc.accepted())
 			for range 2 {
-				ord := rgmodel.LookOrder{Lifetime: bnc.sta.Executor.Lifetime, Fence: bnc.sta.Fence, Sent: bnc.sta.Looks[0]}
+				ord := bnc.lookOrder()
 				bnc.now = bnc.now.Add(lookWait)
 				rep := rgmodel.OrderReply{Answered: !tc.lost, Clock: bnc.clock()}
 				for tsk, run := range bnc.sta.Runs {
--- a/core/rgroom/patience_test.go
+++ b/core/rgroom/patience_test.go
@@ -27,12 +27,7 @@
 			bnc.place("running", tc.running)
 			bnc.starts(bnc.accepted())
 			bnc.take()
-			bnc.efs = Place(&bnc.sta, bnc.now, benchLink, rgmodel.Placement{
-				Issued: rgmodel.InstantOf(bnc.now), Deadline: rgmodel.InstantOf(bnc.now.Add(2 * time.Second)), Service: "desk",
-				Slack: 500 * time.Millisecond, Needs: rgmodel.Resources{Cores: 1}, Tasks: []rgmodel.PlacedTask{{
-					Ticket: 1, Name: rgmodel.TaskName{Job: "job"}, Estimate: 100 * time.Millisecond, Patience: tc.patience,
-				}},
-			})
+			bnc.placeOne(500*time.Millisecond, tc.patience)
 			returned := false
 			for _, eff := range bnc.efs {
 				tel, ok := eff.(Tell)
@@ -72,12 +67,7 @@
 			bnc.place("running", 8)
 			bnc.starts(bnc.accepted())
 			bnc.take()
-			bnc.efs = Place(&bnc.sta, bnc.now, benchLink, rgmodel.Placement{
-				Issued: rgmodel.InstantOf(bnc.now), Deadline: rgmodel.InstantOf(bnc.now.Add(2 * time.Second)), Service: "desk",
-				Slack: tc.slack, Needs: rgmodel.Resources{Cores: 1}, Tasks: []rgmodel.PlacedTask{{
-					Ticket: 1, Name: rgmodel.TaskName{Job: "job"}, Estimate: 100 * time.Millisecond,
-				}},
-			})
+			bnc.placeOne(tc.slack, 0)
 			bnc.wait(tc.waits)
 			if got := len(bnc.sta.Queue) == 0; got != tc.want {
 				t.Errorf("returned: %v, want %v", got, tc.want)
--- a/core/rgroom/query_report.go
+++ b/core/rgroom/query_report.go
@@ -31,24 +31,22 @@
 
 // hasWork says whether a task of the entry runs or waits.
 func hasWork(sta *State, id LinkID) bool {
-	for _, run := range sta.Runs {
-		if run.Work.Link == id {
-			return true
-		}
-	}
-	return slices.ContainsFunc(sta.Queue, func(wrk Work) bool { return wrk.Link == id }) ||
-		slices.ContainsFunc(sta.Doubts, func(dbt Doubt) bool { return dbt.Work.Link == id })
+	match := func(wrk Work) bool { return wrk.Link == id }
+	return mayRun(sta, match) || slices.ContainsFunc(sta.Queue, match)
 }
 
 // isCleared says whether no run is left that the entry has placed on an earlier connection.
 func isCleared(sta *State, id LinkID) bool {
-	if sta.Phase == PhaseFencing {
-		return false
-	}
+	return sta.Phase != PhaseFencing &&
+		!mayRun(sta, func(wrk Work) bool { return wrk.Link != id && sta.Links[wrk.Link] == nil })
+}
+
+// mayRun says whether a task that matches runs, or may be running out of control.
+func mayRun(sta *State, match func(Work) bool) bool {
 	for _, run := range sta.Runs {
-		if run.Work.Link != id && sta.Links[run.Work.Link] == nil {
-			return false
+		if match(run.Work) {
+			return true
 		}
 	}
-	return !slices.ContainsFunc(sta.Doubts, func(dbt Doubt) bool { return dbt.Work.Link != id && sta.Links[dbt.Work.Link] == nil })
+	return slices.ContainsFunc(sta.Doubts, func(dbt Doubt) bool { return match(dbt.Work) })
 }
