core/rgexecutor, io: report start orders that may have been carried out

The logs could not tell whether a returned task had been started before: the sidecar wrote no line when it queued a task again, and an end with the status returned said nothing of earlier start orders.

A task now carries the number of its start orders that the executor has not refused. It is reported with the ends of lost and returned tasks and appears as unrefusedStarts in "task not done" and "job not done". The sidecar logs "task queued again" and counts tasksRequeued. No decision depends on the number yet.

--- a/core/rgdispatch/command_job.go
+++ b/core/rgdispatch/command_job.go
@@ -155,6 +155,7 @@
 
 func recordEnd(sta *State, now time.Time, jb *Job, tsk *Task, sidecar string, end rgmodel.TaskEnd) []Effect {
 	jb.MayHaveRun = jb.MayHaveRun || end.Status != rgmodel.EndReturned
+	jb.UnrefusedStarts += end.UnrefusedStarts
 	tsk.State = TaskWaiting
 	switch end.Status {
 	case rgmodel.EndSucceeded:
--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -135,6 +135,8 @@
 		Tasks [][]Task
 		// MayHaveRun is set once a task may have been started.
 		MayHaveRun bool
+		// UnrefusedStarts is the number of start orders that the executors have not refused, for tasks that were lost or returned.
+		UnrefusedStarts int
 		// LateEstimate is the estimate because of which the last plan failed.
 		LateEstimate LateEstimate
 	}
@@ -207,6 +209,8 @@
 		Placed   int
 		Unknown  int
 		Failures int
+		// UnrefusedStarts is that of the job.
+		UnrefusedStarts int
 		// TimeLeft is the time until the deadline, Overdue the time since the soft deadline, and Estimate the estimated run
 		// time of the critical path.
 		TimeLeft time.Duration
--- a/core/rgdispatch/query_job.go
+++ b/core/rgdispatch/query_job.go
@@ -144,7 +144,7 @@
 	det := Detail{
 		Route: jb.Request.Route.Name, TimeLeft: jb.Deadline.Sub(now), Overdue: now.Sub(jb.SoftDeadline),
 		Estimate:     criticalPath(jb.Request.Steps),
-		LateEstimate: jb.LateEstimate,
+		LateEstimate: jb.LateEstimate, UnrefusedStarts: jb.UnrefusedStarts,
 	}
 	sidecars := map[string]bool{}
 	for _, tsks := range jb.Tasks {
--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -120,6 +120,7 @@
 }
 
 func reportEnd(sta *State, act AcceptedTask, sts rgmodel.EndStatus, rsn rgmodel.Reason, took time.Duration) Effect {
+	end := rgmodel.TaskEnd{Ticket: act.Task.Ticket, Status: sts, Reason: rsn, Took: took}
 	switch sts {
 	case rgmodel.EndSucceeded:
 		sta.Counts.Succeeded++
@@ -127,12 +128,12 @@
 		sta.Counts.Failed++
 	case rgmodel.EndLost:
 		sta.Counts.Lost++
+		end.UnrefusedStarts = act.UnrefusedStarts
 	case rgmodel.EndReturned:
 		sta.Counts.Returned++
+		end.UnrefusedStarts = act.UnrefusedStarts
 	}
-	return ReportEnd{Conn: act.Conn, End: rgmodel.TaskEnd{
-		Ticket: act.Task.Ticket, Status: sts, Reason: rsn, Took: took,
-	}}
+	return ReportEnd{Conn: act.Conn, End: end}
 }
 
 // recordClock stores the executor's clock from the reply to an order. It reports whether the reply is from the current
--- a/core/rgexecutor/command_poll.go
+++ b/core/rgexecutor/command_poll.go
@@ -137,7 +137,10 @@
 	default:
 		if run.Requeue && sta.Conns[run.AcceptedTask.Conn] != nil && !sta.Draining && !sta.Executor.Draining {
 			enqueue(sta, now, run.AcceptedTask)
-			return nil
+			sta.Counts.Requeued++
+			return []Effect{TaskRequeued{
+				Task: run.AcceptedTask.Task.Key, Run: run.Number, UnrefusedStarts: run.AcceptedTask.UnrefusedStarts,
+			}}
 		}
 		rsn := run.Reason
 		if run.State != RunStopping {
--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -87,6 +87,7 @@
 	run.Number = number
 	run.Started = now
 	run.StartAttempts++
+	run.AcceptedTask.UnrefusedStarts++
 	sta.RunNumbers[run.AcceptedTask.Task.Key] = RunNumber{Highest: number, LastUsed: now}
 	return []Effect{SendOrder{Order: rgmodel.StartOrder{
 		Incarnation: sta.Executor.Incarnation, FenceToken: sta.FenceToken, Task: run.AcceptedTask.Task.Key, Run: number,
@@ -109,6 +110,9 @@
 		run.Requeue = run.State != RunStopping
 		return stopRun(sta, now, run, rgmodel.ReasonUpstreamTimeout)
 	}
+	if rep.Refusal != rgmodel.RefusalNone {
+		run.AcceptedTask.UnrefusedStarts--
+	}
 	switch rep.Refusal {
 	case rgmodel.RefusalNone:
 		run.Started = now
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -103,6 +103,8 @@
 		Deadline time.Time
 		// SoftDeadline is the latest end of the task at which its job is still on time.
 		SoftDeadline time.Time
+		// UnrefusedStarts is the number of start orders that were sent for the task and that the executor has not refused.
+		UnrefusedStarts int
 	}
 
 	// Run is a task whose start has been ordered and whose end is not known yet. It uses resources in every state.
@@ -169,6 +171,13 @@
 		End  rgmodel.TaskEnd
 	}
 
+	// TaskRequeued states that a task was queued again after a start order without a reply.
+	TaskRequeued struct {
+		Task            rgmodel.TaskKey
+		Run             uint64
+		UnrefusedStarts int
+	}
+
 	// State is the control state of the sidecar.
 	State struct {
 		Limits     Limits
@@ -204,9 +213,10 @@
 
 	// Counts are totals for the metrics.
 	Counts struct {
-		Started, Succeeded, Failed, Lost, Returned, RunsExpired, MalformedRuns uint64
+		Started, Succeeded, Failed, Lost, Returned, Requeued, RunsExpired, MalformedRuns uint64
 	}
 )
 
-func (SendOrder) isEffect() {}
-func (ReportEnd) isEffect() {}
+func (SendOrder) isEffect()    {}
+func (ReportEnd) isEffect()    {}
+func (TaskRequeued) isEffect() {}
--- a/core/rgmodel/placement.go
+++ b/core/rgmodel/placement.go
@@ -42,6 +42,8 @@
 		Status EndStatus     `json:"how,omitempty"`
 		Reason Reason        `json:"reason,omitempty"`
 		Took   time.Duration `json:"took,omitempty"`
+		// UnrefusedStarts is the number of start orders for a lost or returned task that the executor has not refused.
+		UnrefusedStarts int `json:"unrefusedStarts,omitempty"`
 	}
 
 	// ExecutorReport is the state of an executor as its sidecar reports it to the entries.
--- a/io/rgdispatcher/control.go
+++ b/io/rgdispatcher/control.go
@@ -127,6 +127,7 @@
 		zap.String("reason", string(ans.Reason)), zap.Duration("took", ans.Took), zap.String("route", det.Route),
 		zap.Uint64("version", versionOf(pro.Config())), zap.Int("tasks", det.Tasks), zap.Int("done", det.Done),
 		zap.Int("placed", det.Placed), zap.Int("held", det.Unknown), zap.Int("failures", det.Failures),
+		zap.Int("unrefusedStarts", det.UnrefusedStarts),
 		zap.Duration("left", det.TimeLeft), zap.Duration("over", det.Overdue),
 		zap.Duration("estimate", det.Estimate), zap.Strings("sidecars", det.Sidecars),
 		zap.String("best", det.LateEstimate.Sidecar), zap.Duration("bestWait", det.LateEstimate.Wait),
@@ -147,7 +148,7 @@
 		}
 		pro.log.Info("task not done", zap.String("job", ref.Job), zap.Int("step", ref.Step), zap.Int("task", ref.Index),
 			zap.String("sidecar", sc.Name), zap.Stringer("how", end.Status), zap.String("reason", string(end.Reason)),
-			zap.Duration("took", end.Took))
+			zap.Duration("took", end.Took), zap.Int("unrefusedStarts", end.UnrefusedStarts))
 	}
 }
 
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -161,6 +161,9 @@
 			if con := sta.Conns[eff.Conn]; con != nil {
 				con.UnsentEnds = append(con.UnsentEnds, eff.End)
 			}
+		case rgexecutor.TaskRequeued:
+			pro.log.Info("task queued again", zap.String("job", eff.Task.Job), zap.Int("step", eff.Task.Step),
+				zap.Int("task", eff.Task.Index), zap.Uint64("run", eff.Run), zap.Int("unrefusedStarts", eff.UnrefusedStarts))
 		}
 	}
 }
@@ -187,6 +190,7 @@
 	add("tasksFailed", cur.Failed, old.Failed)
 	add("tasksLost", cur.Lost, old.Lost)
 	add("tasksReturned", cur.Returned, old.Returned)
+	add("tasksRequeued", cur.Requeued, old.Requeued)
 	add("leasesLapsed", cur.RunsExpired, old.RunsExpired)
 	add("rowsUnreadable", cur.MalformedRuns, old.MalformedRuns)
 	sta.ReportedCounts = cur
