--- a/core/rgexecutor/simulation_test.go
+++ b/core/rgexecutor/simulation_test.go
@@ -65,6 +65,14 @@
 		cores float64
 	}
 
+	// simStart identifies a start order.
+	simStart struct {
+		exe        *simExecutor
+		fenceToken uint64
+		task       rgmodel.TaskKey
+		run        uint64
+	}
+
 	simulation struct {
 		rnd      *rand.Rand
 		now      time.Time
@@ -73,16 +81,25 @@
 		// aliveConns holds the connections of entries that send heartbeats.
 		aliveConns map[EntryConnID]bool
 		lastConn   EntryConnID
-		jobs       int
-		done       int
+		// startConns holds the connection for whose task each start order was sent. A connection has only one task. started and
+		// returned hold the connections whose task an executor has started and the sidecar has returned.
+		startConns        map[simStart]EntryConnID
+		started, returned map[EntryConnID]bool
+		jobs              int
+		done              int
 		// faultFree stops the injection of faults, to check that the system recovers from the earlier ones.
 		faultFree bool
 		violation error
+		// returnViolation is the first case of a task that was returned as not started although it had been or was later started.
+		returnViolation error
 	}
 )
 
 func newSimulation(seed uint64) *simulation {
-	sim := &simulation{rnd: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), aliveConns: map[EntryConnID]bool{}}
+	sim := &simulation{
+		rnd: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), aliveConns: map[EntryConnID]bool{},
+		startConns: map[simStart]EntryConnID{}, started: map[EntryConnID]bool{}, returned: map[EntryConnID]bool{},
+	}
 	for range 2 {
 		exe := &simExecutor{sim: sim, clockRate: 0.98 + 0.02*sim.rnd.Float64(), clock: 5000}
 		exe.restart()
@@ -97,10 +114,20 @@
 
 func (sim *simulation) failf(format string, args ...any) {
 	if sim.violation == nil {
-		sim.violation = fmt.Errorf("at %s: %w", sim.now.Sub(time.Unix(1000, 0)), fmt.Errorf(format, args...))
+		sim.violation = sim.errorf(format, args...)
 	}
 }
 
+func (sim *simulation) failReturn(format string, args ...any) {
+	if sim.returnViolation == nil {
+		sim.returnViolation = sim.errorf(format, args...)
+	}
+}
+
+func (sim *simulation) errorf(format string, args ...any) error {
+	return fmt.Errorf("at %s: %w", sim.now.Sub(time.Unix(1000, 0)), fmt.Errorf(format, args...))
+}
+
 func (exe *simExecutor) restart() {
 	exe.startedMillis++
 	exe.fenceToken, exe.leaseEnd, exe.sequence, exe.ended = 0, 0, 0, nil
@@ -186,12 +213,25 @@
 	if coresInUse > simCores {
 		exe.sim.failf("%v cores of %d in use", coresInUse, simCores)
 	}
+	exe.recordStart(ord)
 	exe.highestRun[ord.Task] = ord.Run
 	runTime := 50*time.Millisecond + time.Duration(exe.sim.rnd.Int64N(int64(900*time.Millisecond)))
 	exe.runs[ord.Task] = simRun{number: ord.Run, cores: 1, endsAt: exe.sim.now.Add(runTime)}
 	return rgmodel.RefusalNone
 }
 
+// recordStart checks that the task that is started has not been returned before.
+func (exe *simExecutor) recordStart(ord rgmodel.StartOrder) {
+	id, found := exe.sim.startConns[simStart{exe: exe, fenceToken: ord.FenceToken, task: ord.Task, run: ord.Run}]
+	if !found {
+		exe.sim.failf("start of task %v, which no sidecar has ordered", ord.Task)
+	}
+	if exe.sim.returned[id] {
+		exe.sim.failReturn("task %v is started after it was returned", ord.Task)
+	}
+	exe.sim.started[id] = true
+}
+
 func orderHeader(ord rgmodel.Order) (rgmodel.ExecutorIncarnation, uint64) {
 	switch ord := ord.(type) {
 	case rgmodel.StartOrder:
@@ -210,12 +250,27 @@
 	for _, eff := range efs {
 		switch eff := eff.(type) {
 		case SendOrder:
+			if ord, ok := eff.Order.(rgmodel.StartOrder); ok {
+				key := simStart{exe: sc.exe, fenceToken: ord.FenceToken, task: ord.Task, run: ord.Run}
+				sim.startConns[key] = sc.sta.Runs[ord.Task].AcceptedTask.Conn
+			}
 			sim.deliver(sc, eff.Order)
 		case ReportEnd:
-			if eff.End.Status == rgmodel.EndSucceeded {
-				sim.done++
-			}
+			sim.recordEnd(eff)
+		}
+	}
+}
+
+// recordEnd counts the tasks that are done and checks that a returned task has not been started.
+func (sim *simulation) recordEnd(eff ReportEnd) {
+	switch eff.End.Status {
+	case rgmodel.EndSucceeded:
+		sim.done++
+	case rgmodel.EndReturned:
+		if sim.started[eff.Conn] {
+			sim.failReturn("the task of connection %d is returned (%s) after it was started", eff.Conn, eff.End.Reason)
 		}
+		sim.returned[eff.Conn] = true
 	}
 }
 
@@ -402,3 +457,20 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { newSimulation(seed).run(t) })
 	}
 }
+
+// TestSimulatedReturns guards against a task that is returned as not started, which its caller is promised in turn, although one of its
+// start orders was or is later carried out. The faults are those of TestSimulation.
+func TestSimulatedReturns(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			sim := newSimulation(seed)
+			sim.run(t)
+			if sim.returnViolation != nil {
+				t.Error(sim.returnViolation)
+			}
+			if len(sim.returned) == 0 {
+				t.Error("no task was returned")
+			}
+		})
+	}
+}
