core/rgexecutor: report a task as lost if a start order of it may have been carried out

Cause: a start order without a reply is stopped, and once it is certain that it can no longer be carried out, the task goes back into the queue. Nothing in the queue recorded that the order may have been carried out in between. When the task later left the queue (late, past its deadline, drain, ejection, another incarnation, next start refused), it was reported as returned, which means never started, and the entry answered notRun.

Change: every task that leaves the sidecar without a result goes through returnTask, which reports it as returned only if the executor has refused each of its start orders, and otherwise as lost. The entry then answers mayHaveRun.

TestReturnBeforeStart still passes: a task that was never started is returned as before.

--- a/core/rgexecutor/command_conn.go
+++ b/core/rgexecutor/command_conn.go
@@ -39,11 +39,11 @@
 			Deadline: plc.Deadline.Time(), SoftDeadline: plc.Issued.Time().Add(plc.TimeToSoftDeadline),
 		}
 		if !ok {
-			efs = append(efs, reportEnd(sta, act, rgmodel.EndReturned, rsn, 0))
+			efs = append(efs, returnTask(sta, act, rsn))
 			continue
 		}
 		if tsk.MaxWait > 0 && expectedWait(sta, now, act) > tsk.MaxWait {
-			efs = append(efs, reportEnd(sta, act, rgmodel.EndReturned, rgmodel.ReasonExpectedWait, 0))
+			efs = append(efs, returnTask(sta, act, rgmodel.ReasonExpectedWait))
 			// The entry needs the current load to place the task again.
 			sta.Conns[id].ReportNow = true
 			continue
--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -113,12 +113,22 @@
 func returnQueue(sta *State, rsn rgmodel.Reason) []Effect {
 	efs := make([]Effect, 0, len(sta.Queue))
 	for _, act := range sta.Queue {
-		efs = append(efs, reportEnd(sta, act, rgmodel.EndReturned, rsn, 0))
+		efs = append(efs, returnTask(sta, act, rsn))
 	}
 	sta.Queue = nil
 	return efs
 }
 
+// returnTask reports that a task leaves the sidecar without a result. A start order without a reply may have been carried out, so the
+// task counts as never started only if the executor has refused each of its start orders.
+func returnTask(sta *State, act AcceptedTask, rsn rgmodel.Reason) Effect {
+	sts := rgmodel.EndReturned
+	if act.UnrefusedStarts > 0 {
+		sts = rgmodel.EndLost
+	}
+	return reportEnd(sta, act, sts, rsn, 0)
+}
+
 func reportEnd(sta *State, act AcceptedTask, sts rgmodel.EndStatus, rsn rgmodel.Reason, took time.Duration) Effect {
 	end := rgmodel.TaskEnd{Ticket: act.Task.Ticket, Status: sts, Reason: rsn, Took: took}
 	switch sts {
--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -57,7 +57,7 @@
 		act := sta.Queue[0]
 		if willMissDeadline(sta, now, act) {
 			sta.Queue = sta.Queue[1:]
-			efs = append(efs, reportEnd(sta, act, rgmodel.EndReturned, rgmodel.ReasonExpired, 0))
+			efs = append(efs, returnTask(sta, act, rgmodel.ReasonExpired))
 			continue
 		}
 		if !fits(sta, act) || sta.Runs[act.Task.Key] != nil {
@@ -135,7 +135,7 @@
 	case rgmodel.RefusalInvalid:
 	}
 	delete(sta.Runs, ord.Task)
-	efs := []Effect{reportEnd(sta, run.AcceptedTask, rgmodel.EndReturned, rgmodel.ReasonUpstreamRefused, 0)}
+	efs := []Effect{returnTask(sta, run.AcceptedTask, rgmodel.ReasonUpstreamRefused)}
 	if !Usable(sta, now) {
 		efs = append(efs, returnQueue(sta, rgmodel.ReasonUpstreamRefused)...)
 	}
--- a/core/rgexecutor/command_tick.go
+++ b/core/rgexecutor/command_tick.go
@@ -38,11 +38,11 @@
 	kept := sta.Queue[:0]
 	for _, act := range sta.Queue {
 		if willMissDeadline(sta, now, act) {
-			efs = append(efs, reportEnd(sta, act, rgmodel.EndReturned, rgmodel.ReasonExpired, 0))
+			efs = append(efs, returnTask(sta, act, rgmodel.ReasonExpired))
 			continue
 		}
 		if latestStart(sta, act).Before(now) && now.Sub(act.Queued) >= maxLateQueueTime {
-			efs = append(efs, reportEnd(sta, act, rgmodel.EndReturned, rgmodel.ReasonExpectedWait, 0))
+			efs = append(efs, returnTask(sta, act, rgmodel.ReasonExpectedWait))
 			continue
 		}
 		kept = append(kept, act)
