io/rgmetrics: count the log lines that do not fit into the buffer in logLinesDropped

docs/OPERATIONS.md says that log lines that are left out are counted in logLinesDropped. Only the lines above the rate limit were: the lines that did not fit into the buffer of a slow reader were counted in AsyncWriter.Dropped, which appeared in no metric.

A second metric was ruled out, because the page speaks of one. NewAsyncWriter now takes the scope, and both cases count in the same counter, which replaces Dropped. NewRateLimitedLogger needs no scope any more.

TestAsyncWriter now checks that each line is either written or counted, in place of the check that Dropped is above 0 in the one case; the new check implies the old one.

--- a/io/rgcli/command_platform.go
+++ b/io/rgcli/command_platform.go
@@ -35,7 +35,7 @@
 func runOnPlatform(ctx context.Context, run platform.RunFunc) error {
 	met := rgmetrics.New()
 	defer func() { _ = met.Closer.Close() }()
-	aw := rgmetrics.NewAsyncWriter(os.Stdout)
+	aw := rgmetrics.NewAsyncWriter(os.Stdout, met.Scope)
 	defer aw.Close()
-	return errors.Trace(run(ctx, rgmetrics.NewRateLimitedLogger(aw, met.Scope), met))
+	return errors.Trace(run(ctx, rgmetrics.NewRateLimitedLogger(aw), met))
 }
--- a/io/rgmetrics/async_writer.go
+++ b/io/rgmetrics/async_writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -22,14 +21,17 @@
 type AsyncWriter struct {
 	// Done is closed when all lines that were buffered before Close are written.
 	Done chan struct{}
-	// Dropped counts the lines that did not fit into the buffer.
-	Dropped atomic.Uint64
+	// dropped is the metric logLinesDropped.
+	dropped tally.Counter
 	lines   chan []byte
 }
 
-// NewAsyncWriter starts a goroutine that writes buffered lines to the writer.
-func NewAsyncWriter(wtr io.Writer) *AsyncWriter {
-	aw := &AsyncWriter{Done: make(chan struct{}), lines: make(chan []byte, bufferedLines)}
+// NewAsyncWriter starts a goroutine that writes buffered lines to the writer. The metric logLinesDropped counts the lines that
+// do not fit into the buffer.
+func NewAsyncWriter(wtr io.Writer, sco tally.Scope) *AsyncWriter {
+	aw := &AsyncWriter{
+		Done: make(chan struct{}), dropped: sco.Counter("logLinesDropped"), lines: make(chan []byte, bufferedLines),
+	}
 	go func() {
 		defer close(aw.Done)
 		for lin := range aw.lines {
@@ -45,7 +47,7 @@
 	select {
 	case aw.lines <- append([]byte(nil), lin...):
 	default:
-		aw.Dropped.Add(1)
+		aw.dropped.Inc(1)
 	}
 	return len(lin), nil
 }
@@ -59,15 +61,14 @@
 	<-aw.Done
 }
 
-// NewRateLimitedLogger returns a logger that writes at most maxLinesPerSecond lines per second for each message. The metric
-// logLinesDropped counts the lines that exceed this rate.
-func NewRateLimitedLogger(aw *AsyncWriter, sco tally.Scope) *zap.Logger {
+// NewRateLimitedLogger returns a logger that writes at most maxLinesPerSecond lines per second for each message. Lines that
+// exceed this rate are counted like those that do not fit into the buffer.
+func NewRateLimitedLogger(aw *AsyncWriter) *zap.Logger {
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoderConfig()), aw, zapcore.InfoLevel)
-	dropped := sco.Counter("logLinesDropped")
 	return zap.New(zapcore.NewSamplerWithOptions(core, time.Second, maxLinesPerSecond, 0,
 		zapcore.SamplerHook(func(_ zapcore.Entry, dec zapcore.SamplingDecision) {
 			if dec&zapcore.LogDropped > 0 {
-				dropped.Inc(1)
+				aw.dropped.Inc(1)
 			}
 		})))
 }
--- a/io/rgmetrics/async_writer_test.go
+++ b/io/rgmetrics/async_writer_test.go
@@ -21,8 +21,8 @@
 	return bw.text.Write(lin)
 }
 
-// TestAsyncWriter guards against a process that blocks while its log is not read, and against one repeated message that fills
-// the log.
+// TestAsyncWriter guards against a process that blocks while its log is not read, against one repeated message that fills the
+// log, and against lines that are left out and not counted.
 func TestAsyncWriter(t *testing.T) {
 	tests := map[string]struct {
 		messages  int
@@ -36,8 +36,9 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			wtr := &blockedWriter{release: make(chan struct{})}
-			aw := NewAsyncWriter(wtr)
-			log := NewRateLimitedLogger(aw, tally.NoopScope)
+			sco := tally.NewTestScope("", nil)
+			aw := NewAsyncWriter(wtr, sco)
+			log := NewRateLimitedLogger(aw)
 			for i := range tc.messages {
 				if tc.wantDrop {
 					// The rate limit applies to each message, so distinct messages are not limited.
@@ -48,11 +49,12 @@
 			}
 			close(wtr.release)
 			aw.Close()
-			if got := strings.Count(wtr.text.String(), "\n"); got > tc.wantLines || !tc.wantDrop && got < min(tc.wantLines, tc.messages) {
+			got := strings.Count(wtr.text.String(), "\n")
+			if got > tc.wantLines || !tc.wantDrop && got < min(tc.wantLines, tc.messages) {
 				t.Errorf("%d lines, want %d", got, tc.wantLines)
 			}
-			if got := aw.Dropped.Load() > 0; got != tc.wantDrop {
-				t.Errorf("dropped %v, want %v", got, tc.wantDrop)
+			if cou := sco.Snapshot().Counters()["logLinesDropped+"].Value(); cou != int64(tc.messages-got) {
+				t.Errorf("%d of %d lines written, logLinesDropped is %d", got, tc.messages, cou)
 			}
 		})
 	}
