core: define DefaultServiceTime once, in rgmodel

rgqueue, rgadmission and rgfleet each defined it, with the same value and the same comment. All three use it for a task of a kind without a learned or declared service time: the sidecar for its expected wait and for the cost of fair queueing, the entry for admission and for placement.

One of the three packages as the owner was ruled out, because rgfleet imports neither of the others. rgmodel, which all import, defines it now beside the other limits that entry and sidecar share. The value is unchanged; TestServiceTime names the constant by its new package.

--- a/core/rgadmission/admission.go
+++ b/core/rgadmission/admission.go
@@ -13,8 +13,6 @@
 	BatchesPerRetry = 10
 	// RetryReserve is the number of retries that are allowed without any first attempt.
 	RetryReserve = 10
-	// DefaultServiceTime is the assumed service time of a kind without a learned or declared one.
-	DefaultServiceTime = 200 * time.Millisecond
 	// MinRetryAfter is the report interval of a busy sidecar. Until the next report, an entry knows no more than at the
 	// refusal.
 	MinRetryAfter = 200 * time.Millisecond
--- a/core/rgadmission/query_wait.go
+++ b/core/rgadmission/query_wait.go
@@ -132,5 +132,5 @@
 	if jb.RunTime.Duration > 0 {
 		return jb.RunTime.Duration
 	}
-	return DefaultServiceTime
+	return rgmodel.DefaultServiceTime
 }
--- a/core/rgfleet/command_health_test.go
+++ b/core/rgfleet/command_health_test.go
@@ -198,7 +198,7 @@
 		own, others    time.Duration
 		declared, want time.Duration
 	}{
-		"nothing":  {guards: "a service time of zero", want: rgfleet.DefaultServiceTime},
+		"nothing":  {guards: "a service time of zero", want: rgmodel.DefaultServiceTime},
 		"declared": {guards: "the declared time is ignored before a time is learned", declared: time.Second, want: time.Second},
 		"own": {
 			guards: "a wrong declared time is used instead of the learned one",
--- a/core/rgfleet/query_time.go
+++ b/core/rgfleet/query_time.go
@@ -1,14 +1,14 @@
 package rgfleet
 
-import "time"
+import (
+	"time"
 
-const (
-	// DefaultServiceTime is the assumed service time of a kind without a learned or declared one.
-	DefaultServiceTime = 200 * time.Millisecond
-	// fleetSmoothingFactor is the weight of one report in the moving average of service times over the fleet.
-	fleetSmoothingFactor = 0.05
+	"ragwortgap/core/rgmodel"
 )
 
+// fleetSmoothingFactor is the weight of one report in the moving average of service times over the fleet.
+const fleetSmoothingFactor = 0.05
+
 // ServiceTime returns the service time of a kind that the member has learned, or else the average that other members have
 // learned, or else the declared one. Without the average, a declared time that is far too long would prevent placements on
 // members that have not run the kind yet, so they would never learn its service time.
@@ -22,7 +22,7 @@
 	if declared > 0 {
 		return declared
 	}
-	return DefaultServiceTime
+	return rgmodel.DefaultServiceTime
 }
 
 func learnedServiceTime(mem *Member, kind string) (time.Duration, bool) {
--- a/core/rgmodel/fleet.go
+++ b/core/rgmodel/fleet.go
@@ -106,6 +106,9 @@
 // ring, before it starts any task.
 const RingLeaseTime = 3 * time.Second
 
+// DefaultServiceTime is the assumed service time of a kind without a learned or declared one.
+const DefaultServiceTime = 200 * time.Millisecond
+
 const (
 	// TaskQueued is the zero value: the task is accepted and not started.
 	TaskQueued TaskState = iota
--- a/core/rgqueue/query_wait.go
+++ b/core/rgqueue/query_wait.go
@@ -112,7 +112,7 @@
 	if declared > 0 {
 		return declared
 	}
-	return DefaultServiceTime
+	return rgmodel.DefaultServiceTime
 }
 
 func queuedWork(sta *State, key rgmodel.Flow, flo *FlowState) time.Duration {
--- a/core/rgqueue/state.go
+++ b/core/rgqueue/state.go
@@ -16,8 +16,6 @@
 	cancellationTTL = time.Minute
 	// DefaultMaxQueued is the default of State.MaxQueued.
 	DefaultMaxQueued = 4096
-	// DefaultServiceTime is the assumed service time of a kind without a learned or declared one.
-	DefaultServiceTime = 200 * time.Millisecond
 	// DefaultMaxResultBytes is the default bound of the results that are kept for resubmissions.
 	DefaultMaxResultBytes = 16 << 20
 	// MaxReportedFlows bounds the flows in a report. Callers choose the names of kinds, so their number is unbounded.
