io/rgdispatcher: name the peer in the line "unexpected message"

The line had the attribute sidecar only. For a message of another entry it was empty, so the line named no one.

It now has sidecar or entry, as in docs/OPERATIONS.md. A peer that has not introduced itself has no name yet, and sidecar stays empty in this case. TestUnexpectedMessageNamesPeer failed before the change: attributes sidecar= instead of entry=edge0.

--- a/io/rgdispatcher/command_peer.go
+++ b/io/rgdispatcher/command_peer.go
@@ -115,10 +115,18 @@
 			per.Conn.Send(rgwire.Gossip{From: pro.self, Version: cfg.Version, Config: cfg.Raw})
 		}
 	default:
-		pro.log.Warn("unexpected message", zap.String("sidecar", per.Sidecar))
+		pro.log.Warn("unexpected message", peerName(per))
 	}
 }
 
+// peerName returns the log attribute that names the peer. The name is empty until the peer has introduced itself.
+func peerName(per *PeerConn) zap.Field {
+	if per.Entry != "" {
+		return zap.String("entry", per.Entry)
+	}
+	return zap.String("sidecar", per.Sidecar)
+}
+
 // offerPeerConfig passes a configuration of another entry to the control goroutine.
 func (pro *Process) offerPeerConfig(ctx context.Context, raw []byte) {
 	cfg, err := pro.source.Decode(raw)
