io/rgproof, core/rgplacement, io/rgstandin: split the largest files by concept

io/rgproof/system_test.go (523 lines), io/rgproof/scenario_test.go (517), core/rgplacement/simulation_test.go (442) and io/rgstandin/store.go (335) each held several concepts.

Tests of processes: process, upstream, status, submit; checkHistory and the two counts of the history go to history_test.go. Scenarios: by submission, ring, shutdown and store, with the table in scenario_test.go. Simulation of placement: event, load, entry and sidecar. The store stand-in: commands (fault, key, lease) and queries (call, key, watch), as in the other packages of io.

Only whole declarations moved. A comparison of all top-level declarations with their comments, without their order, shows no difference in core/rgplacement (90 declarations) and io/rgstandin (38); in io/rgproof (158) five declarations left a group in brackets because they stand alone in their file now, with the same text. The lists of tests and benchmarks are the same as before.

--- a/io/rgproof/history_test.go
+++ b/io/rgproof/history_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -210,3 +211,41 @@
 	}
 	return txt.String()
 }
+
+// checkHistory fails the test if the history violates invariants 1 to 5, and logs the numbers of attempts and starts.
+func (sys *system) checkHistory() {
+	sys.t.Helper()
+	sys.mutex.Lock()
+	found := findViolations(sys.attempts, sys.starts)
+	byStatus := map[string]int{}
+	for _, att := range sys.attempts {
+		byStatus[strconv.Itoa(att.status)]++
+	}
+	sys.t.Logf("%d attempts by status %v, %d starts", len(sys.attempts), byStatus, len(sys.starts))
+	sys.mutex.Unlock()
+	for _, txt := range found[:min(len(found), 5)] {
+		sys.t.Error(txt)
+	}
+	if len(found) > 0 {
+		sys.t.Errorf("%d violations\n%s", len(found), sys.logs())
+	}
+}
+
+func (sys *system) countAttempts() int {
+	sys.mutex.Lock()
+	defer sys.mutex.Unlock()
+	return len(sys.attempts)
+}
+
+// startCount returns the number of task starts of a submission.
+func (sys *system) startCount(id rgmodel.SubmissionID) int {
+	sys.mutex.Lock()
+	defer sys.mutex.Unlock()
+	sum := 0
+	for _, stt := range sys.starts {
+		if stt.id == id {
+			sum++
+		}
+	}
+	return sum
+}
--- a/io/rgstandin/store.go
+++ b/io/rgstandin/store.go
@@ -2,10 +2,8 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -62,55 +60,6 @@
 	}
 )
 
-// leaseCheckInterval is how often a waiting watch checks for expired leases.
-const leaseCheckInterval = 50 * time.Millisecond
-
-// SetFaults replaces the faults.
-func (sto *Store) SetFaults(flt StoreFaults) {
-	sto.mutex.Lock()
-	defer sto.mutex.Unlock()
-	switch {
-	case !flt.StaleReads:
-		sto.staleState = nil
-	case sto.snapshot != nil:
-		sto.staleState = sto.snapshot
-	case sto.staleState == nil:
-		sto.staleState = sto.copyState()
-	}
-	sto.faults = flt
-}
-
-// TakeSnapshot saves the current state for the fault StaleReads.
-func (sto *Store) TakeSnapshot() {
-	sto.mutex.Lock()
-	defer sto.mutex.Unlock()
-	sto.snapshot = sto.copyState()
-}
-
-// copyState returns a copy of the current state. The caller holds the mutex.
-func (sto *Store) copyState() *storeState {
-	return &storeState{items: maps.Clone(sto.items), deleted: maps.Clone(sto.deleted), version: sto.version}
-}
-
-// readState returns the state from which reads are answered. The caller holds the mutex.
-func (sto *Store) readState() storeState {
-	if sto.staleState != nil {
-		return *sto.staleState
-	}
-	return storeState{items: sto.items, deleted: sto.deleted, version: sto.version}
-}
-
-// Calls returns the number of calls by method and route, such as "GET keys".
-func (sto *Store) Calls() map[string]int {
-	sto.mutex.Lock()
-	defer sto.mutex.Unlock()
-	cpy := make(map[string]int, len(sto.calls))
-	for name, cnt := range sto.calls {
-		cpy[name] = cnt
-	}
-	return cpy
-}
-
 // ServeHTTP handles one call and applies the faults.
 func (sto *Store) ServeHTTP(rsp http.ResponseWriter, req *http.Request) {
 	flt := sto.recordCall(req)
@@ -172,156 +121,6 @@
 	}
 }
 
-func (sto *Store) get(key string) (int, any) {
-	sto.mutex.Lock()
-	defer sto.mutex.Unlock()
-	sto.expireLeases(time.Now())
-	itm, ok := sto.readState().items[key]
-	if !ok {
-		return http.StatusNotFound, nil
-	}
-	return http.StatusOK, itm.Item
-}
-
-func (sto *Store) put(req *http.Request, key string) (int, any) {
-	var wri rgstore.Write
-	if err := json.NewDecoder(req.Body).Decode(&wri); err != nil {
-		return http.StatusBadRequest, nil
-	}
-	sto.mutex.Lock()
-	defer sto.mutex.Unlock()
-	sto.expireLeases(time.Now())
-	if cur := sto.items[key]; cur.Version != wri.Expected {
-		cur.Key = key
-		return http.StatusConflict, cur.Item
-	}
-	if wri.Lease != "" && sto.leases[wri.Lease] == nil {
-		return http.StatusNotFound, nil
-	}
-	sto.version++
-	itm := storeItem{Item: rgstore.Item{Key: key, Value: wri.Value, Version: sto.version}, lease: wri.Lease}
-	sto.items[key] = itm
-	delete(sto.deleted, key)
-	sto.notifyWatches()
-	return http.StatusOK, itm.Item
-}
-
-// list returns the items with the prefix and a later version than after. If after is not 0, it includes deleted keys.
-func (sto *Store) list(prefix string, after uint64) rgstore.Listing {
-	sto.mutex.Lock()
-	defer sto.mutex.Unlock()
-	sto.expireLeases(time.Now())
-	sta := sto.readState()
-	lis := rgstore.Listing{Version: sta.version}
-	for key, itm := range sta.items {
-		if strings.HasPrefix(key, prefix) && itm.Version > after {
-			lis.Items = append(lis.Items, itm.Item)
-		}
-	}
-	for key, ver := range sta.deleted {
-		if after > 0 && strings.HasPrefix(key, prefix) && ver > after {
-			lis.Items = append(lis.Items, rgstore.Item{Key: key, Version: ver, Deleted: true})
-		}
-	}
-	return lis
-}
-
-// watch waits until there is an item to list, the wait time has passed, or the store is down. It also returns if the state
-// is older than the version of the caller, as during stale reads.
-func (sto *Store) watch(req *http.Request) (int, any) {
-	qry := req.URL.Query()
-	after, err := strconv.ParseUint(qry.Get("after"), 10, 64)
-	if err != nil {
-		return http.StatusBadRequest, nil
-	}
-	wait, err := time.ParseDuration(qry.Get("wait"))
-	if err != nil {
-		return http.StatusBadRequest, nil
-	}
-	end := time.Now().Add(wait)
-	for {
-		sto.mutex.Lock()
-		changed := sto.changed
-		down := sto.faults.Down
-		sto.mutex.Unlock()
-		lis := sto.list(qry.Get("prefix"), after)
-		switch {
-		case down:
-			return http.StatusServiceUnavailable, nil
-		case len(lis.Items) > 0 || !time.Now().Before(end) || lis.Version < after:
-			return http.StatusOK, lis
-		}
-		if !waitForChange(req, changed) {
-			return http.StatusServiceUnavailable, nil
-		}
-	}
-}
-
-func (sto *Store) lease(req *http.Request, id string) (int, any) {
-	sto.mutex.Lock()
-	defer sto.mutex.Unlock()
-	now := time.Now()
-	sto.expireLeases(now)
-	if req.Method == http.MethodPost {
-		var lea rgstore.Lease
-		if err := json.NewDecoder(req.Body).Decode(&lea); err != nil {
-			return http.StatusBadRequest, nil
-		}
-		sto.lastLease++
-		lea.ID = strconv.Itoa(sto.lastLease)
-		sto.leases[lea.ID] = &storeLease{ttl: lea.TTL.Duration, expires: now.Add(lea.TTL.Duration)}
-		return http.StatusOK, lea
-	}
-	lea := sto.leases[id]
-	switch {
-	case lea == nil:
-		return http.StatusNotFound, nil
-	case req.Method == http.MethodDelete:
-		lea.expires = now
-		sto.expireLeases(now)
-	default:
-		lea.expires = now.Add(lea.ttl)
-	}
-	return http.StatusOK, nil
-}
-
-// expireLeases removes expired leases and their keys. The caller holds the mutex.
-func (sto *Store) expireLeases(now time.Time) {
-	for id, lea := range sto.leases {
-		if now.Before(lea.expires) {
-			continue
-		}
-		delete(sto.leases, id)
-		for key, itm := range sto.items {
-			if itm.lease == id {
-				delete(sto.items, key)
-				sto.version++
-				sto.deleted[key] = sto.version
-				sto.notifyWatches()
-			}
-		}
-	}
-}
-
-// notifyWatches wakes the waiting watches after a change. The caller holds the mutex.
-func (sto *Store) notifyWatches() {
-	close(sto.changed)
-	sto.changed = make(chan struct{})
-}
-
-// waitForChange waits until changed is closed or leaseCheckInterval has passed. It returns false if the caller disconnects.
-func waitForChange(req *http.Request, changed <-chan struct{}) bool {
-	tmr := time.NewTimer(leaseCheckInterval)
-	defer tmr.Stop()
-	select {
-	case <-changed:
-	case <-tmr.C:
-	case <-req.Context().Done():
-		return false
-	}
-	return true
-}
-
 // sleep waits for the duration. It returns false if the caller disconnects.
 func sleep(req *http.Request, dur time.Duration) bool {
 	tmr := time.NewTimer(dur)
