io: remove logic that stood twice

The waits of the store and upstream stand-ins repeated rgclock.Sleep, the check of advertisedAddress of an entry repeated checkOptionalAddress, and StoreWatcher decoded the items of a key prefix in two places.

The stand-ins call rgclock.Sleep, the check is the first one of the list, as before, and decodeItems decodes the items of a prefix. Log messages and the order of the checks are unchanged.

Pairs that are only alike in shape stay: the set-up of processes in tests with different settings, the commands of the two roles, the readers of JSON files with different limits and errors, and the checks of an id in the routes of commands and queries.

--- a/io/rgentry/command_propose.go
+++ b/io/rgentry/command_propose.go
@@ -64,18 +64,7 @@
 
 // liveEntries returns the entries that hold a lease, ordered by name.
 func (sw *StoreWatcher) liveEntries() []rgmodel.Entry {
-	var ents []rgmodel.Entry
-	for key, itm := range sw.Items {
-		if !strings.HasPrefix(key, EntryKeyPrefix) {
-			continue
-		}
-		var ent rgmodel.Entry
-		if err := json.Unmarshal(itm.Value, &ent); err != nil {
-			sw.Process.log.Error("failed to decode entry", zap.String("key", key), zap.Error(err))
-			continue
-		}
-		ents = append(ents, ent)
-	}
+	ents := decodeItems[rgmodel.Entry](sw, EntryKeyPrefix, "failed to decode entry")
 	sortByName(ents)
 	return ents
 }
--- a/io/rgentry/command_watch.go
+++ b/io/rgentry/command_watch.go
@@ -196,22 +196,29 @@
 
 // sendState sends the ring and the configurations to the control goroutine, which ignores what is not newer.
 func (sw *StoreWatcher) sendState(ctx context.Context) {
-	var teams []rgmodel.TeamConfig
+	teams := decodeItems[rgmodel.TeamConfig](sw, ConfigKeyPrefix, "failed to decode team configuration")
+	sw.Process.send(ctx, TeamConfigsReceived{Teams: teams})
+	if rng, ok := sw.storedRing(); ok {
+		sw.Process.send(ctx, RingReceived{Ring: rng})
+	}
+}
+
+// decodeItems decodes the items whose key has the prefix. It logs the message for each item that cannot be decoded, and leaves
+// it out.
+func decodeItems[Value any](sw *StoreWatcher, prefix, message string) []Value {
+	var vals []Value
 	for key, itm := range sw.Items {
-		if !strings.HasPrefix(key, ConfigKeyPrefix) {
+		if !strings.HasPrefix(key, prefix) {
 			continue
 		}
-		var tc rgmodel.TeamConfig
-		if err := json.Unmarshal(itm.Value, &tc); err != nil {
-			sw.Process.log.Error("failed to decode team configuration", zap.String("key", key), zap.Error(err))
+		var val Value
+		if err := json.Unmarshal(itm.Value, &val); err != nil {
+			sw.Process.log.Error(message, zap.String("key", key), zap.Error(err))
 			continue
 		}
-		teams = append(teams, tc)
-	}
-	sw.Process.send(ctx, TeamConfigsReceived{Teams: teams})
-	if rng, ok := sw.storedRing(); ok {
-		sw.Process.send(ctx, RingReceived{Ring: rng})
+		vals = append(vals, val)
 	}
+	return vals
 }
 
 func (sw *StoreWatcher) storedRing() (rgmodel.Ring, bool) {
--- a/io/rgsettings/settings.go
+++ b/io/rgsettings/settings.go
@@ -105,12 +105,8 @@
 func CheckEntry(set *Entry) error {
 	setDefault(&set.DrainTimeout, DefaultDrainTimeout)
 	setDefault(&set.LeaseTime, DefaultLeaseTime)
-	if set.AdvertisedAddress != "" {
-		if err := checkAddress("advertisedAddress", set.AdvertisedAddress); err != nil {
-			return err
-		}
-	}
 	return firstError(
+		checkOptionalAddress("advertisedAddress", set.AdvertisedAddress),
 		checkName("name", set.Name),
 		checkName("availabilityZone", set.AvailabilityZone),
 		checkAddress("callerAddress", set.CallerAddress),
--- a/io/rgstandin/store.go
+++ b/io/rgstandin/store.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"ragwortgap/io/rgclock"
 	"ragwortgap/io/rgstore"
 )
 
@@ -63,7 +64,7 @@
 // ServeHTTP handles one call and applies the faults.
 func (sto *Store) ServeHTTP(rsp http.ResponseWriter, req *http.Request) {
 	flt := sto.recordCall(req)
-	if flt.Delay > 0 && !sleep(req, flt.Delay) {
+	if flt.Delay > 0 && !rgclock.Sleep(req.Context(), flt.Delay) {
 		return
 	}
 	if flt.Down {
@@ -120,15 +121,3 @@
 		return http.StatusNotFound, nil
 	}
 }
-
-// sleep waits for the duration. It returns false if the caller disconnects.
-func sleep(req *http.Request, dur time.Duration) bool {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-		return true
-	case <-req.Context().Done():
-		return false
-	}
-}
--- a/io/rgstandin/upstream.go
+++ b/io/rgstandin/upstream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgclock"
 )
 
 type (
@@ -78,11 +79,7 @@
 	}
 	ups.Log.Add(TaskStart{ID: rgmodel.SubmissionID(id), Index: idx, Upstream: ups.Name, At: time.Now()})
 	fail := ups.countStart()
-	tmr := time.NewTimer(ups.randomRunTime(kind))
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-	case <-req.Context().Done():
+	if !rgclock.Sleep(req.Context(), ups.randomRunTime(kind)) {
 		return
 	}
 	rsp.Header().Set("Submission-Id", id)
