io/rgentry, io/rgsidecar: use rgmailbox for events to the control goroutine

Both had their own event channel with send and request, although rgmailbox does the same for the processes on the users' platform.

They use Mailbox now. The entry keeps its buffer of 1024 events, the sidecar has the 256 of New, as before. request stays in both as the place that chooses the error. At the sidecar workCtx ends before Done is closed, so that a request without a reply has an error. A single capacity for all was ruled out, because it would change how far callers of an entry run ahead of its control goroutine.

One text changes: if the context of a request ends while the event buffer of an entry is full, the error is that of the context, no longer "entry is stopping". Callers only check whether there is an error, or write it into the response. No test covers this case.

--- a/io/rgentry/command_lease.go
+++ b/io/rgentry/command_lease.go
@@ -51,7 +51,7 @@
 		pro.log.Error("failed to decode ring", zap.Error(err))
 		return
 	}
-	pro.send(ctx, RingLeaseRenewed{Ring: rng, Sent: sent})
+	pro.mailbox.Send(ctx, RingLeaseRenewed{Ring: rng, Sent: sent})
 }
 
 // acquireLease writes the entry's key under a new lease and returns the lease, or an empty string if that failed.
--- a/io/rgentry/command_ring.go
+++ b/io/rgentry/command_ring.go
@@ -89,10 +89,10 @@
 		err := pro.entries.request(ctx, pro, ent, rgwire.Configure{Ring: rng}, &rep)
 		switch {
 		case err == nil:
-			pro.send(workCtx, RingConfirmed{Incarnation: ent.Incarnation, Generation: rep.Generation})
+			pro.mailbox.Send(workCtx, RingConfirmed{Incarnation: ent.Incarnation, Generation: rep.Generation})
 			return
 		case errors.Is(err, syscall.ECONNREFUSED):
-			pro.send(workCtx, RingConfirmed{Incarnation: ent.Incarnation, Ended: true})
+			pro.mailbox.Send(workCtx, RingConfirmed{Incarnation: ent.Incarnation, Ended: true})
 			return
 		}
 		rgclock.Sleep(ctx, ringRetryDelay)
@@ -142,7 +142,7 @@
 			evt.Unresponsive = append(evt.Unresponsive, ent)
 		}
 	}
-	pro.send(workCtx, evt)
+	pro.mailbox.Send(workCtx, evt)
 }
 
 // mergeSnapshots merges the snapshots of other entries. If none of these entries knows all sidecars, ids stay uncertain
--- a/io/rgentry/command_run.go
+++ b/io/rgentry/command_run.go
@@ -50,7 +50,7 @@
 		for _, prt := range pts {
 			running.Go(func() {
 				outs := jr.runPart(ctx, prt)
-				jr.Process.send(workCtx, PartEnded{Part: prt})
+				jr.Process.mailbox.Send(workCtx, PartEnded{Part: prt})
 				results <- PartResult{Part: prt, Outcomes: outs}
 			})
 		}
@@ -62,7 +62,7 @@
 		startParts(jr.recordResult(ctx, workCtx, trk, res))
 	}
 	running.Wait()
-	jr.Process.send(workCtx, JobEnded{RunID: jr.RunID, Answer: trk.Answer(jr.Job.ID), Locations: trk.Locations()})
+	jr.Process.mailbox.Send(workCtx, JobEnded{RunID: jr.RunID, Answer: trk.Answer(jr.Job.ID), Locations: trk.Locations()})
 }
 
 // recordResult records the outcomes of a part and returns the parts that retry refused tasks at other sidecars.
@@ -79,7 +79,7 @@
 		}
 	}
 	if trk.CannotSucceed {
-		jr.Process.send(workCtx, JobCannotSucceed{RunID: jr.RunID})
+		jr.Process.mailbox.Send(workCtx, JobCannotSucceed{RunID: jr.RunID})
 	}
 	return pts
 }
--- a/io/rgentry/command_sidecar.go
+++ b/io/rgentry/command_sidecar.go
@@ -39,7 +39,7 @@
 	pro.seal(workCtx, sta, key)
 	pro.traffic.Go(func() {
 		<-evt.Peer.Done
-		pro.send(workCtx, SidecarDisconnected{Key: key, Peer: evt.Peer})
+		pro.mailbox.Send(workCtx, SidecarDisconnected{Key: key, Peer: evt.Peer})
 	})
 }
 
@@ -69,7 +69,7 @@
 			per.Close()
 			return
 		}
-		pro.send(workCtx, SealReplied{Key: key, Peer: per, Generation: msg.Ring.Generation, Records: rep.Records})
+		pro.mailbox.Send(workCtx, SealReplied{Key: key, Peer: per, Generation: msg.Ring.Generation, Records: rep.Records})
 	})
 }
 
--- a/io/rgentry/command_watch.go
+++ b/io/rgentry/command_watch.go
@@ -167,7 +167,7 @@
 		err := sw.Process.entries.request(callCtx, sw.Process, rgmodel.Entry{Address: adr}, rgwire.SnapshotRequest{}, &rep)
 		stop()
 		if err == nil && rep.Ring.Generation > 0 {
-			sw.Process.send(ctx, SnapshotsReceived{Snapshots: []rghome.Snapshot{rep.Snapshot}})
+			sw.Process.mailbox.Send(ctx, SnapshotsReceived{Snapshots: []rghome.Snapshot{rep.Snapshot}})
 			return
 		}
 	}
@@ -190,16 +190,16 @@
 		pro.scope.Counter("peerSyncErrors").Inc(1)
 		return
 	}
-	pro.send(ctx, TeamConfigsReceived{Teams: rep.Teams})
-	pro.send(ctx, RingReceived{Ring: rep.Ring})
+	pro.mailbox.Send(ctx, TeamConfigsReceived{Teams: rep.Teams})
+	pro.mailbox.Send(ctx, RingReceived{Ring: rep.Ring})
 }
 
 // sendState sends the ring and the configurations to the control goroutine, which ignores what is not newer.
 func (sw *StoreWatcher) sendState(ctx context.Context) {
 	teams := decodeItems[rgmodel.TeamConfig](sw, ConfigKeyPrefix, "failed to decode team configuration")
-	sw.Process.send(ctx, TeamConfigsReceived{Teams: teams})
+	sw.Process.mailbox.Send(ctx, TeamConfigsReceived{Teams: teams})
 	if rng, ok := sw.storedRing(); ok {
-		sw.Process.send(ctx, RingReceived{Ring: rng})
+		sw.Process.mailbox.Send(ctx, RingReceived{Ring: rng})
 	}
 }
 
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -88,7 +88,7 @@
 	var timeout <-chan time.Time
 	for {
 		select {
-		case evt := <-pro.events:
+		case evt := <-pro.mailbox.Events:
 			pro.handle(workCtx, sta, evt)
 		case now := <-tic.C:
 			pro.tick(workCtx, sta, now)
--- a/io/rgentry/process.go
+++ b/io/rgentry/process.go
@@ -18,6 +18,7 @@
 
 	"ragwortgap/core/rgburn"
 	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgmailbox"
 	"ragwortgap/io/rgsettings"
 	"ragwortgap/io/rgstore"
 	"ragwortgap/io/rgtls"
@@ -43,10 +44,8 @@
 		store    rgstore.Client
 		listener net.Listener
 		identity *rgtls.Identity
-		events   chan Event
+		mailbox  rgmailbox.Mailbox[Event]
 		view     atomic.Pointer[View]
-		// stopped is closed when the control goroutine has ended.
-		stopped chan struct{}
 		// waitingCallers is the number of calls that wait for an answer.
 		waitingCallers atomic.Int64
 		// traffic waits for the goroutines of jobs, connections and the store.
@@ -94,8 +93,7 @@
 		store:    rgstore.Client{BaseURL: set.Store},
 		listener: lis,
 		identity: ide,
-		events:   make(chan Event, eventBuffer),
-		stopped:  make(chan struct{}),
+		mailbox:  rgmailbox.Mailbox[Event]{Events: make(chan Event, eventBuffer), Done: make(chan struct{})},
 	}
 	pro.view.Store(&View{})
 	go pro.run(ctx)
@@ -112,7 +110,7 @@
 		pro.traffic.Go(func() { rgtls.Watch(workCtx, pro.identity, pro.identity.Files.Certificate, pro.log) })
 	}
 	pro.control(ctx, workCtx)
-	close(pro.stopped)
+	close(pro.mailbox.Done)
 	stop()
 	// Closing a listener fails only if it is already closed.
 	_ = pro.listener.Close()
@@ -148,30 +146,16 @@
 	}
 }
 
-// send sends an event to the control goroutine. It returns false if ctx or the process ends first.
-func (pro *Process) send(ctx context.Context, evt Event) bool {
-	select {
-	case pro.events <- evt:
-		return true
-	case <-pro.stopped:
-		return false
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // request sends an event to the control goroutine and waits for the reply.
 func request[Rep any](ctx context.Context, pro *Process, evt Event, rep <-chan Rep) (Rep, error) {
-	var zero Rep
-	if !pro.send(ctx, evt) {
-		return zero, errors.New("entry is stopping")
+	val, ok := rgmailbox.Call(ctx, pro.mailbox, evt, rep)
+	if ok {
+		return val, nil
 	}
 	select {
-	case val := <-rep:
-		return val, nil
-	case <-pro.stopped:
-		return zero, errors.New("entry is stopping")
-	case <-ctx.Done():
-		return zero, errors.Trace(ctx.Err())
+	case <-pro.mailbox.Done:
+		return val, errors.New("entry is stopping")
+	default:
+		return val, errors.Trace(ctx.Err())
 	}
 }
--- a/io/rgentry/serve.go
+++ b/io/rgentry/serve.go
@@ -32,7 +32,7 @@
 		vie := pro.View()
 		return rgwire.TeamConfigsReply{Ring: vie.Ring, Teams: rgconfig.Newer(vie.Teams, msg.Revisions)}, nil
 	case rgwire.QuotaUsage:
-		pro.send(ctx, UsageReceived{Usage: msg})
+		pro.mailbox.Send(ctx, UsageReceived{Usage: msg})
 		return struct{}{}, nil
 	case rgwire.Forward:
 		res := pro.submitJob(ctx, msg.Job, false, msg.Hops)
--- a/io/rgmailbox/mailbox.go
+++ b/io/rgmailbox/mailbox.go
@@ -6,7 +6,7 @@
 // capacity lets traffic goroutines continue while the control goroutine handles a burst of events.
 const capacity = 256
 
-// Mailbox is a queue of events for the control goroutine. Use New to create one.
+// Mailbox is a queue of events for the control goroutine. Both channels must be set, as New does.
 type Mailbox[Event any] struct {
 	Events chan Event
 	// Done is closed once the control goroutine handles no more events.
--- a/io/rgsidecar/command_connect.go
+++ b/io/rgsidecar/command_connect.go
@@ -12,6 +12,7 @@
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgqueue"
 	"ragwortgap/io/rgclock"
+	"ragwortgap/io/rgmailbox"
 	"ragwortgap/io/rgwire"
 )
 
@@ -49,13 +50,13 @@
 			failure = err
 		}
 		if err == nil && len(rep.Ring.Entries) > 0 {
-			pro.send(workCtx, ConfigureReceived{Ring: rep.Ring, Teams: rep.Teams})
+			pro.mailbox.Send(workCtx, ConfigureReceived{Ring: rep.Ring, Teams: rep.Teams})
 			failure = nil
 			break
 		}
 	}
 	rgclock.Sleep(workCtx, bootstrapDelay)
-	pro.send(workCtx, Bootstrapped{Err: failure})
+	pro.mailbox.Send(workCtx, Bootstrapped{Err: failure})
 }
 
 // endBootstrap logs only the first of consecutive failures, because a wrong address or certificate causes one every round.
@@ -125,7 +126,7 @@
 			if delay == minRedialDelay {
 				pro.log.Warn("entry unreachable", zap.String("entry", ent.Name), zap.String("address", ent.Address), zap.Error(err))
 			}
-			pro.send(workCtx, Disconnected{Entry: ent})
+			pro.mailbox.Send(workCtx, Disconnected{Entry: ent})
 			rgclock.Sleep(ctx, delay/2+rand.N(delay/2+1))
 			delay = min(2*delay, maxRedialDelay)
 			continue
@@ -133,7 +134,7 @@
 		delay = minRedialDelay
 		pro.sendReports(workCtx, per, ent, reps)
 		pro.log.Info("entry disconnected", zap.String("entry", ent.Name))
-		pro.send(workCtx, Disconnected{Entry: ent})
+		pro.mailbox.Send(workCtx, Disconnected{Entry: ent})
 	}
 }
 
@@ -162,9 +163,9 @@
 	if err := per.CallIdempotent(ctx, rgwire.Report{LoadReport: rep}, &rpl); err != nil {
 		return err
 	}
-	pro.send(workCtx, Contacted{Entry: ent, Sent: sent})
+	pro.mailbox.Send(workCtx, Contacted{Entry: ent, Sent: sent})
 	if rpl.Ring.Generation > 0 {
-		pro.send(workCtx, ConfigureReceived{Ring: rpl.Ring})
+		pro.mailbox.Send(workCtx, ConfigureReceived{Ring: rpl.Ring})
 	}
 	return nil
 }
@@ -187,8 +188,8 @@
 		per.Close()
 		return nil, errors.NotValidf("incarnation %s of entry %s at %s", rep.Entry.Incarnation, ent.Name, ent.Address)
 	}
-	pro.send(workCtx, Connected{Entry: ent, Peer: per, Sent: sent})
-	pro.send(workCtx, ConfigureReceived{Ring: rep.Ring, Teams: rep.Teams})
+	pro.mailbox.Send(workCtx, Connected{Entry: ent, Peer: per, Sent: sent})
+	pro.mailbox.Send(workCtx, ConfigureReceived{Ring: rep.Ring, Teams: rep.Teams})
 	return per, nil
 }
 
@@ -218,10 +219,10 @@
 		rep := make(chan rgwire.SealReply, 1)
 		return request(ctx, pro, SealArrived{Seal: msg, Reply: rep}, rep)
 	case rgwire.CancelSubmissions:
-		pro.send(ctx, CancelArrived{IDs: msg.IDs})
+		pro.mailbox.Send(ctx, CancelArrived{IDs: msg.IDs})
 		return struct{}{}, nil
 	case rgwire.Configure:
-		pro.send(ctx, ConfigureReceived{Ring: msg.Ring, Teams: msg.Teams})
+		pro.mailbox.Send(ctx, ConfigureReceived{Ring: msg.Ring, Teams: msg.Teams})
 		return struct{}{}, nil
 	default:
 		return nil, errors.NotSupportedf("message %T at a sidecar", msg)
@@ -230,13 +231,9 @@
 
 // request sends an event to the control goroutine and waits for the reply.
 func request[Rep any](ctx context.Context, pro *Process, evt Event, rep <-chan Rep) (any, error) {
-	if !pro.send(ctx, evt) {
-		return nil, errors.Trace(ctx.Err())
-	}
-	select {
-	case val := <-rep:
-		return val, nil
-	case <-ctx.Done():
+	val, ok := rgmailbox.Call(ctx, pro.mailbox, evt, rep)
+	if !ok {
 		return nil, errors.Trace(ctx.Err())
 	}
+	return val, nil
 }
--- a/io/rgsidecar/command_run.go
+++ b/io/rgsidecar/command_run.go
@@ -27,7 +27,7 @@
 	began := time.Now()
 	out := pro.forwardTask(ctx, stt)
 	out.Index = stt.Task.Index
-	pro.send(workCtx, TaskFinished{Task: stt, Outcome: out, Took: time.Since(began)})
+	pro.mailbox.Send(workCtx, TaskFinished{Task: stt, Outcome: out, Took: time.Since(began)})
 }
 
 // forwardTask sends the request exactly once. It never retries, whatever happens to the connection.
--- a/io/rgsidecar/process.go
+++ b/io/rgsidecar/process.go
@@ -14,13 +14,11 @@
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgmailbox"
 	"ragwortgap/io/rgsettings"
 	"ragwortgap/io/rgtls"
 )
 
-// eventBuffer lets traffic goroutines continue while the control goroutine handles a burst of events.
-const eventBuffer = 256
-
 // Process is a running sidecar.
 type Process struct {
 	// Done is closed when the process has stopped.
@@ -36,7 +34,7 @@
 	// echoesTask is set while the upstream names the task in its responses. Connections are reused only then, because a
 	// response that arrives twice would otherwise be taken for the response to the next request on the connection.
 	echoesTask atomic.Bool
-	events     chan Event
+	mailbox    rgmailbox.Mailbox[Event]
 	// connections waits for the goroutines of the connections to entries.
 	connections conc.WaitGroup
 	// taskRunners waits for the goroutines that forward tasks to the upstream.
@@ -71,7 +69,7 @@
 			MaxIdleConnsPerHost: set.Slots,
 			DisableCompression:  true,
 		}},
-		events:   make(chan Event, eventBuffer),
+		mailbox:  rgmailbox.New[Event](),
 		identity: ide,
 	}
 	pro.status.Store(&Status{Sidecar: pro.self})
@@ -87,7 +85,9 @@
 		pro.connections.Go(func() { rgtls.Watch(workCtx, pro.identity, pro.identity.Files.Certificate, pro.log) })
 	}
 	pro.control(ctx, workCtx)
+	// workCtx ends first, so a request that gets no reply has its error.
 	stop()
+	close(pro.mailbox.Done)
 	pro.connections.Wait()
 	pro.taskRunners.Wait()
 	pro.upstream.CloseIdleConnections()
@@ -97,13 +97,3 @@
 func refuseRedirect(*http.Request, []*http.Request) error {
 	return http.ErrUseLastResponse
 }
-
-// send sends an event to the control goroutine. It returns false if ctx ends first.
-func (pro *Process) send(ctx context.Context, evt Event) bool {
-	select {
-	case pro.events <- evt:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
