--- a/io/rgentry/command_watch.go
+++ b/io/rgentry/command_watch.go
@@ -167,7 +167,7 @@
 		err := sw.Process.entries.request(callCtx, sw.Process, rgmodel.Entry{Address: adr}, rgwire.SnapshotRequest{}, &rep)
 		stop()
 		if err == nil && rep.Ring.Generation > 0 {
-			sw.Process.send(ctx, SnapshotsReceived{Snapshots: []rghome.Snapshot{rep.Snapshot}})
+			sw.Process.mailbox.Send(ctx, SnapshotsReceived{Snapshots: []rghome.Snapshot{rep.Snapshot}})
 			return
 		}
 	}
@@ -190,28 +190,35 @@
 		pro.scope.Counter("peerSyncErrors").Inc(1)
 		return
 	}
-	pro.send(ctx, TeamConfigsReceived{Teams: rep.Teams})
-	pro.send(ctx, RingReceived{Ring: rep.Ring})
+	pro.mailbox.Send(ctx, TeamConfigsReceived{Teams: rep.Teams})
+	pro.mailbox.Send(ctx, RingReceived{Ring: rep.Ring})
 }
 
 // sendState sends the ring and the configurations to the control goroutine, which ignores what is not newer.
 func (sw *StoreWatcher) sendState(ctx context.Context) {
-	var teams []rgmodel.TeamConfig
+	teams := decodeItems[rgmodel.TeamConfig](sw, ConfigKeyPrefix, "failed to decode team configuration")
+	sw.Process.mailbox.Send(ctx, TeamConfigsReceived{Teams: teams})
+	if rng, ok := sw.storedRing(); ok {
+		sw.Process.mailbox.Send(ctx, RingReceived{Ring: rng})
+	}
+}
+
+// decodeItems decodes the items whose key has the prefix. It logs the message for each item that cannot be decoded, and leaves
+// it out.
+func decodeItems[Value any](sw *StoreWatcher, prefix, message string) []Value {
+	var vals []Value
 	for key, itm := range sw.Items {
-		if !strings.HasPrefix(key, ConfigKeyPrefix) {
+		if !strings.HasPrefix(key, prefix) {
 			continue
 		}
-		var tc rgmodel.TeamConfig
-		if err := json.Unmarshal(itm.Value, &tc); err != nil {
-			sw.Process.log.Error("failed to decode team configuration", zap.String("key", key), zap.Error(err))
+		var val Value
+		if err := json.Unmarshal(itm.Value, &val); err != nil {
+			sw.Process.log.Error(message, zap.String("key", key), zap.Error(err))
 			continue
 		}
-		teams = append(teams, tc)
-	}
-	sw.Process.send(ctx, TeamConfigsReceived{Teams: teams})
-	if rng, ok := sw.storedRing(); ok {
-		sw.Process.send(ctx, RingReceived{Ring: rng})
+		vals = append(vals, val)
 	}
+	return vals
 }
 
 func (sw *StoreWatcher) storedRing() (rgmodel.Ring, bool) {
