io/rgsidecar: adopt the ring of a reply before the contact that it gives

What callers could see: a task that runs twice, or the refusal "not run" of a task that runs. A sidecar could start a batch of an old home although it had just heard of the new one, which does not wait for a sidecar that it has given up or has never known.

Cause: the replies to an announcement and to a report bring the newest ring, so that contact with an entry implies its ring. The sidecar sent its control goroutine the contact first and the ring second. A batch that is parked for this contact was accepted in between, under the older ring. Batches are parked whenever a sidecar connects while the ring changes.

Ruled out: the contact rule itself (core/rghome's simulation adopts the ring first and finds no second start), and a batch that arrives after the ring, which is refused for its generation.

Change: the ring is sent before the contact, in both replies.

--- a/io/rgsidecar/command_connect.go
+++ b/io/rgsidecar/command_connect.go
@@ -162,10 +162,11 @@
 	if err := per.CallIdempotent(ctx, rgwire.Report{LoadReport: rep}, &rpl); err != nil {
 		return err
 	}
-	pro.send(workCtx, Contacted{Entry: ent, Sent: sent})
+	// The ring comes before the contact: a contact under the older ring would let the batches of an old home start.
 	if rpl.Ring.Generation > 0 {
 		pro.send(workCtx, ConfigureReceived{Ring: rpl.Ring})
 	}
+	pro.send(workCtx, Contacted{Entry: ent, Sent: sent})
 	return nil
 }
 
@@ -187,8 +188,9 @@
 		per.Close()
 		return nil, errors.NotValidf("incarnation %s of entry %s at %s", rep.Entry.Incarnation, ent.Name, ent.Address)
 	}
-	pro.send(workCtx, Connected{Entry: ent, Peer: per, Sent: sent})
+	// The ring comes before the contact: see sendReport.
 	pro.send(workCtx, ConfigureReceived{Ring: rep.Ring, Teams: rep.Teams})
+	pro.send(workCtx, Connected{Entry: ent, Peer: per, Sent: sent})
 	return per, nil
 }
 
