core/rgfleet: record the departure of an incarnation that only a peer lists

What callers could see: a task that runs twice after a ring change, or "not run" for a task that ran, without a resubmission: the callers of a moved job are passed on to the new home.

The records of the earlier incarnation are lost, no seal of it was awaited, and it was not listed as departed: its ids counted as never started. In the same function, a departure was ignored if an earlier one of the same incarnation was known, although it may have returned and run tasks since.

Change: such an incarnation is recorded as departed at the time of the merge, and a known departure moves to a later time.

Ids from before the merge get "may have run" in these cases.

--- a/core/rgfleet/command_member.go
+++ b/core/rgfleet/command_member.go
@@ -21,7 +21,7 @@
 	if old == nil {
 		return rgmodel.SidecarKey{}, false
 	}
-	recordDeparture(sta, old, now)
+	recordDeparture(sta, old.Sidecar.Key(), now)
 	return old.Sidecar.Key(), true
 }
 
@@ -80,7 +80,7 @@
 	var lost []rgmodel.SidecarKey
 	for name, mem := range sta.Members {
 		if !mem.Connected && now.Sub(mem.DisconnectedAt) >= LostAfter {
-			recordDeparture(sta, mem, now)
+			recordDeparture(sta, mem.Sidecar.Key(), now)
 			removeMember(sta, name)
 			lost = append(lost, mem.Sidecar.Key())
 		}
@@ -99,19 +99,22 @@
 	var added []rgmodel.SidecarKey
 	for _, sc := range scs {
 		old := sta.Members[sc.Name]
+		replaced := old != nil && old.Sidecar.Incarnation != sc.Incarnation
 		if old != nil && old.Connected {
+			if replaced {
+				// The other entry has not noticed the replacement, so it does not list this incarnation as departed.
+				recordDeparture(sta, sc.Key(), now)
+			}
 			continue
 		}
-		if old != nil && old.Sidecar.Incarnation != sc.Incarnation {
-			recordDeparture(sta, old, now)
+		if replaced {
+			recordDeparture(sta, old.Sidecar.Key(), now)
 		}
 		addMember(sta, &Member{Sidecar: sc, DisconnectedAt: now})
 		added = append(added, sc.Key())
 	}
 	for _, dep := range deps {
-		if !hasDeparted(sta, dep.Sidecar) {
-			sta.Departed = append(sta.Departed, dep)
-		}
+		recordDeparture(sta, dep.Sidecar, dep.At)
 	}
 	return added
 }
@@ -130,6 +133,15 @@
 	}
 }
 
-func recordDeparture(sta *State, mem *Member, now time.Time) {
-	sta.Departed = append(sta.Departed, rgmodel.Departure{Sidecar: mem.Sidecar.Key(), At: now})
+// recordDeparture adds a departure, or moves it to a later time if the sidecar has returned and departed again since.
+func recordDeparture(sta *State, key rgmodel.SidecarKey, at time.Time) {
+	for i, dep := range sta.Departed {
+		if dep.Sidecar == key {
+			if at.After(dep.At) {
+				sta.Departed[i].At = at
+			}
+			return
+		}
+	}
+	sta.Departed = append(sta.Departed, rgmodel.Departure{Sidecar: key, At: at})
 }
--- a/core/rgfleet/query_member.go
+++ b/core/rgfleet/query_member.go
@@ -115,7 +115,3 @@
 	}
 	return mem
 }
-
-func hasDeparted(sta *State, key rgmodel.SidecarKey) bool {
-	return slices.ContainsFunc(sta.Departed, func(dep rgmodel.Departure) bool { return dep.Sidecar == key })
-}
