io/rgentry: give the state of a job the same verdicts as a resubmission

What callers could see, in GET /v1/jobs/:id: "notRun" for tasks that another entry has run, and "failed" without any verdict, and without the id, for a job that was complete.

Cause: the state returned the stored answer as it is. A resubmission of the same id gets "mayHaveRun" instead of "notRun" while the entry does not hold the ring lease, because a new home continues a job whose tasks the records show as refused. And the answer of a complete job is empty once it has been dropped from memory (16 MB of answers by default); a resubmission collects it again.

Ruled out: submissions, whose final answers all pass through rghome.Submit or rghome.Finish, which check the ring lease.

--- a/core/rghome/query_downgrade.go
+++ b/core/rghome/query_downgrade.go
@@ -6,8 +6,18 @@
 
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgring"
+	"ragwortgap/core/rgsubmission"
 )
 
+// StoredAnswer returns the final answer of a submission in the form in which it may be sent to callers now.
+func StoredAnswer(sta *State, id rgmodel.SubmissionID, now time.Time) rgmodel.Answer {
+	sub := sta.Submissions.Submissions[id]
+	if sub == nil || !sub.Final {
+		return rgmodel.Answer{}
+	}
+	return downgradeNotRun(sta, rgsubmission.FinalAnswer(sub, id), now)
+}
+
 // downgradeNotRun changes the verdict NotRun to MayHaveRun unless this entry holds the ring lease, because another home
 // may have run the tasks. The reasons are unchanged.
 func downgradeNotRun(sta *State, ans rgmodel.Answer, now time.Time) rgmodel.Answer {
--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -156,7 +156,7 @@
 		pro.adoptRing(workCtx, sta, evt.Ring, now)
 		evt.Reply <- rgwire.SnapshotReply{Snapshot: rghome.TakeSnapshot(&sta.Home)}
 	case JobStateRequested:
-		evt.Reply <- jobState(sta, evt.ID)
+		evt.Reply <- jobState(sta, evt.ID, now)
 	case CancelRequested:
 		evt.Reply <- rgwire.CancelJobReply{Found: cancelJob(sta, evt.ID)}
 	case JobCannotSucceed:
--- a/io/rgentry/query_state.go
+++ b/io/rgentry/query_state.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"ragwortgap/core/rghome"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgring"
 	"ragwortgap/io/rgwire"
@@ -36,12 +38,13 @@
 	return request(ctx, pro, JobStateRequested{ID: id, Reply: rep}, rep)
 }
 
-func jobState(sta *State, id rgmodel.SubmissionID) rgwire.JobStateReply {
+func jobState(sta *State, id rgmodel.SubmissionID, now time.Time) rgwire.JobStateReply {
 	sub := sta.Home.Submissions.Submissions[id]
 	if sub == nil {
 		return rgwire.JobStateReply{}
 	}
-	return rgwire.JobStateReply{Found: true, Team: sub.Flow.Team, Final: sub.Final, Answer: sub.Answer}
+	ans := rghome.StoredAnswer(&sta.Home, id, now)
+	return rgwire.JobStateReply{Found: true, Team: sub.Flow.Team, Final: sub.Final, Answer: ans}
 }
 
 // newerRing returns the reply to a report. It contains the ring if the sidecar knows only an older one, so every
