io/rgapi: no "not run" for refused requests whose id may have run before

What callers could see: 400, 401 or 403 with the verdict notRun ("not been started under this id", docs/api.md) for an id whose tasks have run: a resubmission with no time left in its deadline, with a new field, cut off on the way, with a key that has been replaced since, or at an entry whose clock is behind that of the entry that accepted the id.

Cause: these requests are refused by the entry that they reach, by the request alone. Only the home of an id knows whether it has been accepted (docs/design.md, Verdicts). The digest leaves out the deadline, the run time and the requirements, so that these requests may be resubmissions. Only the check against the resubmission window said "may have run".

Ruled out: requests without an id or with an invalid one, whose verdict stays notRun; cancel and state routes, which said mayHaveRun.

Change: a request with a valid id gets mayHaveRun, unless the id is so far ahead that no entry can have accepted it (twice ClockSkewLimit). A request that cannot be decoded gets it if it contains the name of the id's field, or was not read to its end.

A test that was wrong: "id too far ahead" in TestReadJobRejects expected notRun for an id 1 ms beyond the limit. An entry whose clock is ahead by 1 ms accepts that id. It expects mayHaveRun now, and notRun is checked beyond twice the limit.

--- a/io/rgapi/job.go
+++ b/io/rgapi/job.go
@@ -2,6 +2,7 @@
 package rgapi
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -29,6 +30,9 @@
 	nameRule = "need 1 to 64 bytes without spaces, slashes and control characters"
 	idRule   = "need a UUIDv7 in lower case"
 
+	// fieldSubmissionID is the name of the field for the id that a caller chooses.
+	fieldSubmissionID = "submissionId"
+
 	statusComplete = "complete"
 	statusFailed   = "failed"
 	statusRunning  = "running"
@@ -84,21 +88,48 @@
 func ReadJob(src io.Reader, now time.Time) (rgmodel.Job, *Problem) {
 	raw, err := io.ReadAll(io.LimitReader(src, MaxBodyBytes+1))
 	if err != nil {
-		return rgmodel.Job{}, newProblem("body", strconv.Itoa(len(raw))+" bytes", "not readable: "+err.Error())
+		prb := newProblem("body", strconv.Itoa(len(raw))+" bytes", "not readable: "+err.Error())
+		// The part that was not read may name an id.
+		prb.Verdict = rgmodel.MayHaveRun
+		return rgmodel.Job{}, prb
 	}
 	if len(raw) > MaxBodyBytes {
-		return rgmodel.Job{}, newProblem("body", strconv.Itoa(len(raw))+" bytes or more", "limit is "+strconv.Itoa(MaxBodyBytes)+" bytes")
+		prb := newProblem("body", strconv.Itoa(len(raw))+" bytes or more", "limit is "+strconv.Itoa(MaxBodyBytes)+" bytes")
+		prb.Verdict = undecodedVerdict(raw)
+		return rgmodel.Job{}, prb
 	}
 	var req JobRequest
 	if err := json.Unmarshal(raw, &req, json.RejectUnknownMembers(true)); err != nil {
-		return rgmodel.Job{}, decodeProblem(raw, err)
+		prb := decodeProblem(raw, err)
+		prb.Verdict = undecodedVerdict(raw)
+		return rgmodel.Job{}, prb
 	}
 	if prb := checkRequest(req, now); prb != nil {
+		prb.Verdict = RefusalVerdict(rgmodel.SubmissionID(req.SubmissionID), now)
 		return rgmodel.Job{}, prb
 	}
 	return toJob(req), nil
 }
 
+// RefusalVerdict returns the verdict for a request that is refused without asking the home of its id. Only a request whose id is
+// missing or has never been valid at any entry is certain not to have run: an earlier request with the id may have been accepted.
+func RefusalVerdict(id rgmodel.SubmissionID, now time.Time) rgmodel.Verdict {
+	created, err := id.Created()
+	// The clock of another entry may be ahead by up to the limit.
+	if err != nil || created.After(now.Add(2*rgmodel.ClockSkewLimit)) {
+		return rgmodel.NotRun
+	}
+	return rgmodel.MayHaveRun
+}
+
+// undecodedVerdict returns the verdict for a request that cannot be decoded. It may be a resubmission if it names an id.
+func undecodedVerdict(raw []byte) rgmodel.Verdict {
+	if bytes.Contains(raw, []byte(fieldSubmissionID)) {
+		return rgmodel.MayHaveRun
+	}
+	return rgmodel.NotRun
+}
+
 func toJob(req JobRequest) rgmodel.Job {
 	jb := rgmodel.Job{
 		ID:       rgmodel.SubmissionID(req.SubmissionID),
@@ -172,15 +203,12 @@
 	created, err := id.Created()
 	switch {
 	case err != nil:
-		return newProblem("submissionId", string(id), idRule)
+		return newProblem(fieldSubmissionID, string(id), idRule)
 	case created.After(now.Add(rgmodel.ClockSkewLimit)):
-		return newProblem("submissionId", string(id), "its time is more than "+rgmodel.ClockSkewLimit.String()+" ahead")
+		return newProblem(fieldSubmissionID, string(id), "its time is more than "+rgmodel.ClockSkewLimit.String()+" ahead")
 	case created.Before(now.Add(-rgmodel.MaxResubmissionWindow)):
 		win := rgmodel.MaxResubmissionWindow.String()
-		prb := newProblem("submissionId", string(id), "its time is older than the resubmission window of "+win)
-		// The record of an earlier submission with this id may have expired.
-		prb.Verdict = rgmodel.MayHaveRun
-		return prb
+		return newProblem(fieldSubmissionID, string(id), "its time is older than the resubmission window of "+win)
 	default:
 		return nil
 	}
--- a/io/rgapi/job_test.go
+++ b/io/rgapi/job_test.go
@@ -1,6 +1,7 @@
 package rgapi
 
 import (
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -100,14 +101,67 @@
 	}
 }
 
-// wantVerdict returns MayHaveRun for an id that is too old, because the record of an earlier submission may have expired.
+// wantVerdict returns MayHaveRun for an id that this entry may have accepted before, or another one whose clock is ahead.
 func wantVerdict(name string) rgmodel.Verdict {
-	if name == "id too old" {
+	if name == "id too old" || name == "id too far ahead" {
 		return rgmodel.MayHaveRun
 	}
 	return rgmodel.NotRun
 }
 
+// TestReadJobVerdict guards against "not run" for a request that is refused here, although an earlier request with its id may
+// have been accepted.
+func TestReadJobVerdict(t *testing.T) {
+	id := `,"submissionId":"` + newIDAt(noon) + `"`
+	noEntryAccepts := newIDAt(noon.Add(2*rgmodel.ClockSkewLimit + time.Millisecond))
+	tests := map[string]struct {
+		body string
+		want rgmodel.Verdict
+	}{
+		"no deadline left":                {`{"team":"a","kind":"b","deadline":"0s","tasks":[1]` + id + `}`, rgmodel.MayHaveRun},
+		"negative deadline":               {`{"deadline":"-1s"` + id + `}`, rgmodel.MayHaveRun},
+		"negative cores":                  {jobBody("[1]", id+`,"requires":{"cores":-0.5}`), rgmodel.MayHaveRun},
+		"wrong urgency":                   {jobBody("[1]", id+`,"urgency":"highest"`), rgmodel.MayHaveRun},
+		"unknown field after the id":      {jobBody("[1]", id+`,"prio":3`), rgmodel.MayHaveRun},
+		"unknown field before the id":     {jobBody("[1]", `,"prio":3`+id), rgmodel.MayHaveRun},
+		"not closed":                      {`{"team":"a"` + id, rgmodel.MayHaveRun},
+		"oversized":                       {jobBody("[1]", id) + strings.Repeat(" ", MaxBodyBytes), rgmodel.MayHaveRun},
+		"no id":                           {`{"team":"a","kind":"b","deadline":"0s","tasks":[1]}`, rgmodel.NotRun},
+		"invalid id":                      {`{"team":"a","kind":"b","deadline":"0s","tasks":[1],"submissionId":"seat-12"}`, rgmodel.NotRun},
+		"id that no entry accepts so far": {jobBody("[1]", `,"submissionId":"`+noEntryAccepts+`"`), rgmodel.NotRun},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			jb, prb := ReadJob(strings.NewReader(tc.body), noon)
+			if prb == nil {
+				t.Fatalf("request was accepted as %+v", jb)
+			}
+			if prb.Verdict != tc.want {
+				t.Errorf("got %+v, want %v", *prb, tc.want)
+			}
+		})
+	}
+}
+
+// failingReader returns an error after the text.
+type failingReader struct{ io.Reader }
+
+func (fr failingReader) Read(buf []byte) (int, error) {
+	num, err := fr.Reader.Read(buf)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return num, err
+}
+
+// TestReadJobUnreadable guards against "not run" for a request whose id has not been read.
+func TestReadJobUnreadable(t *testing.T) {
+	_, prb := ReadJob(failingReader{strings.NewReader(`{"team":"a","subm`)}, noon)
+	if prb == nil || prb.Field != "body" || prb.Verdict != rgmodel.MayHaveRun {
+		t.Errorf("got %+v, want a problem of the body with the verdict mayHaveRun", prb)
+	}
+}
+
 // TestReadJobAccepts guards against off-by-one errors in limits, and against digests that differ for the same job.
 func TestReadJobAccepts(t *testing.T) {
 	tests := map[string]string{
--- a/io/rgcommandapi/routes.go
+++ b/io/rgcommandapi/routes.go
@@ -28,13 +28,14 @@
 }
 
 func (rts Routes) submit(rsp http.ResponseWriter, req *http.Request, _ httprouter.Params) {
-	jb, prb := rgapi.ReadJob(req.Body, time.Now())
+	now := time.Now()
+	jb, prb := rgapi.ReadJob(req.Body, now)
 	if prb != nil {
 		rts.Entry.CountMalformed()
 		rgapi.WriteJSON(rsp, http.StatusBadRequest, prb)
 		return
 	}
-	if !rgapi.Authorize(rsp, req, rts.Keys, jb.Flow.Team, rgmodel.NotRun) {
+	if !rgapi.Authorize(rsp, req, rts.Keys, jb.Flow.Team, rgapi.RefusalVerdict(jb.ID, now)) {
 		rts.Entry.CountUnauthorized()
 		return
 	}
