core/rghome, io/rgentry: no "not run" for an id that was used with another body

What callers could see: 409 digestMismatch with the verdict notRun ("not been started under this id", docs/api.md) for an id whose tasks have run. The tasks may even be the same ones: the digest differs if a resubmission has a space in a payload or names the default urgency.

Cause: the verdict was about the second body alone, while verdicts are about the task with this id and index. An entry also gave notRun, with an empty reason, to a part for which a sidecar replied without outcomes.

TestConflictingResubmission failed in its 3 cases, TestConflictVerdict in both, and TestRefusedPart in the 2 cases without a recorded refusal.

Ruled out: stale generations, after which the part counted as possibly run before; the error budgets, which leave such answers out by their reason. The history check of io/rgproof did not show it, because it leaves answers with status 409 out.

Change: an id that was used with another body gets mayHaveRun, from the home and after a refusal of a sidecar. A sidecar that replies without outcomes has not said that nothing ran.

Result: the tests pass, and so do those of core/rghome, core/rgburn, io/rgentry, io/rgcommandapi and io/rgproof with the race detector.

--- a/core/rghome/command_submit.go
+++ b/core/rghome/command_submit.go
@@ -35,7 +35,7 @@
 func decide(sta *State, jb rgmodel.Job, generatedHere bool, now time.Time, rnd *rand.Rand) Decision {
 	switch res := rgsubmission.Lookup(&sta.Submissions, jb.ID, jb.Digest).(type) {
 	case rgsubmission.Conflict:
-		return uniformFinalAnswer(jb, rgmodel.NotRun, rgmodel.ReasonDigestMismatch, "the id was used with another body")
+		return conflictAnswer(jb)
 	case rgsubmission.Answered:
 		return FinalAnswer{Answer: res.Answer, AlreadyFinal: true}
 	case rgsubmission.Running:
@@ -111,7 +111,7 @@
 func resume(sta *State, jb rgmodel.Job, srs []rgring.SidecarRecord, recordsMayBeLost bool, now time.Time, rnd *rand.Rand) Decision {
 	for _, sr := range srs {
 		if sr.Record.Digest != jb.Digest {
-			return uniformFinalAnswer(jb, rgmodel.NotRun, rgmodel.ReasonDigestMismatch, "the id was used with another body")
+			return conflictAnswer(jb)
 		}
 	}
 	locs, tried := rgring.RecordedTasks(srs)
--- a/core/rghome/query_candidates.go
+++ b/core/rghome/query_candidates.go
@@ -86,3 +86,9 @@
 func uniformFinalAnswer(jb rgmodel.Job, vd rgmodel.Verdict, rsn rgmodel.Reason, detail string) FinalAnswer {
 	return FinalAnswer{Answer: rgmodel.UniformAnswer(jb, vd, rsn, detail)}
 }
+
+// conflictAnswer returns the answer for an id that was used with another body. The tasks of that body may have run, and they may be
+// the same ones in another JSON text.
+func conflictAnswer(jb rgmodel.Job) FinalAnswer {
+	return uniformFinalAnswer(jb, rgmodel.MayHaveRun, rgmodel.ReasonDigestMismatch, "the id was used with another body")
+}
--- a/io/rgentry/command_run.go
+++ b/io/rgentry/command_run.go
@@ -113,11 +113,11 @@
 			if rpl.Refused == "" && len(rpl.Outcomes) == len(prt.Tasks) {
 				return rpl.Outcomes
 			}
+			// No record says that the tasks have not run: a newer home may run them, or the id was used with another body.
+			mayHaveRun = true
 			if rpl.Refused != rgmodel.ReasonStaleGeneration {
 				return rgjob.OutcomesWithoutReply(prt, mayHaveRun, rpl.Refused)
 			}
-			// A newer home has sealed the sidecar and may run the tasks.
-			mayHaveRun = true
 		case rgwire.Unsent:
 		case rgwire.NoReply:
 			mayHaveRun = true
