--- a/core/rgexecutor/report_test.go
+++ b/core/rgexecutor/report_test.go
@@ -73,3 +73,31 @@
 		})
 	}
 }
+
+// TestEarlierRunsEnded guards against an entry that is told too early that all earlier runs have ended: it places their tasks elsewhere
+// while the runs that an earlier sidecar process started go on until the lease expires.
+func TestEarlierRunsEnded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := map[string]struct {
+		sta  State
+		want bool
+	}{
+		"new process, executor not known yet": {},
+		"executor known, runs not listed yet": {sta: State{Executor: newExecutor(1), Phase: PhaseFencing}},
+		"executor known, runs listed":         {sta: State{Executor: newExecutor(1), Phase: PhaseServing}, want: true},
+		"executor has left":                   {sta: State{Executor: newExecutor(1)}, want: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			Connect(&tc.sta, now, testConn)
+			for _, upd := range DueUpdates(&tc.sta, now, nil) {
+				if upd.Report != nil && upd.Report.EarlierRunsEnded != tc.want {
+					t.Errorf("earlier runs reported as ended: %v, want %v", upd.Report.EarlierRunsEnded, tc.want)
+				}
+			}
+			if got := earlierRunsEnded(&tc.sta, testConn); got != tc.want {
+				t.Errorf("earlier runs ended: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
