core/rgexecutor: stop renewing the lease for a lost entry also if its run was being stopped already

What callers could see: a task that runs twice at the same time. docs/platform.md says that the lease is no longer renewed at once if the entry of an unconfirmed stop is lost.

Cause: the reason of the first stop was kept, and the check of the lease reads the reason.

The new case of TestLeaseRenewal failed before: "lease may be renewed: true, want false".

Change: the loss of the entry replaces the reason of a stop.

--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -144,6 +144,10 @@
 
 func stopRun(sta *State, now time.Time, run *Run, rsn rgmodel.Reason) []Effect {
 	if run.State == RunStopping {
+		if rsn == rgmodel.ReasonConnectionLost {
+			// The lease is no longer renewed for a lost entry, whatever the stop was requested for.
+			run.Reason = rsn
+		}
 		return nil
 	}
 	run.State = RunStopping
--- a/core/rgexecutor/poll_test.go
+++ b/core/rgexecutor/poll_test.go
@@ -128,19 +128,28 @@
 // rest.
 func TestLeaseRenewal(t *testing.T) {
 	tests := map[string]struct {
-		entryLost bool
-		after     time.Duration
-		want      bool
+		// startUnanswered is set if the run is already being stopped when the entry is lost or the task is cancelled.
+		startUnanswered bool
+		entryLost       bool
+		after           time.Duration
+		want            bool
 	}{
 		"cancelled, stop sent recently": {after: stopConfirmTimeout / 2, want: true},
 		"cancelled, stop unconfirmed":   {after: stopConfirmTimeout + time.Millisecond},
 		"entry lost, stop unconfirmed":  {entryLost: true, after: time.Millisecond},
+		"entry lost while the run of an unanswered start is being stopped": {
+			startUnanswered: true, entryLost: true, after: time.Millisecond,
+		},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			har := newHarness(t)
 			har.place("job", 1)
-			har.replyToStarts(har.acceptedReply())
+			rep := har.acceptedReply()
+			if tc.startUnanswered {
+				rep = rgmodel.OrderReply{}
+			}
+			har.replyToStarts(rep)
 			if tc.entryLost {
 				Disconnect(&har.sta, har.now, testConn)
 			} else {
