core/rgexecutor: return a task whose only start order was certainly not carried out

What callers saw: 502 (may have run) in place of 503 (not run) if the only start order of a task was refused for its incarnation or its fencing token, or found nothing listening, and the job could not be placed again.

Cause: a lost incarnation reported all of its runs as lost, or held them as orphans, also those whose start orders had all been refused. An order that found nothing listening counted as one that may have been carried out.

The new TestRefusedStartIsReturned failed before in 3 of 5 cases, for instance "ends [{Status:lost Reason:sidecarLost UnrefusedStarts:0}], want one returned with 0 unrefused starts".

Change: a run without an unrefused start order is returned when its incarnation is given up, and a refused connection counts like a refusal, because nothing was sent. The cases with a repeated start passed before; they guard the count.

--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -77,6 +77,10 @@
 func abandonIncarnation(sta *State, now time.Time, rsn rgmodel.Reason, los lossCause) []Effect {
 	efs := returnQueue(sta, rsn)
 	for _, run := range sta.Runs {
+		if run.AcceptedTask.UnrefusedStarts == 0 {
+			efs = append(efs, returnTask(sta, run.AcceptedTask, rsn))
+			continue
+		}
 		if mayStillRun(los, run) {
 			sta.Orphans = append(sta.Orphans, OrphanedTask{
 				AcceptedTask: run.AcceptedTask, Reason: rsn, EndedBy: now.Add(maxUnrenewedRunTime(sta)),
--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -104,15 +104,15 @@
 	if run == nil || run.Number != ord.Run || ord.Incarnation != sta.Executor.Incarnation {
 		return nil
 	}
+	if rep.Refusal != rgmodel.RefusalNone || rep.ConnectionRefused {
+		run.AcceptedTask.UnrefusedStarts--
+	}
 	if !rep.Replied {
 		// The order may still be carried out. Once a stop is confirmed, it cannot be, and the task may be started again.
 		sta.LastMissingReply = now
 		run.Requeue = run.State != RunStopping
 		return stopRun(sta, now, run, rgmodel.ReasonUpstreamTimeout)
 	}
-	if rep.Refusal != rgmodel.RefusalNone {
-		run.AcceptedTask.UnrefusedStarts--
-	}
 	switch rep.Refusal {
 	case rgmodel.RefusalNone:
 		run.Started = now
--- a/core/rgexecutor/return_test.go
+++ b/core/rgexecutor/return_test.go
@@ -94,6 +94,36 @@
 	}
 }
 
+// TestRefusedStartIsReturned guards against a task that is reported as lost, or held as an orphan, although each of its start orders was
+// certainly not carried out: its caller would have to assume that the job has run.
+func TestRefusedStartIsReturned(t *testing.T) {
+	tests := map[string][]rgmodel.OrderReply{
+		"wrong incarnation":          {{Replied: true, Refusal: rgmodel.RefusalWrongIncarnation}},
+		"outdated fencing token":     {{Replied: true, Refusal: rgmodel.RefusalFenced}},
+		"run number was used before": {{Replied: true, Refusal: rgmodel.RefusalStaleRun}, {Replied: true, Refusal: rgmodel.RefusalNoCapacity}},
+		"lease had expired":          {{Replied: true, Refusal: rgmodel.RefusalLeaseExpired}, {Replied: true, Refusal: rgmodel.RefusalNoCapacity}},
+		"nothing listens":            {{ConnectionRefused: true}},
+	}
+	for name, reps := range tests {
+		t.Run(name, func(t *testing.T) {
+			har := newHarness(t)
+			har.placeOne(returnTestSlack, 0)
+			for i, rep := range reps {
+				if starts := har.replyToStarts(rep); starts != 1 {
+					t.Fatalf("%d starts in attempt %d, want 1", starts, i)
+				}
+			}
+			for har.sta.Phase == PhaseServing && len(har.sta.Runs) > 0 {
+				// The process of the executor has ended.
+				har.now = har.now.Add(connectionRefusedTimeout)
+				har.efs = append(har.efs, HandlePollReply(&har.sta, har.now, newPoll(&har.sta, har.now),
+					rgmodel.OrderReply{ConnectionRefused: true})...)
+			}
+			checkEnd(t, har, rgmodel.EndReturned, 0)
+		})
+	}
+}
+
 // checkEnd checks that exactly one end of the task with ticket 1 was reported since the last effects were taken.
 func checkEnd(t *testing.T, har *harness, sts rgmodel.EndStatus, unrefusedStarts int) {
 	t.Helper()
