core/rgexecutor: regain control of an executor that has seen a higher fencing token

What callers saw: less capacity, and an executor that is kept busy with polls. If an executor restarts under its id, its clock starts anew, and its sidecar raises the token that it had before. A sidecar process that starts later takes its token from the new, lower clock, and the executor refuses all of its orders. Each refused poll raised the token by one and was repeated at once: after an hour of uptime, control would take millions of orders.

Ruled out: a token from the new clock alone, because orders for the last incarnation that are carried out late bring the old token with them.

The clock of the simulated executors starts anew at a restart.

--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -51,8 +51,8 @@
 }
 
 // takeControl raises the fencing token, so that orders of earlier sidecar processes are refused, and polls for the runs that
-// they started. The token is taken from the executor's clock, which makes it higher than that of any earlier process with
-// the same incarnation.
+// they started. The token is taken from the executor's clock, which makes it higher than that of an earlier process with the same
+// incarnation, unless that process had raised its token on an incarnation with a later clock.
 func takeControl(sta *State, now time.Time) []Effect {
 	sta.Phase = PhaseFencing
 	sta.FenceToken = max(sta.FenceToken+1, uint64(max(sta.Executor.Clock, 1)))
@@ -69,6 +69,10 @@
 
 // retakeControl takes control of the same incarnation again after its runs have ended or their state has become unknown.
 func retakeControl(sta *State, now time.Time, rsn rgmodel.Reason, los lossCause) []Effect {
+	if _, fenced := los.(lossFenced); fenced {
+		// Doubling exceeds the token that the executor has seen after few orders, however high it is.
+		sta.FenceToken = min(2*sta.FenceToken, maxFenceToken)
+	}
 	return append(abandonIncarnation(sta, now, rsn, los), takeControl(sta, now)...)
 }
 
--- a/core/rgexecutor/simulation_executor_test.go
+++ b/core/rgexecutor/simulation_executor_test.go
@@ -31,6 +31,7 @@
 
 func (exe *simExecutor) restart() {
 	exe.startedMillis++
+	exe.clock = 0
 	exe.fenceToken, exe.leaseEnd, exe.sequence, exe.ended = 0, 0, 0, nil
 	exe.runs, exe.highestRun = map[rgmodel.TaskKey]simRun{}, map[rgmodel.TaskKey]uint64{}
 }
