--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -135,7 +135,7 @@
 		Tasks [][]Task
 		// MayHaveRun is set once a task may have been started.
 		MayHaveRun bool
-		// UnrefusedStarts is the number of start orders that the executors have not refused, for tasks that were lost or returned.
+		// UnrefusedStarts is the number of start orders that the executors have not refused, for lost tasks.
 		UnrefusedStarts int
 		// LateEstimate is the estimate because of which the last plan failed.
 		LateEstimate LateEstimate
@@ -209,7 +209,7 @@
 		Placed   int
 		Unknown  int
 		Failures int
-		// UnrefusedStarts is that of the job.
+		// UnrefusedStarts is the number of start orders for lost tasks that the executors have not refused.
 		UnrefusedStarts int
 		// TimeLeft is the time until the deadline, Overdue the time since the soft deadline, and Estimate the estimated run
 		// time of the critical path.
--- a/core/rgdispatch/job_test.go
+++ b/core/rgdispatch/job_test.go
@@ -274,3 +274,42 @@
 	}}})
 	checkAnswers(t, har, "2:notRun:noUpstream ")
 }
+
+// TestLostThenNotPlaced guards against a caller that is promised that its job has not run although a sidecar has reported its task as
+// lost, and against one whose job is given up although it has run in part and can still end before its deadline.
+func TestLostThenNotPlaced(t *testing.T) {
+	tests := map[string]struct {
+		status rgmodel.EndStatus
+		wait   time.Duration
+		want   string
+		placed int
+	}{
+		"returned": {status: rgmodel.EndReturned, wait: 3 * time.Second, want: "1:notRun:expectedWait "},
+		"lost":     {status: rgmodel.EndLost, wait: 3 * time.Second, want: "1:mayHaveRun:expectedWait "},
+		"returned, can end before the deadline": {
+			status: rgmodel.EndReturned, wait: time.Second, want: "1:notRun:expectedWait ",
+		},
+		"lost, can end before the deadline": {status: rgmodel.EndLost, wait: time.Second, placed: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			har := newHarness()
+			har.connectSidecar("one", 1)
+			har.connectSidecar("two", 1)
+			har.submit(1, newRequest("job", 1, 100*time.Millisecond))
+			tks := har.takePlaced()
+			for con := range har.sta.Sidecars {
+				har.report(con, busyReport(1, tc.wait))
+			}
+			har.endAllWithReason(tks, tc.status, rgmodel.ReasonExpectedWait)
+			placed := 0
+			for _, tks := range har.takePlaced() {
+				placed += len(tks)
+			}
+			if placed != tc.placed {
+				t.Errorf("%d tasks placed again, want %d", placed, tc.placed)
+			}
+			checkAnswers(t, har, tc.want)
+		})
+	}
+}
--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -127,8 +127,8 @@
 	return efs
 }
 
-// returnTask reports that a task leaves the sidecar without a result. A start order without a reply may have been carried out, so the
-// task counts as never started only if the executor has refused each of its start orders.
+// returnTask reports that a task leaves the sidecar without a result. It counts as lost if a start order of it was confirmed or got no
+// reply, because an order without a reply may have been carried out.
 func returnTask(sta *State, act AcceptedTask, rsn rgmodel.Reason) Effect {
 	sts := rgmodel.EndReturned
 	if act.UnrefusedStarts > 0 {
@@ -149,7 +149,6 @@
 		end.UnrefusedStarts = act.UnrefusedStarts
 	case rgmodel.EndReturned:
 		sta.Counts.Returned++
-		end.UnrefusedStarts = act.UnrefusedStarts
 	}
 	return ReportEnd{Conn: act.Conn, End: end}
 }
--- a/core/rgexecutor/command_poll.go
+++ b/core/rgexecutor/command_poll.go
@@ -138,7 +138,7 @@
 		if run.Requeue && sta.Conns[run.AcceptedTask.Conn] != nil && !sta.Draining && !sta.Executor.Draining {
 			enqueue(sta, now, run.AcceptedTask)
 			sta.Counts.Requeued++
-			return []Effect{TaskRequeued{
+			return []Effect{LogRequeue{
 				Task: run.AcceptedTask.Task.Key, Run: run.Number, UnrefusedStarts: run.AcceptedTask.UnrefusedStarts,
 			}}
 		}
--- a/core/rgexecutor/control_test.go
+++ b/core/rgexecutor/control_test.go
@@ -45,7 +45,8 @@
 func takeControlOf(sta *State, exe *simExecutor, limit int) int {
 	now := exe.sim.now
 	efs := UpdateExecutor(sta, now, rgmodel.Executor{
-		Incarnation: exe.incarnation(), Service: "desk", Capacity: rgmodel.Resources{Cores: simCores}, Clock: rgmodel.ExecutorTime(exe.clock),
+		Incarnation: exe.incarnation(), Service: "desk", Capacity: rgmodel.Resources{Cores: simCores},
+		Clock: rgmodel.ExecutorTime(exe.clock),
 	})
 	orders := 0
 	for sta.Phase != PhaseServing && orders < limit {
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -105,7 +105,8 @@
 		Deadline time.Time
 		// SoftDeadline is the latest end of the task at which its job is still on time.
 		SoftDeadline time.Time
-		// UnrefusedStarts is the number of start orders that were sent for the task and that the executor has not refused.
+		// UnrefusedStarts is the number of start orders that were sent for the task and that the executor has not refused. The task was
+		// certainly never started only while it is zero.
 		UnrefusedStarts int
 	}
 
@@ -173,8 +174,8 @@
 		End  rgmodel.TaskEnd
 	}
 
-	// TaskRequeued states that a task was queued again after a start order without a reply.
-	TaskRequeued struct {
+	// LogRequeue logs that a task was queued again after a start order without a reply.
+	LogRequeue struct {
 		Task            rgmodel.TaskKey
 		Run             uint64
 		UnrefusedStarts int
@@ -219,6 +220,6 @@
 	}
 )
 
-func (SendOrder) isEffect()    {}
-func (ReportEnd) isEffect()    {}
-func (TaskRequeued) isEffect() {}
+func (SendOrder) isEffect()  {}
+func (ReportEnd) isEffect()  {}
+func (LogRequeue) isEffect() {}
--- a/core/rgexecutor/return_test.go
+++ b/core/rgexecutor/return_test.go
@@ -57,22 +57,29 @@
 // TestReturnAfterUnansweredStart guards against a caller that is promised that its job has not run although a start order of a task
 // got no reply: the task is queued again and then reported as returned, which means that it was never started.
 func TestReturnAfterUnansweredStart(t *testing.T) {
+	carriedOut := map[string]bool{"start carried out": true, "start not carried out": false}
 	for name, leave := range returnTests {
-		t.Run(name, func(t *testing.T) {
-			har := newHarness(t)
-			har.placeOne(returnTestSlack, 0)
-			har.replyToStarts(rgmodel.OrderReply{})
-			har.replyToStops(har.acceptedReply())
-			// Without ejection, the task would be started again at once.
-			har.sta.Health.EjectedUntil = har.now.Add(time.Hour)
-			har.replyToPoll(t, nil, nil)
-			if len(har.sta.Queue) != 1 {
-				t.Fatalf("%d tasks queued after the unanswered start, want 1", len(har.sta.Queue))
-			}
-			har.takeEffects()
-			leave(t, har)
-			checkEnd(t, har, rgmodel.EndLost, 1)
-		})
+		for started, listed := range carriedOut {
+			t.Run(name+", "+started, func(t *testing.T) {
+				har := newHarness(t)
+				har.placeOne(returnTestSlack, 0)
+				har.replyToStarts(rgmodel.OrderReply{})
+				har.replyToStops(har.acceptedReply())
+				// Without ejection, the task would be started again at once.
+				har.sta.Health.EjectedUntil = har.now.Add(time.Hour)
+				if listed {
+					har.endRuns(t, rgmodel.EndLost)
+				} else {
+					har.replyToPoll(t, nil, nil)
+				}
+				if len(har.sta.Queue) != 1 {
+					t.Fatalf("%d tasks queued after the unanswered start, want 1", len(har.sta.Queue))
+				}
+				har.takeEffects()
+				leave(t, har)
+				checkEnd(t, har, rgmodel.EndLost, 1)
+			})
+		}
 	}
 }
 
@@ -97,11 +104,14 @@
 // TestRefusedStartIsReturned guards against a task that is reported as lost, or held as an orphan, although each of its start orders was
 // certainly not carried out: its caller would have to assume that the job has run.
 func TestRefusedStartIsReturned(t *testing.T) {
+	refused := func(ref rgmodel.OrderRefusal) rgmodel.OrderReply {
+		return rgmodel.OrderReply{Replied: true, Refusal: ref}
+	}
 	tests := map[string][]rgmodel.OrderReply{
-		"wrong incarnation":          {{Replied: true, Refusal: rgmodel.RefusalWrongIncarnation}},
-		"outdated fencing token":     {{Replied: true, Refusal: rgmodel.RefusalFenced}},
-		"run number was used before": {{Replied: true, Refusal: rgmodel.RefusalStaleRun}, {Replied: true, Refusal: rgmodel.RefusalNoCapacity}},
-		"lease had expired":          {{Replied: true, Refusal: rgmodel.RefusalLeaseExpired}, {Replied: true, Refusal: rgmodel.RefusalNoCapacity}},
+		"wrong incarnation":          {refused(rgmodel.RefusalWrongIncarnation)},
+		"outdated fencing token":     {refused(rgmodel.RefusalFenced)},
+		"run number was used before": {refused(rgmodel.RefusalStaleRun), refused(rgmodel.RefusalNoCapacity)},
+		"lease had expired":          {refused(rgmodel.RefusalLeaseExpired), refused(rgmodel.RefusalNoCapacity)},
 		"nothing listens":            {{ConnectionRefused: true}},
 	}
 	for name, reps := range tests {
--- a/core/rgexecutor/simulation_test.go
+++ b/core/rgexecutor/simulation_test.go
@@ -64,8 +64,10 @@
 		// returned hold the connections whose task an executor has started and the sidecar has returned.
 		startConns        map[simStart]EntryConnID
 		started, returned map[EntryConnID]bool
-		jobs              int
-		done              int
+		// lostFromQueue counts the tasks that left a queue after a start that may have been carried out.
+		lostFromQueue int
+		jobs          int
+		done          int
 		// faultFree stops the injection of faults, to check that the system recovers from the earlier ones.
 		faultFree bool
 		violation error
@@ -128,6 +130,11 @@
 	switch eff.End.Status {
 	case rgmodel.EndSucceeded:
 		sim.done++
+	case rgmodel.EndLost:
+		// A run that ends as lost has no reason of the queue.
+		if eff.End.Reason == rgmodel.ReasonExpired || eff.End.Reason == rgmodel.ReasonExpectedWait {
+			sim.lostFromQueue++
+		}
 	case rgmodel.EndReturned:
 		if sim.started[eff.Conn] {
 			sim.failReturn("the task of connection %d is returned (%s) after it was started", eff.Conn, eff.End.Reason)
@@ -323,10 +330,12 @@
 // TestSimulatedReturns guards against a task that is returned as not started, which its caller is promised in turn, although one of its
 // start orders was or is later carried out. The faults are those of TestSimulation.
 func TestSimulatedReturns(t *testing.T) {
+	lost := 0
 	for seed := range uint64(40) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			sim := newSimulation(seed)
 			sim.run(t)
+			lost += sim.lostFromQueue
 			if sim.returnViolation != nil {
 				t.Error(sim.returnViolation)
 			}
@@ -335,4 +344,7 @@
 			}
 		})
 	}
+	if lost == 0 {
+		t.Error("no task left a queue after a start that may have been carried out")
+	}
 }
--- a/core/rgmodel/placement.go
+++ b/core/rgmodel/placement.go
@@ -42,7 +42,8 @@
 		Status EndStatus     `json:"how,omitempty"`
 		Reason Reason        `json:"reason,omitempty"`
 		Took   time.Duration `json:"took,omitempty"`
-		// UnrefusedStarts is the number of start orders for a lost or returned task that the executor has not refused.
+		// UnrefusedStarts is the number of start orders for a lost task that the executor has not refused. Each was confirmed or got
+		// no reply.
 		UnrefusedStarts int `json:"unrefusedStarts,omitempty"`
 	}
 
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -161,7 +161,7 @@
 			if con := sta.Conns[eff.Conn]; con != nil {
 				con.UnsentEnds = append(con.UnsentEnds, eff.End)
 			}
-		case rgexecutor.TaskRequeued:
+		case rgexecutor.LogRequeue:
 			pro.log.Info("task queued again", zap.String("job", eff.Task.Job), zap.Int("step", eff.Task.Step),
 				zap.Int("task", eff.Task.Index), zap.Uint64("run", eff.Run), zap.Int("unrefusedStarts", eff.UnrefusedStarts))
 		}
