core/rgexecutor: a start reply with a clock that has started anew confirms nothing

What callers could see: a task that runs twice at the same time. If an executor restarts under its id, its new incarnation carries out starts that were meant for the last one. Replies to starts may lack the start time of the process, so the sidecar took such a reply for a confirmation by the last incarnation, reported the task as lost once it saw the new one, and the entry placed it elsewhere.

Change: a reply whose clock is behind the known one does not confirm the start. The task is then held as orphaned until the sidecar is in control of the new incarnation. The same holds for replies that overtake each other, which only matters if the executor restarts.

--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -116,7 +116,8 @@
 	switch rep.Refusal {
 	case rgmodel.RefusalNone:
 		run.Started = now
-		run.StartConfirmed = true
+		// A clock behind the known one may be that of a new incarnation with the same id, which has carried out the start.
+		run.StartConfirmed = rep.Clock >= sta.Executor.Clock
 		if run.State == RunStarting {
 			run.State = RunRunning
 		}
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -119,9 +119,10 @@
 		// Started is when the start order was sent, or, once it is confirmed, when the confirmation arrived.
 		Started time.Time
 		// StopRequested is when the stop was decided, and StopSent when the stop order was last sent.
-		StopRequested  time.Time
-		StopSent       time.Time
-		StopConfirmed  time.Time
+		StopRequested time.Time
+		StopSent      time.Time
+		StopConfirmed time.Time
+		// StartConfirmed is set if the known incarnation has certainly confirmed the start.
 		StartConfirmed bool
 		// Requeue is set if the task may be started again once the run has certainly ended.
 		Requeue bool
--- a/core/rgexecutor/incarnation_test.go
+++ b/core/rgexecutor/incarnation_test.go
@@ -72,3 +72,27 @@
 		})
 	}
 }
+
+// TestStartConfirmedByUnknownIncarnation guards against a task that is reported as lost, and placed elsewhere, while it runs: the executor has
+// restarted under its id, and its new incarnation has carried out the start and confirmed it in a reply without its start time.
+func TestStartConfirmedByUnknownIncarnation(t *testing.T) {
+	tests := map[string]struct {
+		clock    rgmodel.ExecutorTime
+		wantLost bool
+	}{
+		"clock has started anew": {clock: 10},
+		"clock has gone on":      {clock: 5001, wantLost: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			har := newHarness(t)
+			har.place("job", 1)
+			har.replyToStarts(rgmodel.OrderReply{Replied: true, Clock: tc.clock})
+			har.takeEffects()
+			har.replyFromNewIncarnation(true)
+			if got := har.takeLossReports(); got != tc.wantLost {
+				t.Errorf("task is reported as lost at once: %v, want %v", got, tc.wantLost)
+			}
+		})
+	}
+}
