--- a/core/rgexecutor/incarnation_test.go
+++ b/core/rgexecutor/incarnation_test.go
@@ -73,8 +73,9 @@
 	}
 }
 
-// TestStartConfirmedByUnknownIncarnation guards against a task that is reported as lost, and placed elsewhere, while it runs: the executor has
-// restarted under its id, and its new incarnation has carried out the start and confirmed it in a reply without its start time.
+// TestStartConfirmedByUnknownIncarnation guards against a task that is reported as lost, and placed elsewhere, while it runs: the
+// executor has restarted under its id, and its new incarnation has carried out the start and confirmed it in a reply without its
+// start time.
 func TestStartConfirmedByUnknownIncarnation(t *testing.T) {
 	tests := map[string]struct {
 		clock    rgmodel.ExecutorTime
