core/rgexecutor: never lower the fencing token

What callers could see: less capacity, and an executor that is kept busy with polls. Since the token is doubled after a refusal, a token at or above the bound was lowered to it, so that the process never got control.

It failed before: "no control after 1000 orders", "token, not higher than of the process before".

Change: above the bound, a refused token is incremented as before the doubling.

--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -69,9 +69,9 @@
 
 // retakeControl takes control of the same incarnation again after its runs have ended or their state has become unknown.
 func retakeControl(sta *State, now time.Time, rsn rgmodel.Reason, los lossCause) []Effect {
-	if _, fenced := los.(lossFenced); fenced {
-		// Doubling exceeds the token that the executor has seen after few orders, however high it is.
-		sta.FenceToken = min(2*sta.FenceToken, maxFenceToken)
+	if _, fenced := los.(lossFenced); fenced && sta.FenceToken < maxDoubledToken {
+		// Doubling exceeds the token that the executor has seen after few orders.
+		sta.FenceToken *= 2
 	}
 	return append(abandonIncarnation(sta, now, rsn, los), takeControl(sta, now)...)
 }
--- a/core/rgexecutor/control_test.go
+++ b/core/rgexecutor/control_test.go
@@ -61,3 +61,24 @@
 	}
 	return orders
 }
+
+// TestControlAboveTokenBound guards against a sidecar process that never gets control of an executor whose fencing token is at the bound
+// of the doubling, and against a token that is not higher than that of the process before.
+func TestControlAboveTokenBound(t *testing.T) {
+	exe := newSimulation(0).sidecars[0].exe
+	var first, second State
+	exe.clock, exe.fenceToken = 60_000, maxDoubledToken
+	takeControlOf(&first, exe, 100)
+	for _, eff := range retakeControl(&first, exe.sim.now, "", lossEnded{}) {
+		if snd, ok := eff.(SendOrder); ok {
+			handleReply(&first, exe.sim.now, snd.Order, exe.apply(snd.Order))
+		}
+	}
+	exe.clock = 61_000
+	if orders := takeControlOf(&second, exe, 1000); second.Phase != PhaseServing {
+		t.Errorf("no control after %d orders", orders)
+	}
+	if second.FenceToken <= first.FenceToken {
+		t.Errorf("token %d, not higher than %d of the process before", second.FenceToken, first.FenceToken)
+	}
+}
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -42,8 +42,9 @@
 	// maxStartAttempts bounds the attempts to start a run. An attempt is repeated with a higher run number if its number was
 	// used before or its lease had expired on arrival.
 	maxStartAttempts = 8
-	// maxFenceToken bounds the growth of the fencing token. Larger integers are not exact in every JSON decoder.
-	maxFenceToken = 1 << 52
+	// maxDoubledToken is the fencing token above which a refused one is only incremented. Integers above 2^53 are not exact in
+	// every JSON decoder.
+	maxDoubledToken = 1 << 52
 	// runNumberTTL is how long the last run number of a task is kept.
 	runNumberTTL = 30 * time.Second
 	// defaultMeanCores is the assumed number of cores per task while nothing runs.
