core/rgexecutor: report the end of earlier runs only after the process has had control

What callers could see: a task that runs twice at the same time. A process that knew an incarnation, never controlled it and lost it to the next one reported that all earlier runs had ended. The next incarnation may carry out starts that the process before had sent.

The new test failed before: "earlier runs are reported as ended, and no incarnation was ever controlled".

Change: the report needs control of an incarnation by this process, after which all runs are tracked or orphaned, not just its name. The state of TestDueUpdates says that it has had control, as its phase already did.

--- a/core/rgexecutor/command_poll.go
+++ b/core/rgexecutor/command_poll.go
@@ -87,6 +87,7 @@
 	efs = append(efs, stopUntrackedRuns(sta, now, listed)...)
 	if sta.Phase == PhaseFencing && len(sta.UntrackedRuns) == 0 {
 		sta.Phase = PhaseServing
+		sta.HadControl = true
 	}
 	efs = append(efs, reportEndedOrphans(sta, now)...)
 	return append(efs, startQueued(sta, now)...)
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -185,9 +185,11 @@
 
 	// State is the control state of the sidecar.
 	State struct {
-		Limits     Limits
-		Executor   rgmodel.Executor
-		Phase      Phase
+		Limits   Limits
+		Executor rgmodel.Executor
+		Phase    Phase
+		// HadControl is set once this process has controlled an incarnation of the executor.
+		HadControl bool
 		FenceToken uint64
 		// ClockReadAt is when Executor.Clock was received. The executor's clock showed it at that time or before.
 		ClockReadAt time.Time
--- a/core/rgexecutor/query_report.go
+++ b/core/rgexecutor/query_report.go
@@ -35,11 +35,10 @@
 	return mayRun(sta, match) || slices.ContainsFunc(sta.Queue, match)
 }
 
-// earlierRunsEnded reports whether all runs that were placed on connections closed by now have ended. A process that has not known its
+// earlierRunsEnded reports whether all runs that were placed on connections closed by now have ended. A process that has not controlled an
 // executor yet knows nothing of the runs that an earlier process has started.
 func earlierRunsEnded(sta *State, id EntryConnID) bool {
-	known := sta.Phase == PhaseServing || sta.Phase == PhaseNoExecutor && sta.Executor.Incarnation != (rgmodel.ExecutorIncarnation{})
-	return known &&
+	return sta.HadControl && sta.Phase != PhaseFencing &&
 		!mayRun(sta, func(act AcceptedTask) bool { return act.Conn != id && sta.Conns[act.Conn] == nil })
 }
 
--- a/core/rgexecutor/report_test.go
+++ b/core/rgexecutor/report_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"ragwortgap/core/rgmodel"
 )
 
 // TestDueUpdates guards against an entry that is never informed that an executor accepts tasks again: it places no tasks there, so
@@ -54,7 +56,7 @@
 		t.Run(name, func(t *testing.T) {
 			con := tc.conn
 			con.ReportedEarlierRunsEnded = true
-			sta := &State{Phase: PhaseServing, Health: Health{EjectedUntil: tc.ejectedUntil},
+			sta := &State{Phase: PhaseServing, HadControl: true, Health: Health{EjectedUntil: tc.ejectedUntil},
 				Conns: map[EntryConnID]*EntryConn{testConn: &con}}
 			if tc.hasTask {
 				sta.Queue = []AcceptedTask{{Conn: testConn}}
@@ -84,8 +86,9 @@
 	}{
 		"new process, executor not known yet": {},
 		"executor known, runs not listed yet": {sta: State{Executor: newExecutor(1), Phase: PhaseFencing}},
-		"executor known, runs listed":         {sta: State{Executor: newExecutor(1), Phase: PhaseServing}, want: true},
-		"executor has left":                   {sta: State{Executor: newExecutor(1)}, want: true},
+		"executor known, runs listed":         {sta: State{Executor: newExecutor(1), Phase: PhaseServing, HadControl: true}, want: true},
+		"executor has left":                   {sta: State{Executor: newExecutor(1), HadControl: true}, want: true},
+		"next one known, runs not listed yet": {sta: State{Executor: newExecutor(2), Phase: PhaseFencing, HadControl: true}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -101,3 +104,16 @@
 		})
 	}
 }
+
+// TestEarlierRunsEndedWithoutControl guards against an entry that is told that all earlier runs have ended by a process that has known an
+// incarnation of its executor but never controlled one: the next incarnation may carry out starts of the process before.
+func TestEarlierRunsEndedWithoutControl(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var sta State
+	Connect(&sta, now, testConn)
+	UpdateExecutor(&sta, now, newExecutor(1))
+	HandlePollReply(&sta, now, newPoll(&sta, now), rgmodel.OrderReply{Replied: true, Clock: 10, StartedMillis: 2})
+	if earlierRunsEnded(&sta, testConn) {
+		t.Error("earlier runs are reported as ended, and no incarnation was ever controlled")
+	}
+}
