core/rgexecutor: no repeated start while the lease must not be renewed

What callers could see: a task that runs twice at the same time. A start that was refused for its run number or its lease was repeated at once, and each start renews the lease of all runs, also while the stop of a run of a lost entry is unconfirmed.

The new test failed before: "lease renewed by 30 ms although the stop for a lost entry is unconfirmed".

Change: the start is not repeated then; the task is returned, since the executor has refused all of its starts.

--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -123,7 +123,8 @@
 		}
 		return startQueued(sta, now)
 	case rgmodel.RefusalStaleRun, rgmodel.RefusalLeaseExpired:
-		if run.State == RunStarting && run.StartAttempts < maxStartAttempts {
+		// A start renews the lease of all runs.
+		if run.State == RunStarting && run.StartAttempts < maxStartAttempts && canRenewLease(sta, now) {
 			// Doubling reaches an unused number quickly, however often other processes have started the task.
 			return sendStart(sta, now, run, 2*run.Number+1)
 		}
--- a/core/rgexecutor/poll_test.go
+++ b/core/rgexecutor/poll_test.go
@@ -161,3 +161,21 @@
 		})
 	}
 }
+
+// TestLeaseOfRepeatedStart guards against a run of a lost entry whose lease is renewed by the repeated start of another task.
+func TestLeaseOfRepeatedStart(t *testing.T) {
+	har := newHarness(t)
+	const lostConn = testConn + 1
+	Connect(&har.sta, har.now, lostConn)
+	har.place("one", 1)
+	har.replyToStarts(har.acceptedReply())
+	har.place("two", 1)
+	har.sta.Runs[rgmodel.TaskKey{Job: "one"}].AcceptedTask.Conn = lostConn
+	Disconnect(&har.sta, har.now, lostConn)
+	before := har.sta.LeaseEnd
+	har.now = har.now.Add(30 * time.Millisecond)
+	har.replyToStarts(rgmodel.OrderReply{Replied: true, Refusal: rgmodel.RefusalStaleRun, Clock: har.executorClock()})
+	if har.sta.LeaseEnd > before {
+		t.Errorf("lease renewed by %d ms although the stop for a lost entry is unconfirmed", har.sta.LeaseEnd-before)
+	}
+}
