core/rgexecutor: compare the clock of a start reply with what it must show

What callers could see: as in "a start reply with a clock that has started anew confirms nothing", if the last reading of the clock is old: a new incarnation of a young executor shows a later clock than that reading. The other way round, a reply that was overtaken by another one confirmed nothing, so that its task was held for up to a second after a crash instead of being placed elsewhere at once.

The new test failed before in both cases: "start confirmed: true, want false" for a clock that is ahead of a reading 2 s ago and behind what it must show, and "false, want true" for an overtaken reply that names its incarnation.

Change: the earliest time that the clock can show is kept when the start is sent, and the reply is compared with that, unless it names its incarnation. leaseExpired uses the same function.

--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -86,6 +86,7 @@
 	}
 	run.Number = number
 	run.Started = now
+	run.ClockWhenSent = earliestClock(sta, now)
 	run.StartAttempts++
 	run.AcceptedTask.UnrefusedStarts++
 	sta.RunNumbers[run.AcceptedTask.Task.Key] = RunNumber{Highest: number, LastUsed: now}
@@ -116,8 +117,8 @@
 	switch rep.Refusal {
 	case rgmodel.RefusalNone:
 		run.Started = now
-		// A clock behind the known one may be that of a new incarnation with the same id, which has carried out the start.
-		run.StartConfirmed = rep.Clock >= sta.Executor.Clock
+		// A reply that does not name its incarnation may be from a new one with the same id, whose clock has started anew.
+		run.StartConfirmed = rep.StartedMillis != 0 || rep.Clock >= run.ClockWhenSent
 		if run.State == RunStarting {
 			run.State = RunRunning
 		}
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -123,7 +123,9 @@
 		StopRequested time.Time
 		StopSent      time.Time
 		StopConfirmed time.Time
-		// StartConfirmed is set if the known incarnation has certainly confirmed the start.
+		// ClockWhenSent is the earliest time that the executor's clock can have shown when the start order was sent.
+		ClockWhenSent rgmodel.ExecutorTime
+		// StartConfirmed is set if the known incarnation has confirmed the start.
 		StartConfirmed bool
 		// Requeue is set if the task may be started again once the run has certainly ended.
 		Requeue bool
--- a/core/rgexecutor/incarnation_test.go
+++ b/core/rgexecutor/incarnation_test.go
@@ -97,3 +97,33 @@
 		})
 	}
 }
+
+// TestStartConfirmedByClock guards against a start of a new incarnation that counts as confirmed by the last one because its clock is
+// ahead of an old reading, and against a confirmation that names its incarnation and is ignored because another reply has overtaken it.
+func TestStartConfirmedByClock(t *testing.T) {
+	tests := map[string]struct {
+		// sinceReading is the time between the last reading of the clock and the start.
+		sinceReading time.Duration
+		reply        rgmodel.OrderReply
+		want         bool
+	}{
+		"clock ahead of a reading 2 s ago, behind what it must show": {
+			sinceReading: 2 * time.Second, reply: rgmodel.OrderReply{Replied: true, Clock: 5001},
+		},
+		"overtaken reply that names its incarnation": {
+			reply: rgmodel.OrderReply{Replied: true, Clock: 4999, StartedMillis: 1}, want: true,
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			har := newHarness(t)
+			har.now = har.now.Add(tc.sinceReading)
+			RecordHeartbeat(&har.sta, testConn, har.now)
+			har.place("job", 1)
+			har.replyToStarts(tc.reply)
+			if got := har.sta.Runs[rgmodel.TaskKey{Job: "job"}].StartConfirmed; got != tc.want {
+				t.Errorf("start confirmed: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/core/rgexecutor/query_capacity.go
+++ b/core/rgexecutor/query_capacity.go
@@ -89,8 +89,12 @@
 
 // leaseExpired reports whether every lease has expired, even by the slowest clock that an executor may have.
 func leaseExpired(sta *State, now time.Time) bool {
-	elapsed := rgmodel.ExecutorTime(minClockRate * float64(now.Sub(sta.ClockReadAt).Milliseconds()))
-	return sta.LeaseEnd > 0 && sta.Executor.Clock+elapsed > sta.LeaseEnd+rgmodel.ExecutorTime(sta.Limits.TaskStopTime.Milliseconds())
+	return sta.LeaseEnd > 0 && earliestClock(sta, now) > sta.LeaseEnd+rgmodel.ExecutorTime(sta.Limits.TaskStopTime.Milliseconds())
+}
+
+// earliestClock returns the earliest time that the executor's clock can show now.
+func earliestClock(sta *State, now time.Time) rgmodel.ExecutorTime {
+	return sta.Executor.Clock + rgmodel.ExecutorTime(minClockRate*float64(now.Sub(sta.ClockReadAt).Milliseconds()))
 }
 
 // fits reports whether the task fits into the free part of the allocatable resources. A recovering executor gets one run even
