core/rgexecutor: handle a start that another incarnation refuses by name

What callers saw: 502 in place of 503 if the only start order of a task was refused by another incarnation whose refusal carries its start time. The reply was dropped with those of other incarnations, and the task was reported as lost with the next poll.

The new case of TestRefusedStartIsReturned failed before: "ends [], want one returned with 0 unrefused starts".

Change: the refusal is handled before the check of the incarnation, as in replies to polls, and its clock is not recorded.

--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -98,7 +98,8 @@
 
 // HandleStartReply processes the reply to a start order.
 func HandleStartReply(sta *State, now time.Time, ord rgmodel.StartOrder, rep rgmodel.OrderReply) []Effect {
-	if rep.Replied && !recordClock(sta, now, ord.Incarnation, rep) {
+	// Another incarnation that refuses the order has a clock of its own.
+	if rep.Replied && rep.Refusal != rgmodel.RefusalWrongIncarnation && !recordClock(sta, now, ord.Incarnation, rep) {
 		return nil
 	}
 	run := sta.Runs[ord.Task]
--- a/core/rgexecutor/return_test.go
+++ b/core/rgexecutor/return_test.go
@@ -109,6 +109,7 @@
 	}
 	tests := map[string][]rgmodel.OrderReply{
 		"wrong incarnation":          {refused(rgmodel.RefusalWrongIncarnation)},
+		"wrong incarnation, named":   {{Replied: true, Refusal: rgmodel.RefusalWrongIncarnation, StartedMillis: 2}},
 		"outdated fencing token":     {refused(rgmodel.RefusalFenced)},
 		"run number was used before": {refused(rgmodel.RefusalStaleRun), refused(rgmodel.RefusalNoCapacity)},
 		"lease had expired":          {refused(rgmodel.RefusalLeaseExpired), refused(rgmodel.RefusalNoCapacity)},
