io/rgapi: no "not run" for a body above the limit

What callers could see: 400 with notRun for a resubmission whose body is above the limit and names its id behind the part that was read.

The new test failed before: "Reason:limit is 8388608 bytes Verdict:notRun}, want a problem with the verdict mayHaveRun".

Change: a body that was not read to its end always gets mayHaveRun. Two cases "oversized" expected notRun for a body of spaces; they were wrong in general, because the entry reads one byte more than the limit and cannot know what follows. They expect mayHaveRun now.

--- a/io/rgapi/job.go
+++ b/io/rgapi/job.go
@@ -89,13 +89,13 @@
 	raw, err := io.ReadAll(io.LimitReader(src, MaxBodyBytes+1))
 	if err != nil {
 		prb := newProblem("body", strconv.Itoa(len(raw))+" bytes", "not readable: "+err.Error())
-		// The part that was not read may name an id.
+		// Here and below, the part that was not read may name an id.
 		prb.Verdict = rgmodel.MayHaveRun
 		return rgmodel.Job{}, prb
 	}
 	if len(raw) > MaxBodyBytes {
 		prb := newProblem("body", strconv.Itoa(len(raw))+" bytes or more", "limit is "+strconv.Itoa(MaxBodyBytes)+" bytes")
-		prb.Verdict = undecodedVerdict(raw)
+		prb.Verdict = rgmodel.MayHaveRun
 		return rgmodel.Job{}, prb
 	}
 	var req JobRequest
