--- a/io/rgcommandapi/routes_test.go
+++ b/io/rgcommandapi/routes_test.go
@@ -113,7 +113,7 @@
 // TestRoutes guards against malformed requests that start a task, and against responses whose status or body differs from
 // docs/api.md. The rules for each field are tested in rgapi.
 func TestRoutes(t *testing.T) {
-	const submit, notRun = "POST /v1/jobs", rgmodel.NotRun
+	const submit, notRun, mayHaveRun = "POST /v1/jobs", rgmodel.NotRun, rgmodel.MayHaveRun
 	const head = `{"team":"kitapDostu","kind":"signUps","deadline":"5s",`
 	const withID = head + `"tasks":[1],"submissionId":"`
 	const aheadID, oldID = "ffffffff-ffff-7000-8000-000000000001", "00000000-0000-7000-8000-000000000001"
@@ -126,7 +126,7 @@
 		verdict      rgmodel.Verdict
 	}{
 		"malformed":                {submit, `{"team"`, 400, "team", "", 0, notRun},
-		"oversized":                {submit, strings.Repeat(" ", rgapi.MaxBodyBytes+1), 400, "body", "8388609 bytes", 0, rgmodel.MayHaveRun},
+		"oversized":                {submit, strings.Repeat(" ", rgapi.MaxBodyBytes+1), 400, "body", "8388609 bytes", 0, mayHaveRun},
 		"duplicate field":          {submit, head + `"kind":"other","tasks":[1]}`, 400, "kind", `"other"`, 0, notRun},
 		"unknown field":            {submit, head + `"prio":1,"tasks":[1]}`, 400, "prio", "1", 0, notRun},
 		"wrong urgency":            {submit, head + `"urgency":"now","tasks":[1]}`, 400, "urgency", "now", 0, notRun},
