core/rgexecutor, docs: wording after the second review

The start value of the simulated clocks had no effect any more and is gone. No code outside tests changes but comments.

--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -51,8 +51,8 @@
 }
 
 // takeControl raises the fencing token, so that orders of earlier sidecar processes are refused, and polls for the runs that
-// they started. The token is taken from the executor's clock, which makes it higher than that of an earlier process with the same
-// incarnation, unless that process had raised its token on an incarnation with a later clock.
+// they started. The token is taken from the executor's clock, which makes it higher than that of an earlier process. If that process came
+// from an incarnation whose clock was further on, its token may be higher: see retakeControl.
 func takeControl(sta *State, now time.Time) []Effect {
 	sta.Phase = PhaseFencing
 	sta.FenceToken = max(sta.FenceToken+1, uint64(max(sta.Executor.Clock, 1)))
--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -110,7 +110,8 @@
 		run.AcceptedTask.UnrefusedStarts--
 	}
 	if !rep.Replied {
-		// The order may still be carried out. Once a stop is confirmed, it cannot be, and the task may be started again.
+		// Unless the connection was refused, the order may still be carried out. Once a stop is confirmed, it cannot be, and the task
+		// may be started again.
 		sta.LastMissingReply = now
 		run.Requeue = run.State != RunStopping
 		return stopRun(sta, now, run, rgmodel.ReasonUpstreamTimeout)
--- a/core/rgexecutor/control_test.go
+++ b/core/rgexecutor/control_test.go
@@ -16,9 +16,9 @@
 		// the executor has restarted, and when the second process takes control.
 		uptime, restarted, later float64
 	}{
-		"restart after an hour":  {uptime: 3_600_000, restarted: 10, later: 60_000},
-		"restart after a month":  {uptime: 2_600_000_000, restarted: 10, later: 1000},
-		"second process at once": {uptime: 3_600_000, restarted: 10, later: 11},
+		"restart after an hour, second process after a minute": {uptime: 3_600_000, restarted: 10, later: 60_000},
+		"restart after a month, second process after a second": {uptime: 2_600_000_000, restarted: 10, later: 1000},
+		"restart after an hour, second process at once":        {uptime: 3_600_000, restarted: 10, later: 11},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -106,8 +106,8 @@
 		Deadline time.Time
 		// SoftDeadline is the latest end of the task at which its job is still on time.
 		SoftDeadline time.Time
-		// UnrefusedStarts is the number of start orders that were sent for the task and that the executor has not refused. The task was
-		// certainly never started only while it is zero.
+		// UnrefusedStarts is the number of start orders for the task that the executor has not refused and that may have reached it. The
+		// task was certainly never started only while it is zero.
 		UnrefusedStarts int
 	}
 
--- a/core/rgexecutor/loss.go
+++ b/core/rgexecutor/loss.go
@@ -11,7 +11,7 @@
 	// orders that were sent to the previous one.
 	lossRestarted struct{}
 
-	// lossFenced means that another sidecar process controls the executor and that runs go on.
+	// lossFenced means that the executor has seen a higher fencing token, of this or another sidecar process, and that runs go on.
 	lossFenced struct{}
 )
 
--- a/core/rgexecutor/simulation_test.go
+++ b/core/rgexecutor/simulation_test.go
@@ -82,7 +82,7 @@
 		startConns: map[simStart]EntryConnID{}, started: map[EntryConnID]bool{}, returned: map[EntryConnID]bool{},
 	}
 	for range 2 {
-		exe := &simExecutor{sim: sim, clockRate: 0.98 + 0.02*sim.rnd.Float64(), clock: 5000}
+		exe := &simExecutor{sim: sim, clockRate: 0.98 + 0.02*sim.rnd.Float64()}
 		exe.restart()
 		sim.sidecars = append(sim.sidecars, &simSidecar{exe: exe})
 	}
--- a/core/rgmodel/order.go
+++ b/core/rgmodel/order.go
@@ -18,7 +18,7 @@
 const (
 	// RefusalNone is the zero value: the order was carried out.
 	RefusalNone OrderRefusal = iota
-	// RefusalFenced means that the order carries an outdated fencing token: a newer process controls the executor.
+	// RefusalFenced means that the executor has seen a higher fencing token than that of the order.
 	RefusalFenced
 	// RefusalStaleRun means that the executor has already seen this run number of the task or a higher one.
 	RefusalStaleRun
