--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -51,8 +51,8 @@
 }
 
 // takeControl raises the fencing token, so that orders of earlier sidecar processes are refused, and polls for the runs that
-// they started. The token is taken from the executor's clock, which makes it higher than that of any earlier process with
-// the same incarnation.
+// they started. The token is taken from the executor's clock, which makes it higher than that of an earlier process with the same
+// incarnation, unless that process had raised its token on an incarnation with a later clock.
 func takeControl(sta *State, now time.Time) []Effect {
 	sta.Phase = PhaseFencing
 	sta.FenceToken = max(sta.FenceToken+1, uint64(max(sta.Executor.Clock, 1)))
@@ -69,6 +69,10 @@
 
 // retakeControl takes control of the same incarnation again after its runs have ended or their state has become unknown.
 func retakeControl(sta *State, now time.Time, rsn rgmodel.Reason, los lossCause) []Effect {
+	if _, fenced := los.(lossFenced); fenced {
+		// Doubling exceeds the token that the executor has seen after few orders, however high it is.
+		sta.FenceToken = min(2*sta.FenceToken, maxFenceToken)
+	}
 	return append(abandonIncarnation(sta, now, rsn, los), takeControl(sta, now)...)
 }
 
@@ -77,6 +81,10 @@
 func abandonIncarnation(sta *State, now time.Time, rsn rgmodel.Reason, los lossCause) []Effect {
 	efs := returnQueue(sta, rsn)
 	for _, run := range sta.Runs {
+		if run.AcceptedTask.UnrefusedStarts == 0 {
+			efs = append(efs, returnTask(sta, run.AcceptedTask, rsn))
+			continue
+		}
 		if mayStillRun(los, run) {
 			sta.Orphans = append(sta.Orphans, OrphanedTask{
 				AcceptedTask: run.AcceptedTask, Reason: rsn, EndedBy: now.Add(maxUnrenewedRunTime(sta)),
@@ -119,8 +127,8 @@
 	return efs
 }
 
-// returnTask reports that a task leaves the sidecar without a result. A start order without a reply may have been carried out, so the
-// task counts as never started only if the executor has refused each of its start orders.
+// returnTask reports that a task leaves the sidecar without a result. It counts as lost if a start order of it was confirmed or got no
+// reply, because an order without a reply may have been carried out.
 func returnTask(sta *State, act AcceptedTask, rsn rgmodel.Reason) Effect {
 	sts := rgmodel.EndReturned
 	if act.UnrefusedStarts > 0 {
@@ -141,7 +149,6 @@
 		end.UnrefusedStarts = act.UnrefusedStarts
 	case rgmodel.EndReturned:
 		sta.Counts.Returned++
-		end.UnrefusedStarts = act.UnrefusedStarts
 	}
 	return ReportEnd{Conn: act.Conn, End: end}
 }
