--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -86,6 +86,7 @@
 	}
 	run.Number = number
 	run.Started = now
+	run.ClockWhenSent = earliestClock(sta, now)
 	run.StartAttempts++
 	run.AcceptedTask.UnrefusedStarts++
 	sta.RunNumbers[run.AcceptedTask.Task.Key] = RunNumber{Highest: number, LastUsed: now}
@@ -97,7 +98,8 @@
 
 // HandleStartReply processes the reply to a start order.
 func HandleStartReply(sta *State, now time.Time, ord rgmodel.StartOrder, rep rgmodel.OrderReply) []Effect {
-	if rep.Replied && !recordClock(sta, now, ord.Incarnation, rep) {
+	// Another incarnation that refuses the order has a clock of its own.
+	if rep.Replied && rep.Refusal != rgmodel.RefusalWrongIncarnation && !recordClock(sta, now, ord.Incarnation, rep) {
 		return nil
 	}
 	run := sta.Runs[ord.Task]
@@ -116,14 +118,15 @@
 	switch rep.Refusal {
 	case rgmodel.RefusalNone:
 		run.Started = now
-		// A clock behind the known one may be that of a new incarnation with the same id, which has carried out the start.
-		run.StartConfirmed = rep.Clock >= sta.Executor.Clock
+		// A reply that does not name its incarnation may be from a new one with the same id, whose clock has started anew.
+		run.StartConfirmed = rep.StartedMillis != 0 || rep.Clock >= run.ClockWhenSent
 		if run.State == RunStarting {
 			run.State = RunRunning
 		}
 		return startQueued(sta, now)
 	case rgmodel.RefusalStaleRun, rgmodel.RefusalLeaseExpired:
-		if run.State == RunStarting && run.StartAttempts < maxStartAttempts {
+		// A start renews the lease of all runs.
+		if run.State == RunStarting && run.StartAttempts < maxStartAttempts && canRenewLease(sta, now) {
 			// Doubling reaches an unused number quickly, however often other processes have started the task.
 			return sendStart(sta, now, run, 2*run.Number+1)
 		}
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -42,8 +42,9 @@
 	// maxStartAttempts bounds the attempts to start a run. An attempt is repeated with a higher run number if its number was
 	// used before or its lease had expired on arrival.
 	maxStartAttempts = 8
-	// maxFenceToken bounds the growth of the fencing token. Larger integers are not exact in every JSON decoder.
-	maxFenceToken = 1 << 52
+	// maxDoubledToken is the fencing token above which a refused one is only incremented. Integers above 2^53 are not exact in
+	// every JSON decoder.
+	maxDoubledToken = 1 << 52
 	// runNumberTTL is how long the last run number of a task is kept.
 	runNumberTTL = 30 * time.Second
 	// defaultMeanCores is the assumed number of cores per task while nothing runs.
@@ -122,7 +123,9 @@
 		StopRequested time.Time
 		StopSent      time.Time
 		StopConfirmed time.Time
-		// StartConfirmed is set if the known incarnation has certainly confirmed the start.
+		// ClockWhenSent is the earliest time that the executor's clock can have shown when the start order was sent.
+		ClockWhenSent rgmodel.ExecutorTime
+		// StartConfirmed is set if the known incarnation has confirmed the start.
 		StartConfirmed bool
 		// Requeue is set if the task may be started again once the run has certainly ended.
 		Requeue bool
@@ -184,9 +187,11 @@
 
 	// State is the control state of the sidecar.
 	State struct {
-		Limits     Limits
-		Executor   rgmodel.Executor
-		Phase      Phase
+		Limits   Limits
+		Executor rgmodel.Executor
+		Phase    Phase
+		// HadControl is set once this process has controlled an incarnation of the executor.
+		HadControl bool
 		FenceToken uint64
 		// ClockReadAt is when Executor.Clock was received. The executor's clock showed it at that time or before.
 		ClockReadAt time.Time
