core/rgmembership: bounded views of entries and sidecars, lists of entries as changes

Cause: every sidecar was connected to every entry, every entry twice to every other one, and each of these connections carried the list of all entries every 2 s. Ruled out: fewer reports alone. The lists and the heartbeats of idle connections would still grow with the square of the fleet. Change: a process connects to a bounded number of entries, chosen by rendezvous hashing, its own zone first, with replacements for those that cannot be reached. A list is sent once over a connection and then only what changes in it. A sidecar drains a connection before it closes it. Connections between entries that are silent for 2 s are closed.

--- a/core/rgexecutor/command_conn.go
+++ b/core/rgexecutor/command_conn.go
@@ -21,6 +21,13 @@
 	}
 }
 
+// DrainConn begins to drain a connection that is about to be closed.
+func DrainConn(sta *State, id EntryConnID) {
+	if con := sta.Conns[id]; con != nil {
+		con.Draining = true
+	}
+}
+
 // Disconnect removes a lost connection and stops the tasks that the entry placed over it.
 func Disconnect(sta *State, now time.Time, id EntryConnID) []Effect {
 	delete(sta.Conns, id)
--- a/core/rgexecutor/command_report.go
+++ b/core/rgexecutor/command_report.go
@@ -55,6 +55,10 @@
 			}
 			rep := *load
 			rep.EarlierRunsEnded = earlierRunsEnded(sta, id)
+			rep.Usable = rep.Usable && !con.Draining
+			if con.Draining && con.DrainReported.IsZero() {
+				con.DrainReported = now
+			}
 			con.ReportedUsable, con.ReportedEarlierRunsEnded, con.LoadChanged, con.ReportNow, con.LastReported =
 				rep.Usable, rep.EarlierRunsEnded, false, false, now
 			upd.Report = &rep
@@ -69,7 +73,7 @@
 // and an entry that is not informed of this would place no more tasks there.
 func isReportDue(sta *State, con *EntryConn, now time.Time, id EntryConnID) bool {
 	switch {
-	case con.ReportedUsable != Usable(sta, now), con.ReportNow:
+	case con.ReportedUsable != (Usable(sta, now) && !con.Draining), con.ReportNow, con.Draining && con.DrainReported.IsZero():
 		return true
 	case !con.LoadChanged:
 		return false
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -45,6 +45,9 @@
 	// maxDoubledToken is the fencing token above which a refused one is only incremented. Integers above 2^53 are not exact in
 	// every JSON decoder.
 	maxDoubledToken = 1 << 52
+	// connDrainTime is how long a connection that is drained stays open after the entry was told and the last task has ended. A placement
+	// that is still on its way then arrives before the connection is closed.
+	connDrainTime = time.Second
 	// runNumberTTL is how long the last run number of a task is kept.
 	runNumberTTL = 30 * time.Second
 	// defaultMeanCores is the assumed number of cores per task while nothing runs.
@@ -158,6 +161,10 @@
 		// ReportedUsable and ReportedEarlierRunsEnded are the values in the last report.
 		ReportedUsable           bool
 		ReportedEarlierRunsEnded bool
+		// Draining is set while the connection is about to be closed: the entry is told to place no more tasks over it.
+		Draining bool
+		// DrainReported is when the entry was told so.
+		DrainReported time.Time
 	}
 
 	// RunNumber is the highest run number that this process has used for a task.
--- a/core/rgexecutor/query_report.go
+++ b/core/rgexecutor/query_report.go
@@ -35,6 +35,17 @@
 	return mayRun(sta, match) || slices.ContainsFunc(sta.Queue, match)
 }
 
+// DrainedConns returns the drained connections over which no placement can arrive any more and that have no tasks.
+func DrainedConns(sta *State, now time.Time) []EntryConnID {
+	var ids []EntryConnID
+	for id, con := range sta.Conns {
+		if con.Draining && !con.DrainReported.IsZero() && now.Sub(con.DrainReported) >= connDrainTime && !hasTasks(sta, id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // earlierRunsEnded reports whether all runs that were placed on connections closed by now have ended. A process that has not controlled an
 // executor yet knows nothing of the runs that an earlier process has started.
 func earlierRunsEnded(sta *State, id EntryConnID) bool {
--- /dev/null
+++ b/core/rgmembership/command_record.go
@@ -0,0 +1,144 @@
+package rgmembership
+
+import (
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// AddSeed records an address from the settings.
+func AddSeed(sta *State, now time.Time, adr string) {
+	if kno := known(sta, now, adr); kno != nil {
+		kno.Seed = true
+	}
+}
+
+// RecordListed records the entries in the store. The list replaces the one before it.
+func RecordListed(sta *State, now time.Time, ents []rgmodel.Entry) {
+	for _, kno := range sta.Entries {
+		if kno.Listed {
+			kno.Listed = false
+			kno.LastSeen, kno.LastMentioned = now, now
+		}
+	}
+	for _, ent := range ents {
+		if kno := describe(sta, now, ent); kno != nil {
+			kno.Listed = true
+			kno.LastSeen = now
+		}
+	}
+}
+
+// RecordFound records entries that the process has looked up in the store. Unlike listed ones, they are forgotten unless somebody
+// mentions them again.
+func RecordFound(sta *State, now time.Time, ents []rgmodel.Entry) {
+	for _, ent := range ents {
+		describe(sta, now, ent)
+	}
+}
+
+// RecordOpened records an open connection to the entry at the address.
+func RecordOpened(sta *State, now time.Time, con ConnID, adr string) {
+	kno := known(sta, now, adr)
+	if kno == nil {
+		return
+	}
+	if bef := sta.Entries[sta.Conns[con]]; bef != nil {
+		delete(bef.Conns, con)
+	}
+	if sta.Conns == nil {
+		sta.Conns = map[ConnID]string{}
+	}
+	if kno.Conns == nil {
+		kno.Conns = map[ConnID]bool{}
+	}
+	sta.Conns[con] = adr
+	kno.Conns[con] = true
+}
+
+// RecordSeen records the description that an entry has sent over an open connection.
+func RecordSeen(sta *State, now time.Time, con ConnID, ent rgmodel.Entry) {
+	kno := describe(sta, now, ent)
+	if kno == nil {
+		return
+	}
+	kno.LastSeen = now
+	if !kno.Conns[con] {
+		RecordOpened(sta, now, con, ent.Address)
+	}
+}
+
+// RecordMentions records a change of the list of the peer of an open connection. If full is set, the entries replace the list.
+func RecordMentions(sta *State, now time.Time, con ConnID, ents []rgmodel.Entry, left []string, full bool) {
+	if full {
+		forgetMentions(sta, now, con)
+	}
+	for _, ent := range ents {
+		kno := known(sta, now, ent.Address)
+		if kno == nil {
+			continue
+		}
+		if kno.LastSeen.IsZero() {
+			kno.Entry = ent
+		}
+		if kno.Mentions == nil {
+			kno.Mentions = map[ConnID]bool{}
+		}
+		kno.Mentions[con] = true
+		kno.LastMentioned = now
+	}
+	for _, adr := range left {
+		if kno := sta.Entries[adr]; kno != nil && kno.Mentions[con] {
+			delete(kno.Mentions, con)
+			kno.LastMentioned = now
+		}
+	}
+}
+
+func forgetMentions(sta *State, now time.Time, con ConnID) {
+	for _, kno := range sta.Entries {
+		if kno.Mentions[con] {
+			delete(kno.Mentions, con)
+			kno.LastMentioned = now
+		}
+	}
+}
+
+// RecordClosed records that a connection is lost, and with it the list of its peer.
+func RecordClosed(sta *State, now time.Time, con ConnID) {
+	if kno := sta.Entries[sta.Conns[con]]; kno != nil && kno.Conns[con] {
+		delete(kno.Conns, con)
+		kno.LastMentioned, kno.UnreachableSince = now, now
+		if !kno.LastSeen.IsZero() {
+			kno.LastSeen = now
+		}
+	}
+	delete(sta.Conns, con)
+	forgetMentions(sta, now, con)
+}
+
+// describe records the description of an entry. It returns nil for the process itself and for an entry without an address.
+func describe(sta *State, now time.Time, ent rgmodel.Entry) *KnownEntry {
+	kno := known(sta, now, ent.Address)
+	if kno != nil {
+		kno.Entry, kno.LastMentioned = ent, now
+	}
+	return kno
+}
+
+// known returns the entry at the address, which it adds if it is new. It returns nil for the process itself and for an empty
+// address.
+func known(sta *State, now time.Time, adr string) *KnownEntry {
+	if adr == "" || adr == sta.Address {
+		return nil
+	}
+	if sta.Entries == nil {
+		sta.Entries = map[string]*KnownEntry{}
+	}
+	kno := sta.Entries[adr]
+	if kno == nil {
+		kno = &KnownEntry{Entry: rgmodel.Entry{Address: adr}, LastMentioned: now}
+		sta.Entries[adr] = kno
+	}
+	return kno
+}
--- /dev/null
+++ b/core/rgmembership/query_select.go
@@ -0,0 +1,131 @@
+package rgmembership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// candidate is a known entry with its rank.
+type candidate struct {
+	address string
+	known   *KnownEntry
+	rank    uint64
+}
+
+// selected returns the addresses of the entries that the process should be connected to: as many as its limits allow in its own zone and
+// in the others, by rank, with replacements for those that cannot be reached. Seeds are added while it has too few connections.
+func selected(sta *State, now time.Time) map[string]bool {
+	var same, others []candidate
+	connected := 0
+	sel := map[string]bool{}
+	for adr, kno := range sta.Entries {
+		if kno.Entry.Name == "" {
+			continue
+		}
+		cnd := candidate{address: adr, known: kno, rank: Rank(sta.Name, kno.Entry.Name)}
+		if sta.AvailabilityZone == "" || kno.Entry.AvailabilityZone == sta.AvailabilityZone {
+			same = append(same, cnd)
+		} else {
+			others = append(others, cnd)
+		}
+	}
+	for _, cnd := range append(choose(same, sta.Limits.SameZone, now), choose(others, sta.Limits.OtherZones, now)...) {
+		sel[cnd.address] = true
+		if len(cnd.known.Conns) > 0 {
+			connected++
+		}
+	}
+	if connected < minConnected {
+		for adr, kno := range sta.Entries {
+			if kno.Seed {
+				sel[adr] = true
+			}
+		}
+	}
+	return sel
+}
+
+// choose returns the candidates of the lowest rank until the limit of those that can be reached is met.
+func choose(cnds []candidate, limit int, now time.Time) []candidate {
+	if limit <= 0 || len(cnds) <= limit {
+		return cnds
+	}
+	slices.SortFunc(cnds, func(one, two candidate) int {
+		return cmp.Or(cmp.Compare(one.rank, two.rank), cmp.Compare(one.address, two.address))
+	})
+	reachable := 0
+	for i, cnd := range cnds {
+		if isReachable(cnd.known, now) {
+			reachable++
+		}
+		if reachable == limit || i+1 == (1+maxPassedOver)*limit {
+			return cnds[:i+1]
+		}
+	}
+	return cnds
+}
+
+// isReachable reports whether the process is connected to the entry or may soon be.
+func isReachable(kno *KnownEntry, now time.Time) bool {
+	return len(kno.Conns) > 0 || !kno.Dialed || now.Sub(kno.UnreachableSince) < dialPatience
+}
+
+// isSeen reports whether the entry exists by what the store or the entry itself has shown.
+func isSeen(kno *KnownEntry, now time.Time) bool {
+	return kno.Entry.Name != "" &&
+		(kno.Listed || len(kno.Conns) > 0 || !kno.LastSeen.IsZero() && now.Sub(kno.LastSeen) < expiry)
+}
+
+// isGone reports whether there has been no sign of the entry for a while.
+func isGone(kno *KnownEntry, now time.Time) bool {
+	return !kno.Listed && len(kno.Conns) == 0 && len(kno.Mentions) == 0 && now.Sub(kno.LastMentioned) >= expiry
+}
+
+// sameAddressee ignores the incarnation: a restarted entry is reached in the same way.
+func sameAddressee(one, two rgmodel.Entry) bool {
+	one.Incarnation = two.Incarnation
+	return one == two
+}
+
+// Rank returns the rank of an entry for a process, which differs between processes (rendezvous hashing: Thaler, Ravishankar, "Using
+// Name-Based Mappings to Increase Hit Rates", 1998). A change of the fleet changes few selections.
+func Rank(process, other string) uint64 {
+	return xxhash.Sum64String(process + "/" + other)
+}
+
+// ChangesSince returns what has changed in the list passed on since the version: new or changed entries, and the addresses of those that have
+// left. full is set if the result is the whole list.
+func ChangesSince(sta *State, ver Version) (ents []rgmodel.Entry, left []string, full bool) {
+	missed := int(sta.Version - ver)
+	if ver == 0 || ver > sta.Version || missed > len(sta.Changes) {
+		for _, kno := range sta.Entries {
+			if kno.Shared.Address != "" {
+				ents = append(ents, kno.Shared)
+			}
+		}
+		slices.SortFunc(ents, func(one, two rgmodel.Entry) int { return cmp.Compare(one.Address, two.Address) })
+		return ents, nil, true
+	}
+	last := map[string]Change{}
+	var order []string
+	for _, chg := range sta.Changes[len(sta.Changes)-missed:] {
+		adr := chg.Entry.Address
+		if _, found := last[adr]; !found {
+			order = append(order, adr)
+		}
+		last[adr] = chg
+	}
+	for _, adr := range order {
+		if chg := last[adr]; chg.Left {
+			left = append(left, adr)
+		} else {
+			ents = append(ents, chg.Entry)
+		}
+	}
+	return ents, left, false
+}
--- a/io/rgdispatcher/command_peer.go
+++ b/io/rgdispatcher/command_peer.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgdispatch"
-	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgmembership"
 	"ragwortgap/core/rgroute"
 	"ragwortgap/io/rgclock"
 	"ragwortgap/io/rgwire"
@@ -21,11 +21,11 @@
 	// idleHeartbeatInterval is the longest time without a message to a sidecar without tasks. A sidecar replaces a silent
 	// connection after a second.
 	idleHeartbeatInterval = 400 * time.Millisecond
-	// gossipInterval is how often entries exchange their configuration versions and lists of entries.
+	// gossipInterval is how often entries exchange their configuration versions and the changes of their lists of entries.
 	gossipInterval = 500 * time.Millisecond
-	// entryExpiry is how long an entry that is not a seed stays in the list after its last mention, and how long any entry stays
-	// in the lists sent to others after it was last seen.
-	entryExpiry = 10 * time.Second
+	// peerSilenceTimeout is how long a connection to another entry, or to a peer that has not introduced itself, may be silent before
+	// it is closed. A connection can become silent without an error.
+	peerSilenceTimeout = 2 * time.Second
 	// maxRunTimeMargin is added to the time after which the runs of a lost sidecar have ended. It covers the tick intervals of
 	// both sides.
 	maxRunTimeMargin = 250 * time.Millisecond
@@ -40,12 +40,13 @@
 			}
 			return
 		}
-		pro.traffic.Go(func() { pro.serveConnection(workCtx, rgwire.NewConnection(con), nil) })
+		pro.traffic.Go(func() { pro.serveConnection(workCtx, rgwire.NewConnection(con), "", nil) })
 	}
 }
 
-// serveConnection passes the events of an open connection to the control goroutine until the connection is lost.
-func (pro *Process) serveConnection(ctx context.Context, con *rgwire.Connection, first rgwire.Message) {
+// serveConnection passes the events of an open connection to the control goroutine until the connection is lost. adr is empty if
+// the peer has dialed.
+func (pro *Process) serveConnection(ctx context.Context, con *rgwire.Connection, adr string, first rgwire.Message) {
 	con.ServeNotifications(ctx, first,
 		func(msg rgwire.Message) {
 			if gos, ok := msg.(rgwire.Gossip); ok && len(gos.Config) > 0 {
@@ -53,7 +54,9 @@
 			}
 			pro.mailbox.Send(ctx, MessageReceived{ID: con.ID, Message: msg})
 		},
-		func(nc *rgwire.NotificationConn) { pro.mailbox.Send(ctx, PeerConnected{ID: con.ID, Conn: nc}) })
+		func(nc *rgwire.NotificationConn) {
+			pro.mailbox.Send(ctx, PeerConnected{ID: con.ID, Address: adr, Conn: nc})
+		})
 	pro.mailbox.Send(context.WithoutCancel(ctx), PeerDisconnected{ID: con.ID})
 }
 
@@ -65,6 +68,7 @@
 		return
 	}
 	delete(sta.Peers, id)
+	rgmembership.RecordClosed(&sta.Members, now, rgmembership.ConnID(id))
 	if per.Sidecar != "" {
 		sc := sta.Dispatch.Sidecars[rgdispatch.SidecarConnID(id)]
 		silent, placed := time.Duration(0), 0
@@ -76,11 +80,12 @@
 	pro.perform(sta, now, rgdispatch.Disconnect(&sta.Dispatch, now, rgdispatch.SidecarConnID(id)))
 }
 
-func (pro *Process) receive(workCtx context.Context, sta *State, now time.Time, evt MessageReceived) {
+func (pro *Process) receive(sta *State, now time.Time, evt MessageReceived) {
 	per, con := sta.Peers[evt.ID], rgdispatch.SidecarConnID(evt.ID)
 	if per == nil {
 		return
 	}
+	per.LastReceived = now
 	switch msg := evt.Message.(type) {
 	case rgwire.SidecarHello:
 		per.Sidecar = msg.Name
@@ -100,12 +105,12 @@
 		pro.perform(sta, now, rgdispatch.RecordEnds(&sta.Dispatch, now, con, msg.Ends))
 	case rgwire.EntryHello:
 		per.Entry = msg.Entry.Name
-		pro.recordEntries(workCtx, sta, now, []rgmodel.Entry{msg.Entry}, true)
+		rgmembership.RecordSeen(&sta.Members, now, rgmembership.ConnID(evt.ID), msg.Entry)
 		pro.sendGossip(sta, per, now)
 	case rgwire.Gossip:
 		per.Entry = msg.From.Name
-		pro.recordEntries(workCtx, sta, now, []rgmodel.Entry{msg.From}, true)
-		pro.recordEntries(workCtx, sta, now, msg.Entries, false)
+		rgmembership.RecordSeen(&sta.Members, now, rgmembership.ConnID(evt.ID), msg.From)
+		rgmembership.RecordMentions(&sta.Members, now, rgmembership.ConnID(evt.ID), msg.Entries, msg.Left, msg.Full)
 		if rgroute.ObserveVersion(&sta.VersionLag, now, pro.Config(), msg.Version) {
 			pro.log.Info("configuration asked of an entry", zap.String("entry", msg.From.Name), zap.Uint64("version", msg.Version))
 			per.Conn.Send(rgwire.ConfigRequest{})
@@ -137,19 +142,28 @@
 	pro.mailbox.Send(ctx, ConfigReceived{Config: cfg, Origin: "peer"})
 }
 
-// tick drops expired entries, sends the heartbeats and the gossip that are due, and updates the gauges.
-func (pro *Process) tick(sta *State, now time.Time) {
-	for adr, kno := range sta.Entries {
-		if !kno.Seed && now.Sub(kno.LastMentioned) > entryExpiry {
-			delete(sta.Entries, adr)
-			sta.StopDial[adr]()
-			delete(sta.StopDial, adr)
-			sta.EntriesVersion++
+// updateConnections begins and ends connections to other entries.
+func (pro *Process) updateConnections(workCtx context.Context, sta *State, now time.Time) {
+	for _, act := range rgmembership.Update(&sta.Members, now) {
+		switch act := act.(type) {
+		case rgmembership.Dial:
+			pro.connect(workCtx, sta, act.Address)
+		case rgmembership.Drop:
+			sta.StopDial[act.Address]()
+			delete(sta.StopDial, act.Address)
 		}
 	}
+}
+
+// tick updates the connections to other entries, sends the heartbeats and the gossip that are due, and updates the gauges.
+func (pro *Process) tick(workCtx context.Context, sta *State, now time.Time) {
+	pro.updateConnections(workCtx, sta, now)
 	for id, per := range sta.Peers {
 		age := now.Sub(per.LastSent)
 		switch {
+		case per.Sidecar == "" && now.Sub(per.LastReceived) > peerSilenceTimeout:
+			pro.log.Warn("peer is silent", peerName(per))
+			per.Conn.Close()
 		case per.Sidecar != "" && heartbeatDue(sta, id, per, age):
 			pro.sendHeartbeat(sta, id, per, now)
 		case per.Entry != "" && age >= gossipInterval:
@@ -175,55 +189,29 @@
 		per.ReportInterval = sc.ReportInterval
 	}
 	msg := rgwire.EntryHeartbeat{Issued: pro.sidecarTime(sta, rgdispatch.SidecarConnID(id), now), ReportInterval: per.ReportInterval}
-	if per.EntriesVersion != sta.EntriesVersion {
-		per.EntriesVersion = sta.EntriesVersion
-		msg.Entries = append(pro.recentEntries(sta, now), pro.self)
+	msg.EntryChanges = entryChanges(sta, per)
+	if msg.Full {
+		msg.Entries = append(msg.Entries, pro.self)
 	}
 	per.Conn.Send(msg)
 }
 
 func (pro *Process) sendGossip(sta *State, per *PeerConn, now time.Time) {
 	per.LastSent = now
-	msg := rgwire.Gossip{From: pro.self, Version: versionOf(pro.Config())}
-	if per.EntriesVersion != sta.EntriesVersion || now.Sub(per.EntriesSentAt) >= listInterval {
-		per.EntriesVersion, per.EntriesSentAt = sta.EntriesVersion, now
-		msg.Entries = pro.recentEntries(sta, now)
-	}
-	per.Conn.Send(msg)
+	per.Conn.Send(rgwire.Gossip{From: pro.self, Version: versionOf(pro.Config()), EntryChanges: entryChanges(sta, per)})
 }
 
-// recentEntries returns the other entries that were seen within entryExpiry.
-func (pro *Process) recentEntries(sta *State, now time.Time) []rgmodel.Entry {
-	var ents []rgmodel.Entry
-	for _, kno := range sta.Entries {
-		if kno.Entry.Name != "" && now.Sub(kno.LastSeen) < entryExpiry {
-			ents = append(ents, kno.Entry)
-		}
+// entryChanges returns what has changed in the list of entries since it was last called for the peer.
+func entryChanges(sta *State, per *PeerConn) rgwire.EntryChanges {
+	if per.EntriesSent && per.EntriesVersion == sta.Members.Version {
+		return rgwire.EntryChanges{}
 	}
-	return ents
+	ents, left, full := rgmembership.ChangesSince(&sta.Members, per.EntriesVersion)
+	per.EntriesSent, per.EntriesVersion = true, sta.Members.Version
+	return rgwire.EntryChanges{Entries: ents, Left: left, Full: full}
 }
 
-// recordEntries stores the mentioned entries and connects to new ones. direct is set if the entries themselves or the store
-// have mentioned them.
-func (pro *Process) recordEntries(workCtx context.Context, sta *State, now time.Time, ents []rgmodel.Entry, direct bool) {
-	for _, ent := range ents {
-		if ent.Address == pro.self.Address || ent.Address == "" {
-			continue
-		}
-		kno := sta.Entries[ent.Address]
-		if direct && now.Sub(kno.LastSeen) >= entryExpiry {
-			sta.EntriesVersion++
-		}
-		kno.Entry, kno.LastMentioned = ent, now
-		if direct {
-			kno.LastSeen = now
-		}
-		sta.Entries[ent.Address] = kno
-		pro.connect(workCtx, sta, ent.Address)
-	}
-}
-
-func (pro *Process) applySettings(workCtx context.Context, sta *State) {
+func (pro *Process) applySettings(sta *State) {
 	set := pro.settings
 	sta.Dispatch.RemoteFactor = set.RemoteFactor
 	sta.Dispatch.Name = set.Name
@@ -232,24 +220,20 @@
 	// By the time a caller may resend its job, every sidecar that lost this entry has stopped its tasks, or the executor's
 	// lease has expired.
 	sta.Dispatch.Limits.MaxRunTimeAfterLoss = set.ResendDelay.Duration + maxRunTimeMargin
+	sta.Members.Name, sta.Members.AvailabilityZone, sta.Members.Address = set.Name, set.AvailabilityZone, pro.self.Address
+	sta.Members.Limits = rgmembership.Limits{SameZone: set.EntriesSameZone, OtherZones: set.EntriesOtherZones}
 	for _, adr := range rgwire.PeerAddresses(set.Seeds, set.PeerPort) {
-		if _, found := sta.Entries[adr]; !found && adr != pro.self.Address {
-			sta.Entries[adr] = KnownEntry{LastMentioned: rgclock.Now(), Seed: true}
-			pro.connect(workCtx, sta, adr)
-		}
+		rgmembership.AddSeed(&sta.Members, rgclock.Now(), adr)
 	}
 }
 
-// connect maintains a connection to another entry. Both sides dial, so one working direction is enough.
+// connect maintains a connection to another entry.
 func (pro *Process) connect(workCtx context.Context, sta *State, adr string) {
-	if sta.StopDial[adr] != nil {
-		return
-	}
 	ctx, stop := context.WithCancel(workCtx)
 	sta.StopDial[adr] = stop
 	pro.traffic.Go(func() {
 		rgwire.MaintainConnection(ctx, adr, func(ctx context.Context, con *rgwire.Connection) {
-			pro.serveConnection(ctx, con, rgwire.EntryHello{Entry: pro.self})
+			pro.serveConnection(ctx, con, adr, rgwire.EntryHello{Entry: pro.self})
 		})
 	})
 }
--- a/io/rgdispatcher/command_store.go
+++ b/io/rgdispatcher/command_store.go
@@ -25,8 +25,7 @@
 	// storeRetryDelay is the delay after a failed read of the configuration. After a failed registration or renewal, the delay
 	// is four times as long. It is also the timeout of the call that revokes the lease.
 	storeRetryDelay = 150 * time.Millisecond
-	// listInterval is how often the list of entries is read from the store, and how often entries send it to each other while
-	// it does not change.
+	// listInterval is how often the list of entries is read from the store.
 	listInterval = 2 * time.Second
 )
 
--- a/io/rgdispatcher/control.go
+++ b/io/rgdispatcher/control.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgdispatch"
+	"ragwortgap/core/rgmembership"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgroute"
 	"ragwortgap/io/rgclock"
@@ -17,9 +18,10 @@
 func (pro *Process) control(workCtx context.Context) {
 	sta := &State{
 		Peers: map[uint64]*PeerConn{}, Replies: map[rgdispatch.CallerID]chan<- rgdispatch.SendAnswer{},
-		Entries: map[string]KnownEntry{}, StopDial: map[string]context.CancelFunc{},
+		StopDial: map[string]context.CancelFunc{},
 	}
-	pro.applySettings(workCtx, sta)
+	pro.applySettings(sta)
+	pro.updateConnections(workCtx, sta, rgclock.Now())
 	tick := time.NewTicker(rgdispatch.TickInterval)
 	defer tick.Stop()
 	for {
@@ -29,17 +31,17 @@
 		case evt := <-pro.mailbox.Events:
 			now := rgclock.Now()
 			rgdispatch.DetectSuspension(&sta.Dispatch, now)
-			pro.handle(workCtx, sta, now, evt)
+			pro.handle(sta, now, evt)
 		case <-tick.C:
 			now := rgclock.Now()
 			rgdispatch.DetectSuspension(&sta.Dispatch, now)
 			pro.perform(sta, now, rgdispatch.Tick(&sta.Dispatch, now))
-			pro.tick(sta, now)
+			pro.tick(workCtx, sta, now)
 		}
 	}
 }
 
-func (pro *Process) handle(workCtx context.Context, sta *State, now time.Time, evt Event) {
+func (pro *Process) handle(sta *State, now time.Time, evt Event) {
 	switch evt := evt.(type) {
 	case JobSubmitted:
 		sta.Replies[evt.Caller] = evt.Reply
@@ -57,19 +59,22 @@
 	case PendingRequested:
 		evt.Reply <- rgdispatch.PendingJobs(&sta.Dispatch, evt.Route)
 	case PeerConnected:
-		sta.Peers[evt.ID] = &PeerConn{Conn: evt.Conn}
+		sta.Peers[evt.ID] = &PeerConn{Conn: evt.Conn, LastReceived: now}
+		if evt.Address != "" {
+			rgmembership.RecordOpened(&sta.Members, now, rgmembership.ConnID(evt.ID), evt.Address)
+		}
 	case PeerDisconnected:
 		pro.disconnect(sta, now, evt.ID)
 	case MessageReceived:
-		pro.receive(workCtx, sta, now, evt)
+		pro.receive(sta, now, evt)
 	case ConfigReceived:
 		pro.adoptConfig(sta, now, evt)
 	case EntriesListed:
-		pro.recordEntries(workCtx, sta, now, evt.Entries, true)
+		rgmembership.RecordListed(&sta.Members, now, evt.Entries)
 	case SettingsReloaded:
 		pro.log.Info("settings read again")
 		pro.settings = evt.Settings
-		pro.applySettings(workCtx, sta)
+		pro.applySettings(sta)
 	}
 }
 
--- a/io/rgdispatcher/event.go
+++ b/io/rgdispatcher/event.go
@@ -46,10 +46,11 @@
 	// JobState is the state of a job at this entry.
 	JobState struct{ Known, MayHaveRun bool }
 
-	// PeerConnected means that a connection to a peer is open.
+	// PeerConnected means that a connection to a peer is open. Address is the dialed one, and empty if the peer has dialed.
 	PeerConnected struct {
-		ID   uint64
-		Conn *rgwire.NotificationConn
+		ID      uint64
+		Address string
+		Conn    *rgwire.NotificationConn
 	}
 
 	// PeerDisconnected means that a connection to a peer is lost.
--- a/io/rgdispatcher/peer_test.go
+++ b/io/rgdispatcher/peer_test.go
@@ -1,7 +1,6 @@
 package rgdispatcher
 
 import (
-	"context"
 	"maps"
 	"testing"
 	"time"
@@ -26,7 +25,7 @@
 			cor, logs := observer.New(zap.WarnLevel)
 			pro := &Process{log: zap.New(cor)}
 			sta := &State{Peers: map[uint64]*PeerConn{1: &tc.peer}}
-			pro.receive(context.Background(), sta, time.Unix(1e9, 0), MessageReceived{ID: 1, Message: rgwire.Leave{}})
+			pro.receive(sta, time.Unix(1e9, 0), MessageReceived{ID: 1, Message: rgwire.Leave{}})
 			lins := logs.FilterMessage("unexpected message").All()
 			if len(lins) != 1 {
 				t.Fatalf("%d lines, want 1", len(lins))
--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgdispatch"
+	"ragwortgap/core/rgmembership"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgroute"
 	"ragwortgap/io/rgmailbox"
@@ -49,14 +50,14 @@
 		// Sidecar and Entry are the name of the peer, depending on its kind. Both are empty until it introduces itself.
 		Sidecar string
 		Entry   string
-		// LastSent is when the last message was sent.
-		LastSent time.Time
+		// LastSent is when the last message was sent, and LastReceived when the last one arrived.
+		LastSent     time.Time
+		LastReceived time.Time
 		// ReportInterval is the interval that was last sent to a sidecar.
 		ReportInterval time.Duration
-		// EntriesVersion is the version of the list of entries that the peer has. EntriesSentAt is when the list was last sent
-		// to another entry.
-		EntriesVersion uint64
-		EntriesSentAt  time.Time
+		// EntriesSent is set once the list of entries was sent to the peer, and EntriesVersion is the version that the peer has.
+		EntriesSent    bool
+		EntriesVersion rgmembership.Version
 	}
 
 	// State is the state of the entry. Only the control goroutine accesses it.
@@ -64,26 +65,12 @@
 		Dispatch rgdispatch.State
 		Peers    map[uint64]*PeerConn
 		Replies  map[rgdispatch.CallerID]chan<- rgdispatch.SendAnswer
-		// Entries maps addresses to the other entries that are known.
-		Entries map[string]KnownEntry
-		// EntriesVersion is incremented when the list of entries changes.
-		EntriesVersion uint64
+		Members  rgmembership.State
 		// StopDial maps addresses of entries to the functions that end the connection to them.
 		StopDial   map[string]context.CancelFunc
 		VersionLag rgroute.VersionLag
 	}
 
-	// KnownEntry is an entry that the settings, the store or a peer has mentioned.
-	KnownEntry struct {
-		Entry rgmodel.Entry
-		// LastMentioned is when the settings, the store or a peer last mentioned the entry.
-		LastMentioned time.Time
-		// LastSeen is when the entry itself or the store last mentioned the entry. Only entries with a recent LastSeen are sent
-		// to others, because two entries that repeat each other's lists would never drop one that is gone.
-		LastSeen time.Time
-		Seed     bool
-	}
-
 	// Process is a running entry.
 	Process struct {
 		// Done is closed when the process has stopped.
--- a/io/rgorders/command_connection.go
+++ b/io/rgorders/command_connection.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgexecutor"
+	"ragwortgap/core/rgmembership"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgclock"
 	"ragwortgap/io/rgwire"
@@ -16,18 +17,29 @@
 	// connSilenceTimeout is how long a connection may be silent before it is replaced. Entries send a heartbeat at least every
 	// 400 ms.
 	connSilenceTimeout = time.Second
-	// dialExpiry is how long an address that is not a seed is dialed after it was last mentioned.
-	dialExpiry = 10 * time.Second
 )
 
-// connect maintains a connection to the address. If there is one already, it only records that the address was mentioned again.
-func (pro *Process) connect(workCtx context.Context, sta *State, now time.Time, adr string, seed bool) {
-	if cm := sta.Maintainers[adr]; cm != nil {
-		cm.LastMentioned = now
-		return
+// updateConnections begins connections to entries, and drains and ends those that are not needed any more.
+func (pro *Process) updateConnections(workCtx context.Context, sta *State, now time.Time) {
+	for _, act := range rgmembership.Update(&sta.Members, now) {
+		switch act := act.(type) {
+		case rgmembership.Dial:
+			pro.connect(workCtx, sta, act.Address)
+		case rgmembership.Drop:
+			pro.drop(sta, act.Address)
+		}
 	}
+	for _, id := range rgexecutor.DrainedConns(&sta.ExecutorState, now) {
+		if con := sta.Conns[id]; con != nil {
+			pro.endConnection(sta, con.Address)
+		}
+	}
+}
+
+// connect maintains a connection to the address.
+func (pro *Process) connect(workCtx context.Context, sta *State, adr string) {
 	ctx, stop := context.WithCancel(workCtx)
-	sta.Maintainers[adr] = &ConnMaintainer{Stop: stop, LastMentioned: now, Seed: seed}
+	sta.StopDial[adr] = stop
 	pro.traffic.Go(func() {
 		rgwire.MaintainConnection(ctx, adr, func(ctx context.Context, con *rgwire.Connection) {
 			pro.serveConnection(ctx, adr, con)
@@ -35,6 +47,28 @@
 	})
 }
 
+// drop ends the connection to the address once the entry has no more tasks here.
+func (pro *Process) drop(sta *State, adr string) {
+	for id, con := range sta.Conns {
+		if con.Address == adr {
+			sta.Dropped[adr] = true
+			rgexecutor.DrainConn(&sta.ExecutorState, id)
+		}
+	}
+	if !sta.Dropped[adr] {
+		pro.endConnection(sta, adr)
+	}
+}
+
+func (pro *Process) endConnection(sta *State, adr string) {
+	if stop := sta.StopDial[adr]; stop != nil {
+		pro.log.Info("connection to entry ended", zap.String("address", adr))
+		stop()
+	}
+	delete(sta.StopDial, adr)
+	delete(sta.Dropped, adr)
+}
+
 // serveConnection passes the events of an open connection to the control goroutine until the connection is lost.
 func (pro *Process) serveConnection(ctx context.Context, adr string, con *rgwire.Connection) {
 	id := rgexecutor.EntryConnID(con.ID)
@@ -48,47 +82,41 @@
 
 func (pro *Process) addConnection(sta *State, now time.Time, evt EntryConnected) {
 	sta.Conns[evt.ID] = &EntryConn{Address: evt.Address, Conn: evt.Conn}
-	if cm := sta.Maintainers[evt.Address]; cm != nil {
-		cm.Connected = true
-	}
+	rgmembership.RecordOpened(&sta.Members, now, rgmembership.ConnID(evt.ID), evt.Address)
 	rgexecutor.Connect(&sta.ExecutorState, now, evt.ID)
 	pro.log.Info("entry connected", zap.String("address", evt.Address))
 }
 
 func (pro *Process) removeConnection(workCtx context.Context, sta *State, now time.Time, evt EntryDisconnected) {
 	delete(sta.Conns, evt.ID)
-	if cm := sta.Maintainers[evt.Address]; cm != nil {
-		cm.Connected = false
+	rgmembership.RecordClosed(&sta.Members, now, rgmembership.ConnID(evt.ID))
+	if sta.Dropped[evt.Address] {
+		pro.endConnection(sta, evt.Address)
 	}
 	pro.log.Warn("entry lost", zap.String("address", evt.Address))
 	pro.perform(workCtx, sta, rgexecutor.Disconnect(&sta.ExecutorState, now, evt.ID))
 }
 
-// maintainConnections closes silent connections, drops expired addresses and, while no entry is connected, lists the entries
-// in the store.
+// maintainConnections closes silent connections, updates the selection of entries and, while no entry is connected, lists the
+// entries in the store.
 func (pro *Process) maintainConnections(workCtx context.Context, sta *State, now time.Time) {
 	for id, con := range sta.Conns {
 		if cur := sta.ExecutorState.Conns[id]; cur != nil && now.Sub(cur.LastAlive) > connSilenceTimeout {
 			con.Conn.Close()
 		}
 	}
-	for adr, cm := range sta.Maintainers {
-		if !cm.Connected && !cm.Seed && now.Sub(cm.LastMentioned) > dialExpiry {
-			cm.Stop()
-			delete(sta.Maintainers, adr)
-		}
-	}
+	pro.updateConnections(workCtx, sta, now)
 	if len(sta.Conns) > 0 || now.Sub(sta.LastListed) < listInterval {
 		return
 	}
 	sta.LastListed = now
 	pro.traffic.Go(func() {
-		ads, err := pro.listEntries(workCtx)
+		ents, err := pro.listEntries(workCtx)
 		if err != nil {
 			pro.log.Warn("failed to list entries in the store", zap.Error(err))
 			return
 		}
-		pro.mailbox.Send(workCtx, EntriesListed{Addresses: ads})
+		pro.mailbox.Send(workCtx, EntriesListed{Entries: ents})
 	})
 }
 
@@ -101,9 +129,7 @@
 	case rgwire.EntryHeartbeat:
 		rgexecutor.RecordHeartbeat(&sta.ExecutorState, evt.Conn, msg.Issued.Time())
 		rgexecutor.SetReportInterval(&sta.ExecutorState, evt.Conn, msg.ReportInterval)
-		for _, ent := range msg.Entries {
-			pro.connect(workCtx, sta, now, ent.Address, false)
-		}
+		rgmembership.RecordMentions(&sta.Members, now, rgmembership.ConnID(evt.Conn), msg.Entries, msg.Left, msg.Full)
 	case rgwire.Place:
 		for _, tsk := range msg.Tasks {
 			con.LastTicket = max(con.LastTicket, tsk.Ticket)
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgexecutor"
+	"ragwortgap/core/rgmembership"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgclock"
 	"ragwortgap/io/rgsettings"
@@ -16,8 +17,11 @@
 // control runs the control goroutine. After ctx ends, it drains, and returns once no run is left or all of the drain timeout but
 // drainMargin has passed.
 func (pro *Process) control(ctx, workCtx context.Context) {
-	sta := &State{Conns: map[rgexecutor.EntryConnID]*EntryConn{}, Maintainers: map[string]*ConnMaintainer{}}
-	pro.applySettings(workCtx, sta, pro.settings)
+	sta := &State{
+		Conns: map[rgexecutor.EntryConnID]*EntryConn{}, StopDial: map[string]context.CancelFunc{}, Dropped: map[string]bool{},
+	}
+	pro.applySettings(sta, pro.settings)
+	pro.updateConnections(workCtx, sta, rgclock.Now())
 	tick := time.NewTicker(rgexecutor.TickInterval)
 	defer tick.Stop()
 	end := ctx.Done()
@@ -79,12 +83,10 @@
 	case MessageReceived:
 		pro.receive(workCtx, sta, now, evt)
 	case EntriesListed:
-		for _, adr := range evt.Addresses {
-			pro.connect(workCtx, sta, now, adr, false)
-		}
+		rgmembership.RecordFound(&sta.Members, now, evt.Entries)
 	case SettingsReloaded:
 		pro.log.Info("settings read again")
-		pro.applySettings(workCtx, sta, evt.Settings)
+		pro.applySettings(sta, evt.Settings)
 	}
 }
 
@@ -100,12 +102,14 @@
 	pro.perform(workCtx, sta, efs)
 }
 
-func (pro *Process) applySettings(workCtx context.Context, sta *State, set rgsettings.PlatformProcess) {
+func (pro *Process) applySettings(sta *State, set rgsettings.PlatformProcess) {
 	sta.ExecutorState.Limits = rgexecutor.Limits{
 		MaxLease: set.MaxLease.Duration, ResendDelay: set.ResendDelay.Duration, TaskStopTime: set.TaskStopTime.Duration,
 	}
+	sta.Members.Name, sta.Members.AvailabilityZone = set.Name, set.AvailabilityZone
+	sta.Members.Limits = rgmembership.Limits{SameZone: set.EntriesSameZone, OtherZones: set.EntriesOtherZones}
 	for _, adr := range rgwire.PeerAddresses(set.Seeds, set.PeerPort) {
-		pro.connect(workCtx, sta, rgclock.Now(), adr, true)
+		rgmembership.AddSeed(&sta.Members, rgclock.Now(), adr)
 	}
 }
 
--- a/io/rgorders/event.go
+++ b/io/rgorders/event.go
@@ -51,8 +51,8 @@
 		Message rgwire.Message
 	}
 
-	// EntriesListed contains the addresses of the entries that are registered in the store.
-	EntriesListed struct{ Addresses []string }
+	// EntriesListed contains the entries that are registered in the store.
+	EntriesListed struct{ Entries []rgmodel.Entry }
 
 	// SettingsReloaded contains settings that were read again.
 	SettingsReloaded struct{ Settings rgsettings.PlatformProcess }
--- a/io/rgorders/process.go
+++ b/io/rgorders/process.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgexecutor"
+	"ragwortgap/core/rgmembership"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgmailbox"
 	"ragwortgap/io/rgsettings"
@@ -29,8 +30,8 @@
 	// SendFunc sends an order to the executor and waits for its reply, with a timeout of its own.
 	SendFunc func(ctx context.Context, ord rgmodel.Order) rgmodel.OrderReply
 
-	// ListFunc returns the addresses of the entries that are registered in the store.
-	ListFunc func(ctx context.Context) ([]string, error)
+	// ListFunc returns the entries that are registered in the store.
+	ListFunc func(ctx context.Context) ([]rgmodel.Entry, error)
 
 	// EntryConn is a connection to an entry.
 	EntryConn struct {
@@ -49,23 +50,18 @@
 		// ExecutorState is the state of rgexecutor, which makes the decisions about the executor.
 		ExecutorState rgexecutor.State
 		Conns         map[rgexecutor.EntryConnID]*EntryConn
-		// Maintainers maps addresses of entries to the goroutines that maintain the connections to them.
-		Maintainers map[string]*ConnMaintainer
-		LastListed  time.Time
+		Members       rgmembership.State
+		// StopDial maps addresses of entries to the functions that end the connection to them.
+		StopDial map[string]context.CancelFunc
+		// Dropped holds the addresses of entries whose connections are drained before they are ended.
+		Dropped    map[string]bool
+		LastListed time.Time
 		// DrainStarted is when the drain began, or zero.
 		DrainStarted time.Time
 		// ReportedCounts are the counts that are already included in the metrics.
 		ReportedCounts rgexecutor.Counts
 	}
 
-	// ConnMaintainer describes a goroutine that maintains a connection to an entry.
-	ConnMaintainer struct {
-		Stop          context.CancelFunc
-		LastMentioned time.Time
-		Seed          bool
-		Connected     bool
-	}
-
 	// Process is a running sidecar.
 	Process struct {
 		// Done is closed when the process has stopped.
--- a/io/rgsettings/platform.go
+++ b/io/rgsettings/platform.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ragwortgap/core/rgexecutor"
+	"ragwortgap/core/rgmembership"
 	"ragwortgap/core/rgmodel"
 )
 
@@ -30,6 +31,9 @@
 	// Seeds are addresses of machines that run entries. Their ports are ignored, and they may be stale.
 	Seeds []string `json:"seeds"`
 	Store string   `json:"store"`
+	// EntriesSameZone and EntriesOtherZones are the numbers of entries in the own zone and in others that the process connects to.
+	EntriesSameZone   int `json:"entriesSameZone"`
+	EntriesOtherZones int `json:"entriesOtherZones"`
 	// CallerAddress and ReadyAddress are used by entries only, AnnounceAddress and Executor by sidecars only.
 	CallerAddress   string `json:"callerAddress"`
 	ReadyAddress    string `json:"readyAddress"`
@@ -55,7 +59,7 @@
 
 // ReadPlatformEntry reads and validates the settings of an entry on the platform.
 func ReadPlatformEntry(path string) (PlatformProcess, error) {
-	set, err := readPlatformProcess(path)
+	set, err := readPlatformProcess(path, rgmembership.DefaultPeersSameZone, rgmembership.DefaultPeersOtherZones)
 	if err != nil {
 		return PlatformProcess{}, err
 	}
@@ -67,7 +71,7 @@
 
 // ReadPlatformSidecar reads and validates the settings of a sidecar on the platform.
 func ReadPlatformSidecar(path string) (PlatformProcess, error) {
-	set, err := readPlatformProcess(path)
+	set, err := readPlatformProcess(path, rgmembership.DefaultSameZone, rgmembership.DefaultOtherZones)
 	if err != nil {
 		return PlatformProcess{}, err
 	}
@@ -77,8 +81,10 @@
 	)
 }
 
-func readPlatformProcess(path string) (PlatformProcess, error) {
-	var set PlatformProcess
+// readPlatformProcess reads the settings that entries and sidecars have in common. sameZone and otherZones are the defaults of the
+// numbers of entries.
+func readPlatformProcess(path string, sameZone, otherZones int) (PlatformProcess, error) {
+	set := PlatformProcess{EntriesSameZone: sameZone, EntriesOtherZones: otherZones}
 	if err := readFile(path, &set); err != nil {
 		return PlatformProcess{}, err
 	}
@@ -95,6 +101,8 @@
 		checkAddresses("seeds", set.Seeds),
 		checkAddress("store", set.Store),
 		checkNonNegative("cores", set.Cores),
+		checkNonNegative("entriesSameZone", float64(set.EntriesSameZone)),
+		checkNonNegative("entriesOtherZones", float64(set.EntriesOtherZones)),
 		checkOptionalAddress("advertisedAddress", set.AdvertisedAddress),
 		checkOptionalAddress("metricsAddress", set.MetricsAddress),
 		checkMinimum("longestLease", set.MaxLease, 100*time.Millisecond),
--- a/io/rgwire/order_message.go
+++ b/io/rgwire/order_message.go
@@ -19,21 +19,29 @@
 		Entry rgmodel.Entry `json:"entry"`
 	}
 
+	// EntryChanges is what has changed in the sender's list of entries since its last message over the connection. Left are the
+	// addresses of removed entries. If Full is set, Entries is the whole list.
+	EntryChanges struct {
+		Entries []rgmodel.Entry `json:"entries,omitempty"`
+		Left    []string        `json:"left,omitempty"`
+		Full    bool            `json:"full,omitempty"`
+	}
+
 	// EntryHeartbeat tells a sidecar that the entry is alive. Issued is a lower bound of the time of sending on the sidecar's
-	// clock. ReportInterval is how often the entry wants reports of a changing load. Entries is set if the list has changed.
+	// clock. ReportInterval is how often the entry wants reports of a changing load.
 	EntryHeartbeat struct {
 		Issued         rgmodel.SidecarTime `json:"issued"`
 		ReportInterval time.Duration       `json:"every"`
-		Entries        []rgmodel.Entry     `json:"entries,omitempty"`
+		EntryChanges
 	}
 
-	// Gossip tells an entry the configuration version and the entries that another entry knows. Config is set in the reply
-	// to ConfigRequest. Entries is omitted from most messages.
+	// Gossip tells an entry the configuration version of another one and the changes of its list of entries. Config is set in
+	// the reply to ConfigRequest.
 	Gossip struct {
-		From    rgmodel.Entry   `json:"from"`
-		Version uint64          `json:"version"`
-		Config  []byte          `json:"config,omitempty"`
-		Entries []rgmodel.Entry `json:"entries,omitempty"`
+		From    rgmodel.Entry `json:"from"`
+		Version uint64        `json:"version"`
+		Config  []byte        `json:"config,omitempty"`
+		EntryChanges
 	}
 
 	// ConfigRequest asks an entry for its configuration.
