core/rgdispatch, io/rgsupervisor: a sample for each job, panics cost one event, executors that left stay out

Three changes whose files overlap.

A report no longer walks all jobs in progress unless a connection was lost lately. The sample size is that of core/rgplacement. A panic in the control goroutine of an entry ended the process; one in a traffic goroutine ended that goroutine without a trace, because conc keeps it until the process stops, and with it the watch of the configuration or the registration. A heartbeat that arrives after the deregistration of its executor made the executor current again, and the record in the store still said that it takes tasks, so that a restarted sidecar used it. Deregistered incarnations are remembered, and the record is written again.

--- a/core/rgdispatch/command_conn.go
+++ b/core/rgdispatch/command_conn.go
@@ -1,8 +1,11 @@
 package rgdispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"ragwortgap/core/rgmembership"
 	"ragwortgap/core/rgmodel"
 )
 
@@ -11,11 +14,22 @@
 	if sta.Sidecars == nil {
 		sta.Sidecars = map[SidecarConnID]*SidecarConn{}
 	}
+	removeFromOrder(sta, con)
 	sta.Sidecars[con] = &SidecarConn{
 		Name: name, LastReceived: now, LostAt: now.Add(maxSilence), SidecarClock: clock,
-		ReportInterval: rgmodel.MinReportInterval, Rank: rank(sta.Name, name),
+		ReportInterval: rgmodel.MinReportInterval, Rank: rgmembership.Rank(sta.Name, name),
 		Placed: map[rgmodel.Ticket]TaskRef{},
 	}
+	at, _ := slices.BinarySearchFunc(sta.Order, con, func(one, two SidecarConnID) int { return compareRanks(sta, one, two) })
+	sta.Order = slices.Insert(sta.Order, at, con)
+}
+
+func removeFromOrder(sta *State, con SidecarConnID) {
+	sta.Order = slices.DeleteFunc(sta.Order, func(cur SidecarConnID) bool { return cur == con })
+}
+
+func compareRanks(sta *State, one, two SidecarConnID) int {
+	return cmp.Or(cmp.Compare(sta.Sidecars[one].Rank, sta.Sidecars[two].Rank), cmp.Compare(one, two))
 }
 
 // RecordHeartbeat records the sidecar's clock in a message and the time within which it sends the next one.
@@ -57,7 +71,7 @@
 	for len(sc.Unreported) > 0 && sc.Unreported[0].Ticket <= received {
 		sc.Unreported = sc.Unreported[1:]
 	}
-	if !rep.EarlierRunsEnded {
+	if !rep.EarlierRunsEnded || !mayHaveUnknownTasks(sta, now) {
 		return nil
 	}
 	var efs []Effect
@@ -69,6 +83,11 @@
 	return efs
 }
 
+// mayHaveUnknownTasks reports whether a task may be unknown. All tasks of a lost connection are released or ended some time after its loss.
+func mayHaveUnknownTasks(sta *State, now time.Time) bool {
+	return now.Sub(sta.LastLoss) <= sta.Limits.MaxRunTimeAfterLoss+2*TickInterval
+}
+
 // releaseUnknownTasks makes the unknown tasks of a job ready for placement once their runs on the sidecar have ended. It reports
 // whether there were any.
 func releaseUnknownTasks(jb *Job, sidecar string) bool {
@@ -91,7 +110,11 @@
 	if sc == nil {
 		return nil
 	}
+	removeFromOrder(sta, con)
 	delete(sta.Sidecars, con)
+	if len(sc.Placed) > 0 {
+		sta.LastLoss = now
+	}
 	affected := map[string]*Job{}
 	for _, ref := range sc.Placed {
 		jb := sta.Jobs[ref.Job]
--- a/core/rgdispatch/command_interval.go
+++ b/core/rgdispatch/command_interval.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
 
@@ -63,11 +62,3 @@
 func inSameZone(sta *State, sc *SidecarConn) bool {
 	return sta.AvailabilityZone == "" || sc.Executor.AvailabilityZone == sta.AvailabilityZone
 }
-
-// rank returns the rank of a sidecar of another zone, which differs between entries.
-func rank(entry, sidecar string) uint64 {
-	hsh := fnv.New64a()
-	// Write of a hash never fails.
-	_, _ = hsh.Write([]byte(entry + "/" + sidecar))
-	return hsh.Sum64()
-}
--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -165,7 +165,7 @@
 		LostAt time.Time
 		// ReportInterval is the requested interval between reports of a changing load.
 		ReportInterval time.Duration
-		// Rank orders the sidecars of other zones by priority for short report intervals.
+		// Rank orders the sidecars in a way that differs between entries.
 		Rank uint64
 		// SidecarClock is the latest reading of the sidecar's clock, received at LastReceived.
 		SidecarClock rgmodel.SidecarTime
@@ -240,11 +240,15 @@
 		Name             string
 		AvailabilityZone string
 		Sidecars         map[SidecarConnID]*SidecarConn
-		Jobs             map[string]*Job
+		// Order holds the connections to sidecars in the order of their rank.
+		Order []SidecarConnID
+		Jobs  map[string]*Job
 		// RemoteFactor is the factor by which tasks take longer on executors without the preferred label; zero means 1.
 		RemoteFactor float64
 		LastEvent    time.Time
 		ResumedAt    time.Time
+		// LastLoss is when a connection with placed tasks was last lost.
+		LastLoss time.Time
 	}
 )
 
--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -4,7 +4,10 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"ragwortgap/core/rgmodel"
+	"ragwortgap/core/rgplacement"
 )
 
 type (
@@ -87,15 +90,22 @@
 	return jb.Deadline
 }
 
+// findCandidates returns sidecars that can run tasks of the step: all of them in a small view, and else a sample that differs between jobs, so that
+// the cost of a job does not grow with the view.
 func findCandidates(sta *State, now time.Time, jb *Job, stp Step) []*candidate {
-	var cnds []*candidate
-	for con, sc := range sta.Sidecars {
+	size := min(rgplacement.SampleSize(stp.Count), len(sta.Order))
+	cnds := make([]*candidate, 0, size)
+	first := int(xxhash.Sum64String(jb.Request.ID) % uint64(max(1, len(sta.Order))))
+	for i := range sta.Order {
+		con := sta.Order[(first+i)%len(sta.Order)]
+		sc := sta.Sidecars[con]
 		if sc.Report.Usable && !now.After(sc.LostAt) && canRun(sc, jb, stp) {
 			cnds = append(cnds, &candidate{conn: con, sidecar: sc, runTime: runTime(sta, stp, sc), sameZone: inSameZone(sta, sc)})
 		}
+		if len(cnds) == size {
+			break
+		}
 	}
-	// The iteration order of a map would make plans non-deterministic.
-	slices.SortFunc(cnds, func(one, two *candidate) int { return int(one.conn) - int(two.conn) })
 	return cnds
 }
 
--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -10,6 +10,9 @@
 func UpdateExecutor(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
 	cur := sta.Executor.Incarnation
 	switch {
+	case exe.Incarnation.StartedMillis != 0 && exe.Incarnation == sta.Deregistered:
+		// The heartbeat was sent before the deregistration and delayed.
+		return nil
 	case sta.Phase != PhaseNoExecutor && exe.Incarnation.StartedMillis < cur.StartedMillis:
 		return nil
 	case sta.Phase != PhaseNoExecutor && exe.Incarnation == cur:
@@ -47,6 +50,8 @@
 	if sta.Phase == PhaseNoExecutor || sta.Executor.Incarnation.ID != id {
 		return nil
 	}
+	sta.Executor.Draining = true
+	sta.Deregistered = sta.Executor.Incarnation
 	return loseExecutor(sta, now, rgmodel.ReasonDraining, lossRestarted{})
 }
 
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -197,6 +197,8 @@
 		Limits   Limits
 		Executor rgmodel.Executor
 		Phase    Phase
+		// Deregistered is the last incarnation that has deregistered.
+		Deregistered rgmodel.ExecutorIncarnation
 		// HadControl is set once this process has controlled an incarnation of the executor.
 		HadControl bool
 		FenceToken uint64
--- a/core/rgmodel/order.go
+++ b/core/rgmodel/order.go
@@ -63,7 +63,7 @@
 		// Clock is the latest known reading of the executor's clock.
 		Clock ExecutorTime `json:"-"`
 		// Sequence orders the heartbeats of one incarnation.
-		Sequence uint64 `json:"-"`
+		Sequence uint64 `json:"sequence,omitempty"`
 	}
 
 	// TaskKey identifies a task of a job across the fleet.
--- a/core/rgmodel/verdict.go
+++ b/core/rgmodel/verdict.go
@@ -52,6 +52,8 @@
 	// ReasonDeadlineExceeded is given if the deadline passed before the task was known to have ended. The task may have been started.
 	ReasonDeadlineExceeded Reason = "deadlineExceeded"
 	ReasonRetryBudget      Reason = "retryBudget"
+	// ReasonInternalError is given if the handling of the job has failed because of a fault in the program. The job may have run.
+	ReasonInternalError Reason = "internalError"
 	// ReasonResultDropped accompanies RanOK: the task succeeded, but its result is no longer kept.
 	ReasonResultDropped Reason = "resultDropped"
 )
--- a/io/rgdispatcher/command_peer.go
+++ b/io/rgdispatcher/command_peer.go
@@ -47,6 +47,7 @@
 // serveConnection passes the events of an open connection to the control goroutine until the connection is lost. adr is empty if
 // the peer has dialed.
 func (pro *Process) serveConnection(ctx context.Context, con *rgwire.Connection, adr string, first rgwire.Message) {
+	defer pro.mailbox.Send(context.WithoutCancel(ctx), PeerDisconnected{ID: con.ID})
 	con.ServeNotifications(ctx, first,
 		func(msg rgwire.Message) {
 			if gos, ok := msg.(rgwire.Gossip); ok && len(gos.Config) > 0 {
@@ -57,7 +58,6 @@
 		func(nc *rgwire.NotificationConn) {
 			pro.mailbox.Send(ctx, PeerConnected{ID: con.ID, Address: adr, Conn: nc})
 		})
-	pro.mailbox.Send(context.WithoutCancel(ctx), PeerDisconnected{ID: con.ID})
 }
 
 // disconnect removes a lost connection. It logs "sidecar lost" for each lost connection to a sidecar, whose process may still
@@ -231,7 +231,7 @@
 func (pro *Process) connect(workCtx context.Context, sta *State, adr string) {
 	ctx, stop := context.WithCancel(workCtx)
 	sta.StopDial[adr] = stop
-	pro.traffic.Go(func() {
+	pro.traffic.Maintain(ctx, func() {
 		rgwire.MaintainConnection(ctx, adr, func(ctx context.Context, con *rgwire.Connection) {
 			pro.serveConnection(ctx, con, adr, rgwire.EntryHello{Entry: pro.self})
 		})
--- a/io/rgdispatcher/control.go
+++ b/io/rgdispatcher/control.go
@@ -31,7 +31,9 @@
 		case evt := <-pro.mailbox.Events:
 			now := rgclock.Now()
 			rgdispatch.DetectSuspension(&sta.Dispatch, now)
-			pro.handle(sta, now, evt)
+			if !pro.traffic.Try("event", func() { pro.handle(sta, now, evt) }) {
+				pro.dropEvent(sta, now, evt)
+			}
 		case <-tick.C:
 			now := rgclock.Now()
 			rgdispatch.DetectSuspension(&sta.Dispatch, now)
@@ -78,6 +80,33 @@
 	}
 }
 
+// dropEvent limits the effect of an event whose handling has panicked to its peer or its caller. A job whose state may be incomplete
+// is given up as possibly run.
+func (pro *Process) dropEvent(sta *State, now time.Time, evt Event) {
+	switch evt := evt.(type) {
+	case MessageReceived:
+		if per := sta.Peers[evt.ID]; per != nil {
+			per.Conn.Close()
+		}
+	case JobSubmitted:
+		if sta.Replies[evt.Caller] != nil {
+			delete(sta.Replies, evt.Caller)
+			evt.Reply <- rgdispatch.SendAnswer{
+				Caller: evt.Caller, Job: evt.Request.ID, Verdict: rgmodel.MayHaveRun, Reason: rgmodel.ReasonInternalError,
+			}
+		}
+		pro.traffic.Try("cleanup", func() {
+			pro.perform(sta, now, rgdispatch.HandleCallerDisconnect(&sta.Dispatch, evt.Caller, evt.Request.ID))
+		})
+	case CancelRequested:
+		evt.Reply <- false
+	case JobStateRequested:
+		evt.Reply <- JobState{}
+	case PendingRequested:
+		evt.Reply <- 0
+	}
+}
+
 // perform carries out the effects that the core returned.
 func (pro *Process) perform(sta *State, now time.Time, efs []rgdispatch.Effect) {
 	for _, eff := range efs {
--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -11,7 +11,6 @@
 
 	"github.com/google/uuid"
 	"github.com/juju/errors"
-	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -22,6 +21,7 @@
 	"ragwortgap/io/rgmailbox"
 	"ragwortgap/io/rgsettings"
 	"ragwortgap/io/rgstore"
+	"ragwortgap/io/rgsupervisor"
 	"ragwortgap/io/rgwire"
 )
 
@@ -86,7 +86,7 @@
 		sidecarSeen  atomic.Bool
 		lastCallerID atomic.Uint64
 		stop         context.CancelFunc
-		traffic      conc.WaitGroup
+		traffic      rgsupervisor.Supervisor
 	}
 )
 
@@ -106,10 +106,11 @@
 	if set.AdvertisedAddress != "" {
 		pro.self.Address = set.AdvertisedAddress
 	}
-	pro.traffic.Go(func() { pro.accept(workCtx, lis) })
-	pro.traffic.Go(func() { pro.watchConfig(workCtx) })
-	pro.traffic.Go(func() { pro.maintainLease(workCtx) })
-	pro.traffic.Go(func() { pro.pollEntries(workCtx) })
+	pro.traffic.Log, pro.traffic.Scope = log, sco
+	pro.traffic.Maintain(workCtx, func() { pro.accept(workCtx, lis) })
+	pro.traffic.Maintain(workCtx, func() { pro.watchConfig(workCtx) })
+	pro.traffic.Maintain(workCtx, func() { pro.maintainLease(workCtx) })
+	pro.traffic.Maintain(workCtx, func() { pro.pollEntries(workCtx) })
 	go pro.run(workCtx, lis)
 	return pro, nil
 }
--- a/io/rgentry/command_watch.go
+++ b/io/rgentry/command_watch.go
@@ -59,7 +59,7 @@
 	sw.sendState(workCtx)
 	// The store may return an older state than the one in force.
 	sw.syncFromPeer(workCtx)
-	pro.traffic.Go(func() { pro.maintainLease(ctx, workCtx) })
+	pro.traffic.Maintain(workCtx, func() { pro.maintainLease(ctx, workCtx) })
 	for workCtx.Err() == nil {
 		sw.sendState(workCtx)
 		sw.proposeRing(workCtx)
--- a/io/rgentry/process.go
+++ b/io/rgentry/process.go
@@ -11,7 +11,6 @@
 
 	"github.com/google/uuid"
 	"github.com/juju/errors"
-	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -21,6 +20,7 @@
 	"ragwortgap/io/rgmailbox"
 	"ragwortgap/io/rgsettings"
 	"ragwortgap/io/rgstore"
+	"ragwortgap/io/rgsupervisor"
 	"ragwortgap/io/rgtls"
 	"ragwortgap/io/rgwire"
 )
@@ -49,7 +49,7 @@
 		// waitingCallers is the number of calls that wait for an answer.
 		waitingCallers atomic.Int64
 		// traffic waits for the goroutines of jobs, connections and the store.
-		traffic conc.WaitGroup
+		traffic rgsupervisor.Supervisor
 		entries entryPeers
 	}
 
@@ -96,6 +96,7 @@
 		mailbox:  rgmailbox.Mailbox[Event]{Events: make(chan Event, eventBuffer), Done: make(chan struct{})},
 	}
 	pro.view.Store(&View{})
+	pro.traffic.Log, pro.traffic.Scope = pro.log, sco
 	go pro.run(ctx)
 	return pro, nil
 }
@@ -104,10 +105,10 @@
 	defer close(pro.Done)
 	// Connections outlive ctx, because jobs in flight still use them.
 	workCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	pro.traffic.Go(func() { pro.acceptPeers(workCtx) })
+	pro.traffic.Maintain(workCtx, func() { pro.acceptPeers(workCtx) })
 	pro.traffic.Go(func() { pro.watchStore(ctx, workCtx) })
 	if pro.identity != nil {
-		pro.traffic.Go(func() { rgtls.Watch(workCtx, pro.identity, pro.identity.Files.Certificate, pro.log) })
+		pro.traffic.Maintain(workCtx, func() { rgtls.Watch(workCtx, pro.identity, pro.identity.Files.Certificate, pro.log) })
 	}
 	pro.control(ctx, workCtx)
 	close(pro.mailbox.Done)
--- a/io/rgorders/command_connection.go
+++ b/io/rgorders/command_connection.go
@@ -40,7 +40,7 @@
 func (pro *Process) connect(workCtx context.Context, sta *State, adr string) {
 	ctx, stop := context.WithCancel(workCtx)
 	sta.StopDial[adr] = stop
-	pro.traffic.Go(func() {
+	pro.traffic.Maintain(ctx, func() {
 		rgwire.MaintainConnection(ctx, adr, func(ctx context.Context, con *rgwire.Connection) {
 			pro.serveConnection(ctx, adr, con)
 		})
@@ -72,12 +72,12 @@
 // serveConnection passes the events of an open connection to the control goroutine until the connection is lost.
 func (pro *Process) serveConnection(ctx context.Context, adr string, con *rgwire.Connection) {
 	id := rgexecutor.EntryConnID(con.ID)
+	defer pro.mailbox.Send(context.WithoutCancel(ctx), EntryDisconnected{Address: adr, ID: id})
 	con.ServeNotifications(ctx, rgwire.SidecarHello{Name: pro.settings.Name, Clock: rgmodel.SidecarTimeOf(rgclock.Now())},
 		func(msg rgwire.Message) { pro.mailbox.Send(ctx, MessageReceived{Conn: id, Message: msg}) },
 		func(nc *rgwire.NotificationConn) {
 			pro.mailbox.Send(ctx, EntryConnected{Address: adr, ID: id, Conn: nc})
 		})
-	pro.mailbox.Send(context.WithoutCancel(ctx), EntryDisconnected{Address: adr, ID: id})
 }
 
 func (pro *Process) addConnection(sta *State, now time.Time, evt EntryConnected) {
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -72,6 +72,10 @@
 	case ExecutorDeregistered:
 		pro.perform(workCtx, sta, rgexecutor.DeregisterExecutor(&sta.ExecutorState, now, evt.ID))
 		pro.log.Info("executor has left", zap.String("id", evt.ID))
+		if sta.ExecutorState.Deregistered.ID == evt.ID {
+			// The next process of this sidecar must not use an executor that has left.
+			pro.queueSave(sta.ExecutorState.Executor)
+		}
 		rgexecutor.MarkLoadChanged(&sta.ExecutorState)
 		evt.Reply <- struct{}{}
 	case OrderReplied:
@@ -81,7 +85,11 @@
 	case EntryDisconnected:
 		pro.removeConnection(workCtx, sta, now, evt)
 	case MessageReceived:
-		pro.receive(workCtx, sta, now, evt)
+		// A panic while the state of the executor is changed ends the process, because its runs may be known only in part. The next process
+		// stops them first. A message of an entry that cannot be handled costs only its connection.
+		if !pro.traffic.Try("message", func() { pro.receive(workCtx, sta, now, evt) }) && sta.Conns[evt.Conn] != nil {
+			sta.Conns[evt.Conn].Conn.Close()
+		}
 	case EntriesListed:
 		rgmembership.RecordFound(&sta.Members, now, evt.Entries)
 	case SettingsReloaded:
--- a/io/rgorders/process.go
+++ b/io/rgorders/process.go
@@ -7,7 +7,6 @@
 	"context"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
@@ -16,6 +15,7 @@
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgmailbox"
 	"ragwortgap/io/rgsettings"
+	"ragwortgap/io/rgsupervisor"
 	"ragwortgap/io/rgwire"
 )
 
@@ -76,7 +76,7 @@
 		log     *zap.Logger
 		scope   tally.Scope
 		mailbox rgmailbox.Mailbox[Event]
-		traffic conc.WaitGroup
+		traffic rgsupervisor.Supervisor
 	}
 )
 
@@ -88,6 +88,7 @@
 		Done: make(chan struct{}), mailbox: rgmailbox.New[Event](),
 		settings: set, sendOrder: snd, store: sto, listEntries: lis, toSave: make(chan rgmodel.Executor, 1), log: log, scope: sco,
 	}
+	pro.traffic.Log, pro.traffic.Scope = log, sco
 	go pro.run(ctx)
 	return pro
 }
@@ -97,7 +98,7 @@
 	// Orders and connections outlive ctx, because the drain needs them.
 	workCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	pro.traffic.Go(func() { pro.restoreExecutor(workCtx) })
-	pro.traffic.Go(func() { pro.saveExecutors(workCtx) })
+	pro.traffic.Maintain(workCtx, func() { pro.saveExecutors(workCtx) })
 	pro.control(ctx, workCtx)
 	close(pro.mailbox.Done)
 	stop()
