core/rgdispatch: hold jobs while the sidecars of a started entry connect

What callers saw: after all machines lost power, every job of the first quarter of a second was refused with 503, "never runnable". Cause: an entry that has just started knows no sidecar, and refuses what no known sidecar can run. Sidecars had backed off to one dial in up to 1.5 s meanwhile. Change: in the first second after the start, or after a suspension, a job that cannot be placed waits.

--- a/core/rgdispatch/command_conn.go
+++ b/core/rgdispatch/command_conn.go
@@ -66,18 +66,23 @@
 	if sc == nil {
 		return nil
 	}
+	becameUsable := rep.Usable && !sc.Report.Usable
 	sc.Report = rep
 	sc.ReportedAt = now
 	for len(sc.Unreported) > 0 && sc.Unreported[0].Ticket <= received {
 		sc.Unreported = sc.Unreported[1:]
 	}
-	if !rep.EarlierRunsEnded || !mayHaveUnknownTasks(sta, now) {
-		return nil
-	}
 	var efs []Effect
-	for _, jb := range sta.Jobs {
-		if releaseUnknownTasks(jb, sc.Name) {
-			efs = append(efs, placeWaiting(sta, now, jb, rgmodel.ReasonSidecarLost)...)
+	if rep.EarlierRunsEnded && mayHaveUnknownTasks(sta, now) {
+		for _, jb := range sta.Jobs {
+			if releaseUnknownTasks(jb, sc.Name) {
+				efs = append(efs, placeWaiting(sta, now, jb, rgmodel.ReasonSidecarLost)...)
+			}
+		}
+	}
+	if becameUsable {
+		for _, jb := range sta.Jobs {
+			efs = append(efs, placeWaiting(sta, now, jb, rgmodel.ReasonNoUpstream)...)
 		}
 	}
 	return efs
--- a/core/rgdispatch/command_job.go
+++ b/core/rgdispatch/command_job.go
@@ -10,13 +10,17 @@
 // DetectSuspension records that the process is running now and detects whether it was suspended before. It must be called before
 // every other command.
 func DetectSuspension(sta *State, now time.Time) {
+	if sta.StartedAt.IsZero() {
+		sta.StartedAt = now
+	}
 	if !sta.LastEvent.IsZero() && now.Sub(sta.LastEvent) > suspensionThreshold {
 		sta.ResumedAt = now
 	}
 	sta.LastEvent = now
 }
 
-// Submit admits a job and places the tasks of its first steps, or refuses it.
+// Submit admits a job and places the tasks of its first steps, or refuses it. A job that cannot be placed by an entry that has just started
+// waits for the sidecars that are not connected yet.
 func Submit(sta *State, now time.Time, cid CallerID, req Request) []Effect {
 	if jb := sta.Jobs[req.ID]; jb != nil {
 		// The caller has lost its first connection and sent the job again. The job continues, and its answer goes to the new
@@ -32,7 +36,7 @@
 		return []Effect{newAnswer(now, jb, rgmodel.NotRun, rsn)}
 	}
 	pln, rsn := plan(sta, now, jb)
-	if rsn != "" {
+	if rsn != "" && (!isStartingUp(sta, now) || willMissDeadline(sta, now, jb)) {
 		return []Effect{newAnswer(now, jb, rgmodel.NotRun, rsn)}
 	}
 	if sta.Jobs == nil {
@@ -195,10 +199,10 @@
 		return abortJob(sta, now, jb, rsn)
 	}
 	pln, refusal := plan(sta, now, jb)
-	switch refusal {
-	case "":
+	switch {
+	case refusal == "":
 		return placeTasks(sta, now, jb, pln)
-	case rgmodel.ReasonNoUpstream:
+	case refusal == rgmodel.ReasonNoUpstream, isStartingUp(sta, now):
 		// A sidecar may connect later. The next tick tries again.
 		return nil
 	default:
--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -22,6 +22,9 @@
 	// suspensionRefusalTime is how long jobs are refused after the process was suspended. The callers of jobs that arrived in the
 	// meantime may have disconnected long ago and sent them to another entry.
 	suspensionRefusalTime = 200 * time.Millisecond
+	// startupTime is how long an entry that has just started, or was suspended, waits for its sidecars to connect before it refuses jobs that
+	// cannot be placed. Sidecars dial several times a second.
+	startupTime = time.Second
 	// defaultEstimate is the estimate of tasks that have none.
 	defaultEstimate = 200 * time.Millisecond
 	// networkOverhead is the time that the messages between entry and sidecar and the calls of the executor add to a run.
@@ -245,8 +248,10 @@
 		Jobs  map[string]*Job
 		// RemoteFactor is the factor by which tasks take longer on executors without the preferred label; zero means 1.
 		RemoteFactor float64
-		LastEvent    time.Time
-		ResumedAt    time.Time
+		// StartedAt is when the process started, and ResumedAt when it was last found to have been suspended.
+		StartedAt time.Time
+		LastEvent time.Time
+		ResumedAt time.Time
 		// LastLoss is when a connection with placed tasks was last lost.
 		LastLoss time.Time
 	}
--- a/core/rgdispatch/harness_test.go
+++ b/core/rgdispatch/harness_test.go
@@ -20,6 +20,8 @@
 func newHarness() *harness {
 	har := &harness{now: time.Unix(1000, 0)}
 	har.sta.Limits.MaxRunTimeAfterLoss = 1500 * time.Millisecond
+	// The entry has been running for a while.
+	har.sta.StartedAt = har.now.Add(-time.Hour)
 	DetectSuspension(&har.sta, har.now)
 	return har
 }
--- a/core/rgdispatch/query_job.go
+++ b/core/rgdispatch/query_job.go
@@ -20,6 +20,11 @@
 	}
 }
 
+// isStartingUp reports whether the process started or was suspended so recently that its sidecars may not all be connected.
+func isStartingUp(sta *State, now time.Time) bool {
+	return now.Sub(sta.StartedAt) < startupTime || now.Sub(sta.ResumedAt) < startupTime
+}
+
 // timeToSoftDeadline returns how long the job may take and still be on time, based on its estimates.
 func timeToSoftDeadline(req Request) time.Duration {
 	fac := max(req.Route.SlackFactor, 1)
--- a/core/rgdispatch/simulation_test.go
+++ b/core/rgdispatch/simulation_test.go
@@ -97,6 +97,7 @@
 		}
 		ent.sta.Name, ent.sta.AvailabilityZone = ent.name, ent.zone
 		ent.sta.Limits = Limits{MaxRunTimeAfterLoss: 1500 * time.Millisecond, Cores: 0.5}
+		ent.sta.StartedAt = sim.now.Add(-time.Hour)
 		DetectSuspension(&ent.sta, sim.now)
 		sim.entries = append(sim.entries, ent)
 	}
