--- a/core/rgdispatch/command_job.go
+++ b/core/rgdispatch/command_job.go
@@ -36,7 +36,7 @@
 		return []Effect{newAnswer(now, jb, rgmodel.NotRun, rsn)}
 	}
 	pln, rsn := plan(sta, now, jb)
-	if rsn != "" && (!isStartingUp(sta, now) || willMissDeadline(sta, now, jb)) {
+	if rsn != "" && !mayWaitForSidecars(sta, now, jb) {
 		return []Effect{newAnswer(now, jb, rgmodel.NotRun, rsn)}
 	}
 	if sta.Jobs == nil {
@@ -202,7 +202,7 @@
 	switch {
 	case refusal == "":
 		return placeTasks(sta, now, jb, pln)
-	case refusal == rgmodel.ReasonNoUpstream, isStartingUp(sta, now):
+	case refusal == rgmodel.ReasonNoUpstream, mayWaitForSidecars(sta, now, jb):
 		// A sidecar may connect later. The next tick tries again.
 		return nil
 	default:
--- a/core/rgdispatch/query_job.go
+++ b/core/rgdispatch/query_job.go
@@ -20,9 +20,11 @@
 	}
 }
 
-// isStartingUp reports whether the process started or was suspended so recently that its sidecars may not all be connected.
-func isStartingUp(sta *State, now time.Time) bool {
-	return now.Sub(sta.StartedAt) < startupTime || now.Sub(sta.ResumedAt) < startupTime
+// mayWaitForSidecars reports whether a job that cannot be placed now may wait: the process started or was suspended so recently that its sidecars
+// may not all be connected, and the job can still be on time. Jobs that will be late would only delay the others.
+func mayWaitForSidecars(sta *State, now time.Time, jb *Job) bool {
+	startingUp := now.Sub(sta.StartedAt) < startupTime || now.Sub(sta.ResumedAt) < startupTime
+	return startingUp && !now.Add(criticalPath(jb.Request.Steps)).After(latestEnd(jb))
 }
 
 // timeToSoftDeadline returns how long the job may take and still be on time, based on its estimates.
--- a/core/rgdispatch/startup_test.go
+++ b/core/rgdispatch/startup_test.go
@@ -9,7 +9,7 @@
 // have not connected yet. After a loss of power, all callers of the first quarter of a second were refused in this way. It also guards against jobs
 // that are held although they cannot end before their deadline, or for longer than sidecars take to connect.
 func TestStartup(t *testing.T) {
-	const connectTime = 250 * time.Millisecond
+	const connectTime = 100 * time.Millisecond
 	tests := map[string]struct {
 		upFor    time.Duration
 		estimate time.Duration
@@ -31,6 +31,7 @@
 			har.endAll(har.takePlaced(), 0)
 		}, want: "2:ranOK: "},
 		"refused when no sidecar connects in time": {run: func(har *harness) { har.advance(startupTime) }, want: "1:notRun:neverRunnable "},
+		"refused when it would be late":            {run: func(har *harness) { har.advance(3 * connectTime) }, want: "1:notRun:neverRunnable "},
 		"refused at once after the start-up":       {upFor: startupTime, run: func(*harness) {}, want: "1:notRun:neverRunnable "},
 		"refused at once if it cannot end in time": {estimate: 4 * time.Second, run: func(*harness) {}, want: "1:notRun:neverRunnable "},
 	}
