--- a/core/rgdispatch/command_conn.go
+++ b/core/rgdispatch/command_conn.go
@@ -88,7 +88,8 @@
 	return efs
 }
 
-// mayHaveUnknownTasks reports whether a task may be unknown. All tasks of a lost connection are released or ended some time after its loss.
+// mayHaveUnknownTasks reports whether a task may be unknown. All tasks of a lost connection are released or ended some time
+// after its loss.
 func mayHaveUnknownTasks(sta *State, now time.Time) bool {
 	return now.Sub(sta.LastLoss) <= sta.Limits.MaxRunTimeAfterLoss+2*TickInterval
 }
--- a/core/rgdispatch/command_interval.go
+++ b/core/rgdispatch/command_interval.go
@@ -1,8 +1,6 @@
 package rgdispatch
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"ragwortgap/core/rgmodel"
@@ -30,29 +28,23 @@
 		}
 		return
 	}
-	scs := make([]*SidecarConn, 0, len(sta.Sidecars))
 	local := 0
 	for _, sc := range sta.Sidecars {
-		scs = append(scs, sc)
 		if inSameZone(sta, sc) {
 			local++
 		}
 	}
-	slices.SortFunc(scs, func(one, two *SidecarConn) int {
-		switch oneLocal, twoLocal := inSameZone(sta, one), inSameZone(sta, two); {
-		case oneLocal && !twoLocal:
-			return -1
-		case twoLocal && !oneLocal:
-			return 1
-		default:
-			return cmp.Compare(one.Rank, two.Rank)
-		}
-	})
-	prioritized := min(max(local, int(budget*targetInterval.Seconds())), len(scs))
+	prioritized := min(max(local, int(budget*targetInterval.Seconds())), len(sta.Sidecars))
 	interval := max(rgmodel.MinReportInterval, time.Duration(float64(prioritized)/budget*float64(time.Second)))
-	for i, sc := range scs {
+	left := prioritized - local
+	for _, con := range sta.Order {
+		sc := sta.Sidecars[con]
 		sc.ReportInterval = maxReportInterval
-		if i < prioritized {
+		switch {
+		case inSameZone(sta, sc):
+			sc.ReportInterval = min(interval, maxReportInterval)
+		case left > 0:
+			left--
 			sc.ReportInterval = min(interval, maxReportInterval)
 		}
 	}
--- a/core/rgdispatch/command_job.go
+++ b/core/rgdispatch/command_job.go
@@ -19,8 +19,8 @@
 	sta.LastEvent = now
 }
 
-// Submit admits a job and places the tasks of its first steps, or refuses it. A job that cannot be placed by an entry that has just started
-// waits for the sidecars that are not connected yet.
+// Submit admits a job and places the tasks of its first steps, or refuses it. A job that cannot be placed by an entry that has
+// just started waits for the sidecars that are not connected yet.
 func Submit(sta *State, now time.Time, cid CallerID, req Request) []Effect {
 	if jb := sta.Jobs[req.ID]; jb != nil {
 		// The caller has lost its first connection and sent the job again. The job continues, and its answer goes to the new
--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -22,8 +22,8 @@
 	// suspensionRefusalTime is how long jobs are refused after the process was suspended. The callers of jobs that arrived in the
 	// meantime may have disconnected long ago and sent them to another entry.
 	suspensionRefusalTime = 200 * time.Millisecond
-	// startupTime is how long an entry that has just started, or was suspended, waits for its sidecars to connect before it refuses jobs that
-	// cannot be placed. Sidecars dial several times a second.
+	// startupTime is how long an entry that has just started, or was suspended, waits for its sidecars to connect before it
+	// refuses jobs that cannot be placed. Sidecars dial several times a second.
 	startupTime = time.Second
 	// defaultEstimate is the estimate of tasks that have none.
 	defaultEstimate = 200 * time.Millisecond
--- a/core/rgdispatch/query_job.go
+++ b/core/rgdispatch/query_job.go
@@ -20,8 +20,9 @@
 	}
 }
 
-// mayWaitForSidecars reports whether a job that cannot be placed now may wait: the process started or was suspended so recently that its sidecars
-// may not all be connected, and the job can still be on time. Jobs that will be late would only delay the others.
+// mayWaitForSidecars reports whether a job that cannot be placed now may wait: the process started or was suspended so recently
+// that its sidecars may not all be connected, and the job can still be on time. Jobs that will be late would only delay the
+// others.
 func mayWaitForSidecars(sta *State, now time.Time, jb *Job) bool {
 	startingUp := now.Sub(sta.StartedAt) < startupTime || now.Sub(sta.ResumedAt) < startupTime
 	return startingUp && !now.Add(criticalPath(jb.Request.Steps)).After(latestEnd(jb))
--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -39,8 +39,8 @@
 	}
 )
 
-// EstimateSidecarTime returns a lower bound of the sidecar's current time. It lags by the time that the sidecar's last message took
-// to arrive.
+// EstimateSidecarTime returns a lower bound of the sidecar's current time. It lags by the time that the sidecar's last message
+// took to arrive.
 func EstimateSidecarTime(sc *SidecarConn, now time.Time) rgmodel.SidecarTime {
 	return sc.SidecarClock.Add(now.Sub(sc.LastReceived))
 }
@@ -90,8 +90,8 @@
 	return jb.Deadline
 }
 
-// findCandidates returns sidecars that can run tasks of the step: all of them in a small view, and else a sample that differs between jobs, so that
-// the cost of a job does not grow with the view.
+// findCandidates returns sidecars that can run tasks of the step: all of them in a small view, and else a sample that differs
+// between jobs, so that the cost of a job does not grow with the view.
 func findCandidates(sta *State, now time.Time, jb *Job, stp Step) []*candidate {
 	size := min(rgplacement.SampleSize(stp.Count), len(sta.Order))
 	cnds := make([]*candidate, 0, size)
--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -56,8 +56,8 @@
 }
 
 // takeControl raises the fencing token, so that orders of earlier sidecar processes are refused, and polls for the runs that
-// they started. The token is taken from the executor's clock, which makes it higher than that of an earlier process. If that process came
-// from an incarnation whose clock was further on, its token may be higher: see retakeControl.
+// they started. The token is taken from the executor's clock, which makes it higher than that of an earlier process. If that
+// process came from an incarnation whose clock was further on, its token may be higher: see retakeControl.
 func takeControl(sta *State, now time.Time) []Effect {
 	sta.Phase = PhaseFencing
 	sta.FenceToken = max(sta.FenceToken+1, uint64(max(sta.Executor.Clock, 1)))
@@ -132,8 +132,8 @@
 	return efs
 }
 
-// returnTask reports that a task leaves the sidecar without a result. It counts as lost if a start order of it was confirmed or got no
-// reply, because an order without a reply may have been carried out.
+// returnTask reports that a task leaves the sidecar without a result. It counts as lost if a start order of it was confirmed or
+// got no reply, because an order without a reply may have been carried out.
 func returnTask(sta *State, act AcceptedTask, rsn rgmodel.Reason) Effect {
 	sts := rgmodel.EndReturned
 	if act.UnrefusedStarts > 0 {
--- a/core/rgexecutor/deregister_test.go
+++ b/core/rgexecutor/deregister_test.go
@@ -4,8 +4,8 @@
 	"testing"
 )
 
-// TestDeregisteredExecutor guards against an executor that has left and is used again, because a heartbeat that it sent before arrives
-// late, and against one that is never used again although it has restarted under its id.
+// TestDeregisteredExecutor guards against an executor that has left and is used again, because a heartbeat that it sent before
+// arrives late, and against one that is never used again although it has restarted under its id.
 func TestDeregisteredExecutor(t *testing.T) {
 	tests := map[string]struct {
 		started   int64
--- a/core/rgexecutor/drain_conn_test.go
+++ b/core/rgexecutor/drain_conn_test.go
@@ -7,8 +7,8 @@
 	"ragwortgap/core/rgmodel"
 )
 
-// TestDrainConn guards against a connection that is closed while its entry may still place tasks over it or has tasks here, which would
-// be lost, and against one that is never closed.
+// TestDrainConn guards against a connection that is closed while its entry may still place tasks over it or has tasks here,
+// which would be lost, and against one that is never closed.
 func TestDrainConn(t *testing.T) {
 	tests := map[string]struct {
 		run  func(har *harness)
@@ -38,8 +38,8 @@
 	}
 }
 
-// TestDrainConnReport guards against an entry that is not told at once to place no more tasks over a connection, and against other entries
-// that are told the same.
+// TestDrainConnReport guards against an entry that is not told at once to place no more tasks over a connection, and against
+// other entries that are told the same.
 func TestDrainConnReport(t *testing.T) {
 	har := newHarness(t)
 	const other EntryConnID = 99
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -45,8 +45,8 @@
 	// maxDoubledToken is the fencing token above which a refused one is only incremented. Integers above 2^53 are not exact in
 	// every JSON decoder.
 	maxDoubledToken = 1 << 52
-	// connDrainTime is how long a connection that is drained stays open after the entry was told and the last task has ended. A placement
-	// that is still on its way then arrives before the connection is closed.
+	// connDrainTime is how long a connection that is drained stays open after the entry was told and the last task has ended. A
+	// placement that is still on its way then arrives before the connection is closed.
 	connDrainTime = time.Second
 	// runNumberTTL is how long the last run number of a task is kept.
 	runNumberTTL = 30 * time.Second
@@ -109,8 +109,8 @@
 		Deadline time.Time
 		// SoftDeadline is the latest end of the task at which its job is still on time.
 		SoftDeadline time.Time
-		// UnrefusedStarts is the number of start orders for the task that the executor has not refused and that may have reached it. The
-		// task was certainly never started only while it is zero.
+		// UnrefusedStarts is the number of start orders for the task that the executor has not refused and that may have reached
+		// it. The task was certainly never started only while it is zero.
 		UnrefusedStarts int
 	}
 
--- a/core/rgexecutor/query_report.go
+++ b/core/rgexecutor/query_report.go
@@ -46,8 +46,8 @@
 	return ids
 }
 
-// earlierRunsEnded reports whether all runs that were placed on connections closed by now have ended. A process that has not controlled an
-// executor yet knows nothing of the runs that an earlier process has started.
+// earlierRunsEnded reports whether all runs that were placed on connections closed by now have ended. A process that has not
+// controlled an executor yet knows nothing of the runs that an earlier process has started.
 func earlierRunsEnded(sta *State, id EntryConnID) bool {
 	return sta.HadControl && sta.Phase != PhaseFencing &&
 		!mayRun(sta, func(act AcceptedTask) bool { return act.Conn != id && sta.Conns[act.Conn] == nil })
--- a/core/rgmembership/command_record.go
+++ b/core/rgmembership/command_record.go
@@ -54,6 +54,7 @@
 	}
 	sta.Conns[con] = adr
 	kno.Conns[con] = true
+	sta.Changed = true
 }
 
 // RecordSeen records the description that an entry has sent over an open connection.
@@ -78,8 +79,9 @@
 		if kno == nil {
 			continue
 		}
-		if kno.LastSeen.IsZero() {
+		if kno.LastSeen.IsZero() && kno.Entry != ent {
 			kno.Entry = ent
+			sta.Changed = true
 		}
 		if kno.Mentions == nil {
 			kno.Mentions = map[ConnID]bool{}
@@ -114,6 +116,7 @@
 		}
 	}
 	delete(sta.Conns, con)
+	sta.Changed = true
 	forgetMentions(sta, now, con)
 }
 
@@ -121,6 +124,7 @@
 func describe(sta *State, now time.Time, ent rgmodel.Entry) *KnownEntry {
 	kno := known(sta, now, ent.Address)
 	if kno != nil {
+		sta.Changed = sta.Changed || kno.Entry != ent
 		kno.Entry, kno.LastMentioned = ent, now
 	}
 	return kno
@@ -139,6 +143,7 @@
 	if kno == nil {
 		kno = &KnownEntry{Entry: rgmodel.Entry{Address: adr}, LastMentioned: now}
 		sta.Entries[adr] = kno
+		sta.Changed = true
 	}
 	return kno
 }
--- a/core/rgmembership/command_update.go
+++ b/core/rgmembership/command_update.go
@@ -10,6 +10,10 @@
 
 // Update forgets expired entries, records the changes of the list passed on, and returns the connections to begin and to end.
 func Update(sta *State, now time.Time) []Action {
+	if !sta.Changed && now.Sub(sta.UpdatedAt) < idleInterval {
+		return nil
+	}
+	sta.Changed, sta.UpdatedAt = false, now
 	var acs []Action
 	updateShared(sta, now)
 	sel := selected(sta, now)
--- a/core/rgmembership/membership.go
+++ b/core/rgmembership/membership.go
@@ -11,6 +11,8 @@
 const (
 	// UpdateInterval is the interval at which Update is called.
 	UpdateInterval = 100 * time.Millisecond
+	// idleInterval is how often Update looks for what changes merely because time passes.
+	idleInterval = 500 * time.Millisecond
 	// expiry is how long an entry stays known, and how long it stays in the list passed on, after the last sign of it.
 	expiry = 10 * time.Second
 	// dialPatience is how long a process may fail to connect to an entry before it selects another one in addition.
@@ -28,12 +30,14 @@
 )
 
 const (
-	// DefaultSameZone and DefaultOtherZones are the default Limits of a sidecar.
-	DefaultSameZone   = 8
+	// DefaultSameZone is the default of Limits.SameZone of a sidecar.
+	DefaultSameZone = 8
+	// DefaultOtherZones is the default of Limits.OtherZones of a sidecar.
 	DefaultOtherZones = 8
-	// DefaultPeersSameZone and DefaultPeersOtherZones are the default Limits of an entry. With as many random connections from each
-	// entry, hundreds of entries form one connected graph with paths of three hops.
-	DefaultPeersSameZone   = 3
+	// DefaultPeersSameZone is the default of Limits.SameZone of an entry. With a few random connections from each entry, hundreds
+	// of entries form one connected graph with paths of three hops.
+	DefaultPeersSameZone = 3
+	// DefaultPeersOtherZones is the default of Limits.OtherZones of an entry.
 	DefaultPeersOtherZones = 4
 )
 
@@ -101,6 +105,9 @@
 		Limits           Limits
 		// Entries maps addresses to the other entries.
 		Entries map[string]*KnownEntry
+		// Changed is set if something was recorded since UpdatedAt, which is when Update last looked at all entries.
+		Changed   bool
+		UpdatedAt time.Time
 		// Conns maps connections to addresses.
 		Conns map[ConnID]string
 		// Changes holds the last changes of the list passed on. The last one led to Version.
--- a/core/rgmembership/query_select.go
+++ b/core/rgmembership/query_select.go
@@ -17,8 +17,9 @@
 	rank    uint64
 }
 
-// selected returns the addresses of the entries that the process should be connected to: as many as its limits allow in its own zone and
-// in the others, by rank, with replacements for those that cannot be reached. Seeds are added while it has too few connections.
+// selected returns the addresses of the entries that the process should be connected to: as many as its limits allow in its own
+// zone and in the others, by rank, with replacements for those that cannot be reached. Seeds are added while it has too few
+// connections.
 func selected(sta *State, now time.Time) map[string]bool {
 	var same, others []candidate
 	connected := 0
@@ -92,14 +93,14 @@
 	return one == two
 }
 
-// Rank returns the rank of an entry for a process, which differs between processes (rendezvous hashing: Thaler, Ravishankar, "Using
-// Name-Based Mappings to Increase Hit Rates", 1998). A change of the fleet changes few selections.
+// Rank returns the rank of an entry for a process, which differs between processes (rendezvous hashing: Thaler, Ravishankar,
+// "Using Name-Based Mappings to Increase Hit Rates", 1998). A change of the fleet changes few selections.
 func Rank(process, other string) uint64 {
 	return xxhash.Sum64String(process + "/" + other)
 }
 
-// ChangesSince returns what has changed in the list passed on since the version: new or changed entries, and the addresses of those that have
-// left. full is set if the result is the whole list.
+// ChangesSince returns what has changed in the list passed on since the version: new or changed entries, and the addresses of
+// those that have left. full is set if the result is the whole list.
 func ChangesSince(sta *State, ver Version) (ents []rgmodel.Entry, left []string, full bool) {
 	missed := int(sta.Version - ver)
 	if ver == 0 || ver > sta.Version || missed > len(sta.Changes) {
--- a/core/rgmodel/order.go
+++ b/core/rgmodel/order.go
@@ -7,11 +7,11 @@
 	EndSucceeded EndStatus = iota
 	// EndFailed means that the task ran and failed.
 	EndFailed
-	// EndLost means that the run ended without a result for a reason outside the task, or that the sidecar handed the task back after
-	// a start order that may have been carried out.
+	// EndLost means that the run ended without a result for a reason outside the task, or that the sidecar handed the task back
+	// after a start order that may have been carried out.
 	EndLost
-	// EndReturned means that the sidecar handed the task back and will not start it under its ticket, and that the executor has refused
-	// each start order that was sent for it.
+	// EndReturned means that the sidecar handed the task back and will not start it under its ticket, and that the executor has
+	// refused each start order that was sent for it.
 	EndReturned
 )
 
--- a/core/rgmodel/verdict.go
+++ b/core/rgmodel/verdict.go
@@ -49,7 +49,8 @@
 	// ReasonSidecarLost is given if the sidecar of the task was lost, and by a sidecar itself if the process of its executor was
 	// replaced or the lease of the run expired.
 	ReasonSidecarLost Reason = "sidecarLost"
-	// ReasonDeadlineExceeded is given if the deadline passed before the task was known to have ended. The task may have been started.
+	// ReasonDeadlineExceeded is given if the deadline passed before the task was known to have ended. The task may have been
+	// started.
 	ReasonDeadlineExceeded Reason = "deadlineExceeded"
 	ReasonRetryBudget      Reason = "retryBudget"
 	// ReasonInternalError is given if the handling of the job has failed because of a fault in the program. The job may have run.
--- a/io/rgdispatcher/command_peer.go
+++ b/io/rgdispatcher/command_peer.go
@@ -23,8 +23,8 @@
 	idleHeartbeatInterval = 400 * time.Millisecond
 	// gossipInterval is how often entries exchange their configuration versions and the changes of their lists of entries.
 	gossipInterval = 500 * time.Millisecond
-	// peerSilenceTimeout is how long a connection to another entry, or to a peer that has not introduced itself, may be silent before
-	// it is closed. A connection can become silent without an error.
+	// peerSilenceTimeout is how long a connection to another entry, or to a peer that has not introduced itself, may be silent
+	// before it is closed. A connection can become silent without an error.
 	peerSilenceTimeout = 2 * time.Second
 	// maxRunTimeMargin is added to the time after which the runs of a lost sidecar have ended. It covers the tick intervals of
 	// both sides.
--- a/io/rgdispatcher/control.go
+++ b/io/rgdispatcher/control.go
@@ -31,9 +31,7 @@
 		case evt := <-pro.mailbox.Events:
 			now := rgclock.Now()
 			rgdispatch.DetectSuspension(&sta.Dispatch, now)
-			if !pro.traffic.Try("event", func() { pro.handle(sta, now, evt) }) {
-				pro.dropEvent(sta, now, evt)
-			}
+			pro.handleOrDrop(sta, now, evt)
 		case <-tick.C:
 			now := rgclock.Now()
 			rgdispatch.DetectSuspension(&sta.Dispatch, now)
@@ -43,6 +41,13 @@
 	}
 }
 
+// handleOrDrop handles an event. A panic costs only that event.
+func (pro *Process) handleOrDrop(sta *State, now time.Time, evt Event) {
+	if !pro.traffic.Try("event", func() { pro.handle(sta, now, evt) }) {
+		pro.dropEvent(sta, now, evt)
+	}
+}
+
 func (pro *Process) handle(sta *State, now time.Time, evt Event) {
 	switch evt := evt.(type) {
 	case JobSubmitted:
@@ -80,8 +85,8 @@
 	}
 }
 
-// dropEvent limits the effect of an event whose handling has panicked to its peer or its caller. A job whose state may be incomplete
-// is given up as possibly run.
+// dropEvent limits the effect of an event whose handling has panicked to its peer or its caller. A job whose state may be
+// incomplete is given up as possibly run.
 func (pro *Process) dropEvent(sta *State, now time.Time, evt Event) {
 	switch evt := evt.(type) {
 	case MessageReceived:
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -85,8 +85,8 @@
 	case EntryDisconnected:
 		pro.removeConnection(workCtx, sta, now, evt)
 	case MessageReceived:
-		// A panic while the state of the executor is changed ends the process, because its runs may be known only in part. The next process
-		// stops them first. A message of an entry that cannot be handled costs only its connection.
+		// A panic while the state of the executor is changed ends the process, because its runs may be known only in part. The
+		// next process stops them first. A message of an entry that cannot be handled costs only its connection.
 		if !pro.traffic.Try("message", func() { pro.receive(workCtx, sta, now, evt) }) && sta.Conns[evt.Conn] != nil {
 			sta.Conns[evt.Conn].Conn.Close()
 		}
--- a/io/rgsettings/platform.go
+++ b/io/rgsettings/platform.go
@@ -81,8 +81,8 @@
 	)
 }
 
-// readPlatformProcess reads the settings that entries and sidecars have in common. sameZone and otherZones are the defaults of the
-// numbers of entries.
+// readPlatformProcess reads the settings that entries and sidecars have in common. sameZone and otherZones are the defaults of
+// the numbers of entries.
 func readPlatformProcess(path string, sameZone, otherZones int) (PlatformProcess, error) {
 	set := PlatformProcess{EntriesSameZone: sameZone, EntriesOtherZones: otherZones}
 	if err := readFile(path, &set); err != nil {
--- a/io/rgsupervisor/supervisor.go
+++ b/io/rgsupervisor/supervisor.go
@@ -1,5 +1,5 @@
-// Package rgsupervisor runs the goroutines of a process. A panic costs one event or one connection, and not the process: it is logged with its stack
-// and counted in the metric "panics".
+// Package rgsupervisor runs the goroutines of a process. A panic costs one event or one connection, and not the process: it is
+// logged with its stack and counted in the metric "panics".
 package rgsupervisor
 
 import (
@@ -33,7 +33,8 @@
 // Maintain runs the work in a goroutine, and again after each panic, until ctx ends.
 func (sup *Supervisor) Maintain(ctx context.Context, work func()) {
 	sup.group.Go(func() {
-		for !sup.Try("goroutine", work) && rgclock.Sleep(ctx, restartDelay) {
+		for ctx.Err() == nil && !sup.Try("goroutine", work) {
+			rgclock.Sleep(ctx, restartDelay)
 		}
 	})
 }
--- a/io/rgsupervisor/supervisor_test.go
+++ b/io/rgsupervisor/supervisor_test.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap/zaptest/observer"
 )
 
-// TestSupervisor guards against a panic that ends the process, that is not logged or counted, or that ends work that has to go on, such
-// as the watch of the configuration.
+// TestSupervisor guards against a panic that ends the process, that is not logged or counted, or that ends work that has to go
+// on, such as the watch of the configuration.
 func TestSupervisor(t *testing.T) {
 	tests := map[string]struct {
 		run       func(sup *Supervisor)
--- a/io/rgwire/connection.go
+++ b/io/rgwire/connection.go
@@ -15,8 +15,8 @@
 const (
 	// reconnectDialTimeout is short, because dialing a host that is down fails only by timeout.
 	reconnectDialTimeout = 500 * time.Millisecond
-	// minRedialDelay and maxRedialDelay bound the delay between attempts, which doubles with each attempt. The longest one is short, because an
-	// entry that has restarted cannot serve its callers before its sidecars have connected.
+	// minRedialDelay and maxRedialDelay bound the delay between attempts, which doubles with each attempt. The longest one is
+	// short, because an entry that has restarted cannot serve its callers before its sidecars have connected.
 	minRedialDelay = 50 * time.Millisecond
 	maxRedialDelay = 200 * time.Millisecond
 )
--- a/io/rgwire/message.go
+++ b/io/rgwire/message.go
@@ -219,7 +219,8 @@
 	}
 }
 
-func decode(method string, raw []byte) (Message, error) {
+// Decode decodes the parameters of a request or a notification. It fails with errors.NotSupported if the method is unknown.
+func Decode(method string, raw []byte) (Message, error) {
 	switch method {
 	case "announce":
 		return decodeAs[Announce](raw)
--- a/io/rgwire/notification_conn.go
+++ b/io/rgwire/notification_conn.go
@@ -64,7 +64,7 @@
 		if err := (jsonrpc2.VarintObjectCodec{}).ReadObject(buf, &ntf); err != nil {
 			return
 		}
-		msg, err := decode(ntf.Method, ntf.Params)
+		msg, err := Decode(ntf.Method, ntf.Params)
 		if err != nil {
 			// Newer versions may send unknown methods.
 			continue
--- a/io/rgwire/peer.go
+++ b/io/rgwire/peer.go
@@ -47,7 +47,7 @@
 		if req.Params != nil {
 			raw = *req.Params
 		}
-		msg, err := decode(req.Method, raw)
+		msg, err := Decode(req.Method, raw)
 		if err != nil {
 			return nil, err
 		}
