core/rgdispatch: keep the tasks of a sidecar that is silent for less than its executor's lease

What callers saw: a sidecar that was slow to report for 350 ms had its running tasks given up (502), and it stopped them when its connection was closed. Cause: one bound for two questions: whether to place more tasks there, and whether its tasks can still end. Failing before: TestSilentSidecar, "1:mayHaveRun:sidecarLost" instead of ranOK.

--- a/core/rgdispatch/command_conn.go
+++ b/core/rgdispatch/command_conn.go
@@ -148,7 +148,7 @@
 	updateReportIntervals(sta)
 	var efs []Effect
 	for con, sc := range sta.Sidecars {
-		if now.After(sc.LostAt) {
+		if isLost(sc, now) {
 			efs = append(efs, CloseConn{Conn: con})
 			efs = append(efs, Disconnect(sta, now, con)...)
 		}
--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -14,8 +14,11 @@
 	TickInterval = 100 * time.Millisecond
 	// messageTolerance is how long a sidecar's next message may be overdue before the sidecar is considered lost.
 	messageTolerance = 250 * time.Millisecond
-	// maxSilence is how long a sidecar that has tasks may be silent. Such a sidecar sends a message every 100 ms.
+	// maxSilence is how long a sidecar that has tasks may be silent and still get more. Such a sidecar sends a message every 100 ms.
 	maxSilence = 350 * time.Millisecond
+	// maxSilenceWithTasks is how long a sidecar that has tasks may be silent before its connection is closed and the tasks are given
+	// up. Until the lease of its executor has expired, a sidecar that is only slow may still finish them.
+	maxSilenceWithTasks = 750 * time.Millisecond
 	// suspensionThreshold is the time between two events above which the process is considered to have been suspended. Ticks occur
 	// every 100 ms.
 	suspensionThreshold = 400 * time.Millisecond
--- a/core/rgdispatch/query_job.go
+++ b/core/rgdispatch/query_job.go
@@ -28,6 +28,11 @@
 	return startingUp && !now.Add(criticalPath(jb.Request.Steps)).After(latestEnd(jb))
 }
 
+// isLost reports whether a silent sidecar is considered lost.
+func isLost(sc *SidecarConn, now time.Time) bool {
+	return now.After(sc.LostAt) && (len(sc.Placed) == 0 || now.Sub(sc.LastReceived) > maxSilenceWithTasks)
+}
+
 // timeToSoftDeadline returns how long the job may take and still be on time, based on its estimates.
 func timeToSoftDeadline(req Request) time.Duration {
 	fac := max(req.Route.SlackFactor, 1)
