io/rgorders, io/rgdispatcher: connect as soon as an entry is known

Cause: a started sidecar knows its seeds only, gets the list with their first message and selected entries at the next tick, 100 ms later; the list from the store waited for a tick as well. Dials to entries that are not up yet were up to 0.3 s apart. Change: the selection is made right after each change; dials are at most 0.15 s apart.

--- a/core/rgmembership/membership.go
+++ b/core/rgmembership/membership.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// UpdateInterval is the interval at which Update is called.
+	// UpdateInterval is the interval at which Update is called. It is also called after each change.
 	UpdateInterval = 100 * time.Millisecond
 	// idleInterval is how often Update looks for what changes merely because time passes.
 	idleInterval = 500 * time.Millisecond
--- a/io/rgdispatcher/control.go
+++ b/io/rgdispatcher/control.go
@@ -32,6 +32,9 @@
 			now := rgclock.Now()
 			rgdispatch.DetectSuspension(&sta.Dispatch, now)
 			pro.handleOrDrop(sta, now, evt)
+			if sta.Members.Changed {
+				pro.updateConnections(workCtx, sta, now)
+			}
 		case <-tick.C:
 			now := rgclock.Now()
 			rgdispatch.DetectSuspension(&sta.Dispatch, now)
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -49,6 +49,9 @@
 			pro.tick(workCtx, sta, rgclock.Now())
 		}
 		now := rgclock.Now()
+		if sta.Members.Changed {
+			pro.updateConnections(workCtx, sta, now)
+		}
 		pro.sendUpdates(sta, now)
 		if !sta.DrainStarted.IsZero() &&
 			(len(sta.ExecutorState.Runs) == 0 || now.Sub(sta.DrainStarted) > pro.settings.DrainTimeout.Duration-drainMargin) {
--- a/io/rgwire/connection.go
+++ b/io/rgwire/connection.go
@@ -18,7 +18,7 @@
 	// minRedialDelay and maxRedialDelay bound the delay between attempts, which doubles with each attempt. The longest one is
 	// short, because an entry that has restarted cannot serve its callers before its sidecars have connected.
 	minRedialDelay = 50 * time.Millisecond
-	maxRedialDelay = 200 * time.Millisecond
+	maxRedialDelay = 100 * time.Millisecond
 )
 
 // lastConnectionID is the ID of the newest connection of the process.
