--- a/core/rgdispatch/silence_test.go
+++ b/core/rgdispatch/silence_test.go
@@ -7,8 +7,8 @@
 	"ragwortgap/core/rgmodel"
 )
 
-// TestSilentSidecar guards against running work that is given up because its sidecar was slow to report for a moment, against new tasks
-// for a silent sidecar, and against callers that wait for one that is lost.
+// TestSilentSidecar guards against running work that is given up because its sidecar was slow to report for a moment, against
+// new tasks for a silent sidecar, and against callers that wait for one that is lost.
 func TestSilentSidecar(t *testing.T) {
 	tests := map[string]struct {
 		withTask   bool
