io/rgorders: log heartbeats that contradict the executor's replies

The logs cannot tell whether a sidecar lost control of an executor by a heartbeat or by the reply to an order, and nothing shows a heartbeat whose clock is ahead of the executor.

Change: a heartbeat of another incarnation than the known one, and one whose clock is over 250 ms ahead of the clock estimated from the last reply, are logged with the state before they take effect. No decision is changed.

--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -55,6 +55,8 @@
 	connDrainTime = time.Second
 	// runNumberTTL is how long the last run number of a task is kept.
 	runNumberTTL = 30 * time.Second
+	// maxClockLead limits the reported lead of a clock, so that no reading exceeds the range of a duration.
+	maxClockLead = 1000 * time.Hour
 	// defaultMeanCores is the assumed number of cores per task while nothing runs.
 	defaultMeanCores = 1
 )
--- a/core/rgexecutor/query_capacity.go
+++ b/core/rgexecutor/query_capacity.go
@@ -125,6 +125,21 @@
 	return sta.LeaseEnd > 0 && leaseLeft(sta, now) < 0
 }
 
+// LeaseLeft returns the time until every run has ended by the expiry of its lease. It is zero if there is no lease.
+func LeaseLeft(sta *State, now time.Time) time.Duration {
+	if sta.LeaseEnd == 0 {
+		return 0
+	}
+	return max(leaseLeft(sta, now), 0)
+}
+
+// ClockLead returns how far a reading of the executor's clock is ahead of the clock that is estimated from the last reading, at most
+// maxClockLead.
+func ClockLead(sta *State, now time.Time, clk rgmodel.ExecutorTime) time.Duration {
+	lead := min(clk-sta.Executor.Clock, rgmodel.ExecutorTime(maxClockLead.Milliseconds()))
+	return time.Duration(lead)*time.Millisecond - now.Sub(sta.ClockReadAt)
+}
+
 // leaseLeft returns the time until every run has ended by the expiry of its lease, even by the slowest clock that an executor may
 // have. It is negative if all leases have expired.
 func leaseLeft(sta *State, now time.Time) time.Duration {
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -103,6 +103,7 @@
 
 func (pro *Process) updateExecutor(workCtx context.Context, sta *State, now time.Time, exe rgmodel.Executor) {
 	before, known := sta.ExecutorState.Executor, sta.ExecutorState.Phase != rgexecutor.PhaseNoExecutor && !sta.ExecutorState.Undescribed
+	pro.logHeartbeat(sta, now, exe)
 	efs := rgexecutor.UpdateExecutor(&sta.ExecutorState, now, exe)
 	if exe = sta.ExecutorState.Executor; !known || !sameExecutor(before, exe) {
 		pro.log.Info("executor", zap.String("id", exe.Incarnation.ID), zap.Int64("born", exe.Incarnation.StartedMillis),
@@ -113,6 +114,23 @@
 	pro.perform(workCtx, sta, efs)
 }
 
+// logHeartbeat logs a heartbeat that contradicts what the executor's replies have shown, with the state before it takes effect.
+func (pro *Process) logHeartbeat(sta *State, now time.Time, exe rgmodel.Executor) {
+	if sta.ExecutorState.Phase == rgexecutor.PhaseNoExecutor {
+		return
+	}
+	if cur := sta.ExecutorState.Executor.Incarnation; exe.Incarnation != cur {
+		pro.log.Info("heartbeat of another incarnation", zap.String("id", exe.Incarnation.ID),
+			zap.Int64("born", exe.Incarnation.StartedMillis), zap.String("knownID", cur.ID), zap.Int64("knownBorn", cur.StartedMillis),
+			zap.Int("runs", len(sta.ExecutorState.Runs)), zap.Duration("leaseLeft", rgexecutor.LeaseLeft(&sta.ExecutorState, now)))
+		return
+	}
+	if ahead := rgexecutor.ClockLead(&sta.ExecutorState, now, exe.Clock); ahead > tolerableClockLead {
+		pro.log.Warn("heartbeat with a clock that is ahead of the executor's replies", zap.String("id", exe.Incarnation.ID),
+			zap.Duration("ahead", ahead), zap.Uint64("sequence", exe.Sequence))
+	}
+}
+
 func (pro *Process) applySettings(sta *State, set rgsettings.PlatformProcess) {
 	sta.ExecutorState.Limits = rgexecutor.Limits{
 		MaxLease: set.MaxLease.Duration, ResendDelay: set.ResendDelay.Duration, TaskStopTime: set.TaskStopTime.Duration,
