platform, io/rgdispatcher: one malformed item of the store leaves the others in use

What callers saw: nothing yet in this system; operators of similar systems report that one odd record of another writer ended the processes that read the list, or stopped them from following it.

Change: each item is decoded by itself. A list that was read in part adds entries and removes none.

--- a/io/rgdispatcher/command_store.go
+++ b/io/rgdispatcher/command_store.go
@@ -29,6 +29,14 @@
 	listInterval = 2 * time.Second
 )
 
+// EntryList is the list of entries in the store, and the items in it that describe no entry. Incomplete is set if the store has more
+// items than were read.
+type EntryList struct {
+	Entries    []rgmodel.Entry
+	Malformed  []rgstore.MalformedItem
+	Incomplete bool
+}
+
 // watchConfig reads the configuration at the start, after each change and after each failure of the watch.
 func (pro *Process) watchConfig(workCtx context.Context) {
 	after, healthy := uint64(0), true
@@ -144,25 +152,40 @@
 func (pro *Process) pollEntries(workCtx context.Context) {
 	for workCtx.Err() == nil {
 		// watchConfig logs that the store is unavailable. Until it is back, gossip provides the list of entries.
-		if ents, err := ListEntries(workCtx, pro.source.Store); err == nil {
-			pro.mailbox.Send(workCtx, EntriesListed{Entries: ents})
+		if lis, err := ListEntries(workCtx, pro.source.Store); err == nil {
+			pro.malformedEntries.Record(lis.Malformed)
+			pro.mailbox.Send(workCtx, EntriesListed{Entries: lis.Entries, Incomplete: lis.Incomplete})
 		}
 		rgclock.Sleep(workCtx, listInterval)
 	}
 }
 
-// ListEntries returns the registered entries. It skips values that it cannot decode, because they are from another writer.
-func ListEntries(ctx context.Context, sto Store) ([]rgmodel.Entry, error) {
+// ListEntries returns the registered entries. Values that describe no entry are from another writer; they are returned apart, with
+// the reason.
+func ListEntries(ctx context.Context, sto Store) (EntryList, error) {
 	lis, err := sto.List(ctx, EntryKeyPrefix)
 	if err != nil {
-		return nil, err
+		return EntryList{}, err
 	}
-	ents := make([]rgmodel.Entry, 0, len(lis.Items))
+	res := EntryList{Malformed: lis.Malformed, Incomplete: lis.Incomplete}
 	for _, itm := range lis.Items {
-		var ent rgmodel.Entry
-		if err := json.Unmarshal(itm.Value, &ent); err == nil && ent.Address != "" {
-			ents = append(ents, ent)
+		ent, err := decodeEntry(itm.Value)
+		if err != nil {
+			res.Malformed = append(res.Malformed, rgstore.MalformedItem{Key: itm.Key, Version: itm.Version, Err: err})
+			continue
 		}
+		res.Entries = append(res.Entries, ent)
+	}
+	return res, nil
+}
+
+func decodeEntry(raw []byte) (rgmodel.Entry, error) {
+	var ent rgmodel.Entry
+	if err := json.Unmarshal(raw, &ent); err != nil {
+		return rgmodel.Entry{}, errors.NewNotValid(err, "entry")
+	}
+	if ent.Address == "" {
+		return rgmodel.Entry{}, errors.NotValidf("entry without an address")
 	}
-	return ents, nil
+	return ent, nil
 }
--- a/io/rgdispatcher/control.go
+++ b/io/rgdispatcher/control.go
@@ -79,7 +79,12 @@
 	case ConfigReceived:
 		pro.adoptConfig(sta, now, evt)
 	case EntriesListed:
-		rgmembership.RecordListed(&sta.Members, now, evt.Entries)
+		if evt.Incomplete {
+			// The entries that are missing may be registered all the same.
+			rgmembership.RecordFound(&sta.Members, now, evt.Entries)
+		} else {
+			rgmembership.RecordListed(&sta.Members, now, evt.Entries)
+		}
 	case SettingsReloaded:
 		pro.log.Info("settings read again")
 		pro.settings = evt.Settings
--- a/io/rgdispatcher/event.go
+++ b/io/rgdispatcher/event.go
@@ -69,8 +69,11 @@
 		Origin string
 	}
 
-	// EntriesListed contains the entries that are registered in the store.
-	EntriesListed struct{ Entries []rgmodel.Entry }
+	// EntriesListed contains the entries that are registered in the store. Incomplete is set if there may be more.
+	EntriesListed struct {
+		Entries    []rgmodel.Entry
+		Incomplete bool
+	}
 
 	// SettingsReloaded contains settings that were read again.
 	SettingsReloaded struct{ Settings rgsettings.PlatformProcess }
--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -94,6 +94,8 @@
 		lastCallerID atomic.Uint64
 		stop         context.CancelFunc
 		traffic      rgsupervisor.Supervisor
+
+		malformedEntries rgstore.MalformedLog
 	}
 )
 
@@ -114,6 +116,7 @@
 		pro.self.Address = set.AdvertisedAddress
 	}
 	pro.traffic.Log, pro.traffic.Scope = log, sco
+	pro.malformedEntries.Log, pro.malformedEntries.Scope = log, sco
 	pro.traffic.Maintain(workCtx, func() { pro.accept(workCtx, lis) })
 	pro.traffic.Maintain(workCtx, func() { pro.watchConfig(workCtx) })
 	pro.traffic.Maintain(workCtx, func() { pro.maintainLease(workCtx) })
--- /dev/null
+++ b/io/rgdispatcher/store_test.go
@@ -0,0 +1,171 @@
+package rgdispatcher
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"ragwortgap/core/rgmembership"
+	"ragwortgap/io/rgmailbox"
+	"ragwortgap/io/rgstore"
+)
+
+// oddEntries are values that describe no entry.
+var oddEntries = []string{
+	``, `null`, `{}`, `[]`, `{`, "\xff\xfe", `"e"`, `1e999`, `{"name":7,"address":"10.0.0.9:7720"}`, `{"name":"odd","address":[]}`,
+	strings.Repeat(`{"address":`, 100_000), strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000),
+	`{"name":"odd","incarnation":36893488147419103232,"address":"10.0.0.9:7720"}`,
+}
+
+// maxScriptedCalls is the number of calls after which a scriptedStore does not reply any more.
+const maxScriptedCalls = 1000
+
+// scriptedStore replies to reads and watches by functions, which get the number of the call from 1 on.
+type scriptedStore struct {
+	Store
+	get   func(call int) (rgstore.Item, error)
+	watch func(call int, after uint64) (rgstore.Listing, error)
+	list  func(call int) (rgstore.Listing, error)
+
+	mutex                sync.Mutex
+	gets, watches, lists int
+}
+
+func (sto *scriptedStore) Get(ctx context.Context, _ string) (rgstore.Item, error) {
+	if sto.spins() {
+		<-ctx.Done()
+	}
+	sto.mutex.Lock()
+	defer sto.mutex.Unlock()
+	sto.gets++
+	return sto.get(sto.gets)
+}
+
+func (sto *scriptedStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (rgstore.Listing, error) {
+	if sto.spins() {
+		<-ctx.Done()
+	}
+	sto.mutex.Lock()
+	sto.watches++
+	lis, err := sto.watch(sto.watches, after)
+	sto.mutex.Unlock()
+	if err == nil && len(lis.Items)+len(lis.Malformed) == 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+	return lis, err
+}
+
+func (sto *scriptedStore) List(context.Context, string) (rgstore.Listing, error) {
+	sto.mutex.Lock()
+	defer sto.mutex.Unlock()
+	sto.lists++
+	return sto.list(sto.lists)
+}
+
+// spins reports whether there have been so many calls that the caller cannot have paused. Virtual time would not go on.
+func (sto *scriptedStore) spins() bool {
+	sto.mutex.Lock()
+	defer sto.mutex.Unlock()
+	return sto.gets+sto.watches+sto.lists > maxScriptedCalls
+}
+
+type pollEntriesTest struct {
+	list      func(call int) (rgstore.Listing, error)
+	want      []string
+	wantLines int
+}
+
+func pollEntriesTests() map[string]pollEntriesTest {
+	entry := func(nam string, ver uint64) rgstore.Item {
+		val := `{"name":"` + nam + `","incarnation":"1","address":"10.0.0.` + nam[1:] + `:7720","availabilityZone":"a"}`
+		return rgstore.Item{Key: EntryKeyPrefix + nam, Value: []byte(val), Version: ver}
+	}
+	odd := func(val string) rgstore.Item {
+		return rgstore.Item{Key: EntryKeyPrefix + "odd", Value: []byte(val), Version: 9}
+	}
+	return map[string]pollEntriesTest{
+		"sound": {
+			list: func(int) (rgstore.Listing, error) { return rgstore.Listing{Items: []rgstore.Item{entry("e1", 1)}}, nil },
+			want: []string{"10.0.0.1:7720"},
+		},
+		"odd values": {
+			list: func(int) (rgstore.Listing, error) {
+				lis := rgstore.Listing{Items: []rgstore.Item{entry("e1", 1)}}
+				for i, val := range oddEntries {
+					itm := odd(val)
+					itm.Key += strconv.Itoa(i)
+					lis.Items = append(lis.Items, itm)
+				}
+				lis.Items = append(lis.Items, entry("e2", 1))
+				return lis, nil
+			},
+			want: []string{"10.0.0.1:7720", "10.0.0.2:7720"}, wantLines: len(oddEntries),
+		},
+		"malformed item": {
+			list: func(int) (rgstore.Listing, error) {
+				return rgstore.Listing{
+					Items: []rgstore.Item{entry("e1", 1)}, Malformed: []rgstore.MalformedItem{{Key: "x", Err: errors.New("x")}},
+				}, nil
+			},
+			want: []string{"10.0.0.1:7720"}, wantLines: 1,
+		},
+		"then read in part": {
+			list: func(call int) (rgstore.Listing, error) {
+				if call == 1 {
+					return rgstore.Listing{Items: []rgstore.Item{entry("e1", 1)}}, nil
+				}
+				return rgstore.Listing{Items: []rgstore.Item{entry("e2", 1)}, Incomplete: true}, nil
+			},
+			want: []string{"10.0.0.1:7720", "10.0.0.2:7720"},
+		},
+	}
+}
+
+// TestPollEntries guards against a registration of another writer that takes the sound ones out of use, that is logged at each read,
+// and against a list that was read in part and removes entries.
+func TestPollEntries(t *testing.T) {
+	for name, tc := range pollEntriesTests() {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cor, logs := observer.New(zap.WarnLevel)
+				pro := &Process{log: zap.New(cor), scope: tally.NoopScope, mailbox: rgmailbox.New[Event]()}
+				pro.malformedEntries.Log = pro.log
+				pro.source.Store = &scriptedStore{list: tc.list}
+				ctx, stop := context.WithTimeout(t.Context(), 21*time.Second)
+				defer stop()
+				sta, began := &State{}, time.Now()
+				go pro.pollEntries(ctx)
+				for ctx.Err() == nil {
+					select {
+					case evt := <-pro.mailbox.Events:
+						now := time.Unix(1000, 0).Add(time.Since(began))
+						pro.handle(sta, now, evt)
+						rgmembership.Update(&sta.Members, now)
+					case <-ctx.Done():
+					}
+				}
+				synctest.Wait()
+				if got := slices.Sorted(maps.Keys(sta.Members.Entries)); !slices.Equal(got, tc.want) {
+					t.Errorf("known entries %v, want %v", got, tc.want)
+				}
+				if got := logs.Len(); got != tc.wantLines {
+					t.Errorf("%d lines logged, want %d", got, tc.wantLines)
+				}
+			})
+		})
+	}
+}
--- a/io/rgstore/store.go
+++ b/io/rgstore/store.go
@@ -17,18 +17,32 @@
 )
 
 type (
-	// Item is a key with its value. Version is zero if the key does not exist.
+	// Item is a key with its value. Version is zero if the key does not exist. StoreVersion is that of the store when the item was
+	// read by itself, or zero if the store does not tell.
 	Item struct {
 		Key     string          `json:"key"`
 		Value   json.RawMessage `json:"value,omitempty"`
 		Version uint64          `json:"version"`
 		Deleted bool            `json:"deleted,omitempty"`
+
+		StoreVersion uint64 `json:"-"`
+	}
+
+	// MalformedItem is an item that cannot be decoded. Key and Version are empty if they cannot be read either.
+	MalformedItem struct {
+		Key     string
+		Version uint64
+		Err     error
 	}
 
-	// Listing is a set of items and the version of the store at which it was read.
+	// Listing is a set of items and the version of the store at which it was read. Malformed items are not among the others.
+	// Incomplete is set if the store has more items than were read.
 	Listing struct {
 		Items   []Item `json:"items"`
 		Version uint64 `json:"version"`
+
+		Malformed  []MalformedItem `json:"-"`
+		Incomplete bool            `json:"-"`
 	}
 
 	// Write is a compare-and-swap: it takes effect if the key's version is Expected.
