io/rgdispatcher: the watch of the configuration neither spins nor stops after a malformed item

What callers saw: nothing yet. A malformed configuration, or a store that answers each watch at once, makes an entry call the store without a pause and write a log line each time; after a malformed read the entry no longer watches at all.

Cause: a failed watch was followed by a read at once, and a read by a watch at once. The watch began after the revision of the item and not after that of the store, so that a store that has discarded the history in between refuses it (410) each time. An item without a revision made the next call a read again.

Change: a watch begins after the store's version at the time of the read. The first failure of a watch is still followed by a read at once; otherwise a call that failed, or that has made no progress within 150 ms, is followed by a pause of 150 ms. A malformed configuration is logged once for each of its versions and followed by a watch, so that the next sound one is taken. The version in force does not go back, as before (case "older version").

--- a/io/rgdispatcher/command_store.go
+++ b/io/rgdispatcher/command_store.go
@@ -37,46 +37,76 @@
 	Incomplete bool
 }
 
-// watchConfig reads the configuration at the start, after each change and after each failure of the watch.
+// watchConfig reads the configuration at the start, after each change and after each failure of the watch. A call that has made no
+// progress is repeated after a delay, because a malformed item or a faulty store may reply at once each time.
 func (pro *Process) watchConfig(workCtx context.Context) {
-	after, healthy := uint64(0), true
+	after, healthy, failedWatches := uint64(0), true, 0
 	for workCtx.Err() == nil {
-		if after == 0 {
-			itm, err := pro.source.Store.Get(workCtx, pro.source.ConfigKey)
-			if err == nil {
-				after = pro.offerConfig(workCtx, itm)
-			}
-			healthy = pro.logStoreState(err, healthy)
-			if err != nil {
-				rgclock.Sleep(workCtx, storeRetryDelay)
-			}
-			continue
+		began, before := rgclock.Now(), after
+		var err error
+		if before == 0 {
+			after, err = pro.readConfig(workCtx)
+		} else {
+			after, err = pro.awaitConfig(workCtx, before)
 		}
-		lis, err := pro.source.Store.Watch(workCtx, pro.source.ConfigKey, after, watchTimeout)
 		healthy = pro.logStoreState(err, healthy)
-		if err != nil {
-			// A resumed watch may have missed changes, so the configuration is read again.
+		switch {
+		case err != nil && before > 0:
+			// A resumed watch may have missed changes, so the configuration is read again, the first time at once.
 			after = 0
-			continue
-		}
-		for _, itm := range lis.Items {
-			if itm.Key == pro.source.ConfigKey && !itm.Deleted {
-				pro.offerConfig(workCtx, itm)
+			if failedWatches++; failedWatches == 1 {
+				continue
 			}
+		case err == nil && before > 0:
+			failedWatches = 0
+		}
+		if err != nil || after <= before && rgclock.Now().Sub(began) < storeRetryDelay {
+			rgclock.Sleep(workCtx, storeRetryDelay)
 		}
-		after = max(after, lis.Version)
 	}
 }
 
-// offerConfig passes a configuration to the control goroutine and returns the store version of its item.
-func (pro *Process) offerConfig(workCtx context.Context, itm rgstore.Item) uint64 {
+// readConfig reads the configuration and returns the store version after which a watch does not miss a change.
+func (pro *Process) readConfig(workCtx context.Context) (uint64, error) {
+	itm, err := pro.source.Store.Get(workCtx, pro.source.ConfigKey)
+	if errors.Is(err, errors.NotValid) {
+		// The operator may write a sound configuration later.
+		pro.malformedConfigs.Record([]rgstore.MalformedItem{{Key: pro.source.ConfigKey, Version: itm.Version, Err: err}})
+		return itm.StoreVersion, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	pro.offerConfig(workCtx, itm)
+	// The store may have discarded the history between the last change of the configuration and now.
+	return max(itm.Version, itm.StoreVersion), nil
+}
+
+// awaitConfig waits for changes of the configuration after the given store version and returns the version for the next watch.
+func (pro *Process) awaitConfig(workCtx context.Context, after uint64) (uint64, error) {
+	lis, err := pro.source.Store.Watch(workCtx, pro.source.ConfigKey, after, watchTimeout)
+	if err != nil {
+		return after, err
+	}
+	if len(lis.Malformed) > 0 {
+		pro.malformedConfigs.Record(lis.Malformed)
+	}
+	for _, itm := range lis.Items {
+		if itm.Key == pro.source.ConfigKey && !itm.Deleted {
+			pro.offerConfig(workCtx, itm)
+		}
+	}
+	return max(after, lis.Version), nil
+}
+
+// offerConfig passes a configuration to the control goroutine. One that cannot be decoded is logged once.
+func (pro *Process) offerConfig(workCtx context.Context, itm rgstore.Item) {
 	cfg, err := pro.source.Decode(itm.Value)
 	if err != nil {
-		pro.log.Warn("failed to decode configuration from the store", zap.Uint64("storeVersion", itm.Version), zap.Error(err))
-	} else {
-		pro.mailbox.Send(workCtx, ConfigReceived{Config: cfg, Origin: "store"})
+		pro.malformedConfigs.Record([]rgstore.MalformedItem{{Key: itm.Key, Version: itm.Version, Err: err}})
+		return
 	}
-	return itm.Version
+	pro.mailbox.Send(workCtx, ConfigReceived{Config: cfg, Origin: "store"})
 }
 
 // logStoreState logs when the store becomes unavailable and when it is available again, and returns whether it is available.
--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -95,6 +95,7 @@
 		stop         context.CancelFunc
 		traffic      rgsupervisor.Supervisor
 
+		malformedConfigs rgstore.MalformedLog
 		malformedEntries rgstore.MalformedLog
 	}
 )
@@ -116,6 +117,7 @@
 		pro.self.Address = set.AdvertisedAddress
 	}
 	pro.traffic.Log, pro.traffic.Scope = log, sco
+	pro.malformedConfigs.Log, pro.malformedConfigs.Scope = log, sco
 	pro.malformedEntries.Log, pro.malformedEntries.Scope = log, sco
 	pro.traffic.Maintain(workCtx, func() { pro.accept(workCtx, lis) })
 	pro.traffic.Maintain(workCtx, func() { pro.watchConfig(workCtx) })
--- a/io/rgdispatcher/store_test.go
+++ b/io/rgdispatcher/store_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"ragwortgap/core/rgmembership"
+	"ragwortgap/core/rgroute"
 	"ragwortgap/io/rgmailbox"
 	"ragwortgap/io/rgstore"
 )
@@ -83,6 +84,124 @@
 	return sto.gets+sto.watches+sto.lists > maxScriptedCalls
 }
 
+// watchConfigTest is a case of TestWatchConfig: the replies of the store, and what the entry may do within ten seconds.
+type watchConfigTest struct {
+	get         func(call int) (rgstore.Item, error)
+	watch       func(call int, after uint64) (rgstore.Listing, error)
+	wantVersion uint64
+	// maxCalls bounds the reads and watches.
+	maxCalls int
+	maxLines int
+}
+
+func watchConfigTests() map[string]watchConfigTest {
+	sound := func(ver uint64) rgstore.Item {
+		return rgstore.Item{Key: "op/config", Value: []byte(strconv.FormatUint(ver, 10)), Version: ver, StoreVersion: ver}
+	}
+	getSound := func(int) (rgstore.Item, error) { return sound(7), nil }
+	getMalformed := func(int) (rgstore.Item, error) {
+		return rgstore.Item{Key: "op/config", Version: 8, StoreVersion: 9}, errors.NotValidf("value")
+	}
+	malformed := []rgstore.MalformedItem{{Key: "op/config", Version: 8, Err: errors.NotValidf("value")}}
+	idle := func(_ int, after uint64) (rgstore.Listing, error) { return rgstore.Listing{Version: after}, nil }
+	// idleAfter returns the listing at the call, and nothing at the others.
+	idleAfter := func(at int, lis rgstore.Listing) func(call int, after uint64) (rgstore.Listing, error) {
+		return func(call int, after uint64) (rgstore.Listing, error) {
+			if call == at {
+				return lis, nil
+			}
+			return idle(call, after)
+		}
+	}
+	older := sound(8)
+	older.Value = []byte("3")
+	return map[string]watchConfigTest{
+		"sound":                       {get: getSound, watch: idle, wantVersion: 7, maxCalls: 15},
+		"item that cannot be decoded": {get: getMalformed, watch: idle, maxCalls: 15, maxLines: 1},
+		"malformed item, then a sound": {
+			get: getMalformed, watch: idleAfter(2, rgstore.Listing{Items: []rgstore.Item{sound(10)}, Version: 10}),
+			wantVersion: 10, maxCalls: 15, maxLines: 1,
+		},
+		"item without any version": {
+			get:   func(int) (rgstore.Item, error) { return rgstore.Item{}, errors.NotValidf("item") },
+			watch: idle, maxCalls: 70, maxLines: 1,
+		},
+		"value that is no configuration, without a version": {
+			get:   func(int) (rgstore.Item, error) { return rgstore.Item{Key: "op/config", Value: []byte("{")}, nil },
+			watch: idle, maxCalls: 70, maxLines: 1,
+		},
+		"malformed event": {
+			get: getSound, watch: idleAfter(1, rgstore.Listing{Malformed: malformed, Version: 8}),
+			wantVersion: 7, maxCalls: 15, maxLines: 1,
+		},
+		"malformed event without a store version": {
+			get:         getSound,
+			watch:       func(int, uint64) (rgstore.Listing, error) { return rgstore.Listing{Malformed: malformed}, nil },
+			wantVersion: 7, maxCalls: 70, maxLines: 1,
+		},
+		"older version": {
+			get: getSound, watch: idleAfter(1, rgstore.Listing{Items: []rgstore.Item{older}, Version: 8}), wantVersion: 7, maxCalls: 15,
+		},
+		"watch fails at once, reads succeed": {
+			get:         getSound,
+			watch:       func(int, uint64) (rgstore.Listing, error) { return rgstore.Listing{}, errors.New("status 429") },
+			wantVersion: 7, maxCalls: 140, maxLines: 140,
+		},
+		"history before the last change discarded": {
+			get: func(int) (rgstore.Item, error) {
+				itm := sound(7)
+				itm.StoreVersion = 1000
+				return itm, nil
+			},
+			watch: func(call int, after uint64) (rgstore.Listing, error) {
+				if after < 900 {
+					return rgstore.Listing{}, errors.New("status 410")
+				}
+				return idle(call, after)
+			},
+			wantVersion: 7, maxCalls: 15,
+		},
+	}
+}
+
+// TestWatchConfig guards against a malformed configuration, or a store whose replies make no progress, that make an entry call the
+// store without a pause, log without end, stop following the configuration, or go back to an older version.
+func TestWatchConfig(t *testing.T) {
+	for name, tc := range watchConfigTests() {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cor, logs := observer.New(zap.WarnLevel)
+				sto := &scriptedStore{get: tc.get, watch: tc.watch}
+				pro := &Process{log: zap.New(cor), scope: tally.NoopScope, mailbox: rgmailbox.New[Event]()}
+				pro.malformedConfigs.Log = pro.log
+				pro.source = Source{Store: sto, ConfigKey: "op/config", Decode: decodeVersion}
+				ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
+				defer stop()
+				sta := &State{}
+				go pro.watchConfig(ctx)
+				for running := true; running; {
+					select {
+					case evt := <-pro.mailbox.Events:
+						pro.handle(sta, time.Unix(1000, 0), evt)
+					case <-ctx.Done():
+						running = false
+					}
+				}
+				synctest.Wait()
+				if got := versionOf(pro.Config()); got != tc.wantVersion {
+					t.Errorf("version %d in force, want %d", got, tc.wantVersion)
+				}
+				if got := sto.gets + sto.watches; got > tc.maxCalls {
+					t.Errorf("%d reads and %d watches in 10 s, want at most %d", sto.gets, sto.watches, tc.maxCalls)
+				}
+				if got := logs.Len(); got > tc.maxLines || (tc.maxLines > 0) != (got > 0) {
+					t.Errorf("%d lines logged, want at most %d: %v", got, tc.maxLines, logs.All()[:min(got, 2)])
+				}
+			})
+		})
+	}
+}
+
 type pollEntriesTest struct {
 	list      func(call int) (rgstore.Listing, error)
 	want      []string
@@ -169,3 +288,9 @@
 		})
 	}
 }
+
+// decodeVersion decodes a configuration that consists of its version.
+func decodeVersion(raw []byte) (*rgroute.Config, error) {
+	ver, err := strconv.ParseUint(string(raw), 10, 64)
+	return &rgroute.Config{Version: ver}, err
+}
