core/rgmodel, io/rgdispatcher, io/rgorders: entries without a valid address are neither dialed nor passed on

What callers saw: nothing yet. One record with port 70000 in the store made all processes dial it for as long as it stayed there, and entries passed it on to those that do not read the store. An address without a host, or an unspecified one, makes each process dial its own machine.

Cause: ListEntries took every value with an address that is not empty; descriptions of peers were not checked at all.

Evidence, TestOddEntryOfPeer before the change: port_too_large,_hello: known entries ["10.0.0.9:70000"], want []; passed on [{Name:odd Incarnation: Address:10.0.0.9:70000 ...}] port_too_large,_list: dialed ["10.0.0.9:70000"] A dial of such an address neither panics nor is repeated without a pause (MaintainConnection waits 25 to 150 ms). Measured in a trial, five dials each: port 70000 or -1 or none 3 to 11 µs; ":7720" and "0.0.0.0:7720" 56 µs, refused by the own machine; a name that does not exist 0.6 ms and a request to the name server each time; port 0 of a silent machine the whole timeout of 0.5 s.

Change: rgmodel.CheckEntry checks names and addresses, for the list and for what peers send. An address has one spelling only, because processes are told apart by it. What is rejected is logged and counted: in the list as a malformed item, from peers as "entry rejected" (entriesRejected), once for each connection.

Result: TestOddEntryOfPeer of both processes, TestPollEntries, TestCheckAddress and TestCheckEntry pass with -race.

--- a/io/rgdispatcher/command_peer.go
+++ b/io/rgdispatcher/command_peer.go
@@ -9,6 +9,7 @@
 
 	"ragwortgap/core/rgdispatch"
 	"ragwortgap/core/rgmembership"
+	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgroute"
 	"ragwortgap/io/rgclock"
 	"ragwortgap/io/rgwire"
@@ -106,13 +107,13 @@
 		}
 		pro.perform(sta, now, rgdispatch.RecordEnds(&sta.Dispatch, now, con, msg.Ends))
 	case rgwire.EntryHello:
-		per.Entry = msg.Entry.Name
-		rgmembership.RecordSeen(&sta.Members, now, rgmembership.ConnID(evt.ID), msg.Entry)
+		pro.recordPeer(sta, now, evt.ID, msg.Entry)
 		pro.sendGossip(sta, per, now)
 	case rgwire.Gossip:
-		per.Entry = msg.From.Name
-		rgmembership.RecordSeen(&sta.Members, now, rgmembership.ConnID(evt.ID), msg.From)
-		rgmembership.RecordMentions(&sta.Members, now, rgmembership.ConnID(evt.ID), msg.Entries, msg.Left, msg.Full)
+		pro.recordPeer(sta, now, evt.ID, msg.From)
+		ents, err := rgmodel.ValidEntries(msg.Entries)
+		pro.logRejection(per, err)
+		rgmembership.RecordMentions(&sta.Members, now, rgmembership.ConnID(evt.ID), ents, msg.Left, msg.Full)
 		if rgroute.ObserveVersion(&sta.VersionLag, now, pro.Config(), msg.Version) {
 			pro.log.Info("configuration asked of an entry", zap.String("entry", msg.From.Name), zap.Uint64("version", msg.Version))
 			per.Conn.Send(rgwire.ConfigRequest{})
@@ -126,6 +127,27 @@
 	}
 }
 
+// recordPeer records the description that an entry sends of itself. One that is not valid is not passed on.
+func (pro *Process) recordPeer(sta *State, now time.Time, id uint64, ent rgmodel.Entry) {
+	per := sta.Peers[id]
+	per.Entry = ent.Name
+	if err := rgmodel.CheckEntry(ent); err != nil {
+		pro.logRejection(per, err)
+		return
+	}
+	rgmembership.RecordSeen(&sta.Members, now, rgmembership.ConnID(id), ent)
+}
+
+// logRejection logs and counts the first entry of a connection that is not valid. Peers repeat their own description.
+func (pro *Process) logRejection(per *PeerConn, err error) {
+	if err == nil || per.RejectionLogged {
+		return
+	}
+	per.RejectionLogged = true
+	pro.scope.Counter("entriesRejected").Inc(1)
+	pro.log.Warn("entry rejected", peerName(per), zap.Error(err))
+}
+
 // peerName returns the log attribute that names the peer. The name is empty until the peer has introduced itself.
 func peerName(per *PeerConn) zap.Field {
 	if per.Entry != "" {
--- a/io/rgdispatcher/command_store.go
+++ b/io/rgdispatcher/command_store.go
@@ -214,8 +214,5 @@
 	if err := json.Unmarshal(raw, &ent); err != nil {
 		return rgmodel.Entry{}, errors.NewNotValid(err, "entry")
 	}
-	if ent.Address == "" {
-		return rgmodel.Entry{}, errors.NotValidf("entry without an address")
-	}
-	return ent, nil
+	return ent, rgmodel.CheckEntry(ent)
 }
--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -59,6 +59,8 @@
 		// EntriesSent is set once the list of entries was sent to the peer, and EntriesVersion is the version that the peer has.
 		EntriesSent    bool
 		EntriesVersion rgmembership.Version
+		// RejectionLogged is set once the peer has sent an entry that is not valid.
+		RejectionLogged bool
 	}
 
 	// Caller is a caller that waits for the answer to a job. Without the context of its request, it never counts as having left.
--- a/io/rgdispatcher/store_test.go
+++ b/io/rgdispatcher/store_test.go
@@ -26,6 +26,10 @@
 var oddEntries = []string{
 	``, `null`, `{}`, `[]`, `{`, "\xff\xfe", `"e"`, `1e999`, `{"name":7,"address":"10.0.0.9:7720"}`, `{"name":"odd","address":[]}`,
 	strings.Repeat(`{"address":`, 100_000), strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000),
+	`{"name":"odd"}`, `{"address":"10.0.0.9:7720"}`, `{"name":"odd","address":"10.0.0.9:70000"}`, `{"name":"odd","address":"10.0.0.9:-1"}`,
+	`{"name":"odd","address":"10.0.0.9:0"}`, `{"name":"odd","address":"10.0.0.9"}`, `{"name":"odd","address":":7720"}`,
+	`{"name":"odd","address":"0.0.0.0:7720"}`, `{"name":"odd","address":"[::]:7720"}`,
+	`{"name":"` + strings.Repeat("a", 1<<16) + `","address":"10.0.0.9:7720"}`,
 	`{"name":"odd","incarnation":36893488147419103232,"address":"10.0.0.9:7720"}`,
 }
 
--- a/io/rgorders/command_connection.go
+++ b/io/rgorders/command_connection.go
@@ -129,7 +129,9 @@
 	case rgwire.EntryHeartbeat:
 		rgexecutor.RecordHeartbeat(&sta.ExecutorState, evt.Conn, msg.Issued.Time())
 		rgexecutor.SetReportInterval(&sta.ExecutorState, evt.Conn, msg.ReportInterval)
-		rgmembership.RecordMentions(&sta.Members, now, rgmembership.ConnID(evt.Conn), msg.Entries, msg.Left, msg.Full)
+		ents, err := rgmodel.ValidEntries(msg.Entries)
+		pro.logRejection(con, err)
+		rgmembership.RecordMentions(&sta.Members, now, rgmembership.ConnID(evt.Conn), ents, msg.Left, msg.Full)
 	case rgwire.Place:
 		for _, tsk := range msg.Tasks {
 			con.LastTicket = max(con.LastTicket, tsk.Ticket)
@@ -142,3 +144,13 @@
 		pro.log.Warn("unexpected message", zap.String("address", con.Address))
 	}
 }
+
+// logRejection logs and counts the first entry of a connection that is not valid.
+func (pro *Process) logRejection(con *EntryConn, err error) {
+	if err == nil || con.RejectionLogged {
+		return
+	}
+	con.RejectionLogged = true
+	pro.scope.Counter("entriesRejected").Inc(1)
+	pro.log.Warn("entry rejected", zap.String("address", con.Address), zap.Error(err))
+}
--- a/io/rgorders/process.go
+++ b/io/rgorders/process.go
@@ -46,6 +46,8 @@
 		SentExecutor rgmodel.Executor
 		// UnsentEnds are the ends of tasks that have not been sent yet.
 		UnsentEnds []rgmodel.TaskEnd
+		// RejectionLogged is set once the entry has sent an entry that is not valid.
+		RejectionLogged bool
 	}
 
 	// State is the state of the sidecar. Only the control goroutine accesses it.
