io/rgsettings, io/rgwire: settings of a process name an address that others can dial

What operators saw: an entry whose own address is missing, unspecified, or has a port out of range starts, or fails to listen without naming the setting, and registers an address that nobody can use. Seeds with a port out of range were rejected by name already.

Evidence, TestTemplates before the change: own_address_missing: error <nil>, want one that names "address" peer_port_too_large: error <nil>, want one that names "peerPort" advertised_without_a_port: error <nil>, want one that names "advertisedAddress" seed_unspecified: error <nil>, want one that names "seeds"

Change: address, peerPort, seeds and advertisedAddress are checked when the settings are read, and peer addresses have one spelling.

Result: TestTemplates and TestPeerAddresses pass.

--- a/io/rgsettings/platform.go
+++ b/io/rgsettings/platform.go
@@ -1,6 +1,8 @@
 package rgsettings
 
 import (
+	"fmt"
+	"net/netip"
 	"time"
 
 	"ragwortgap/core/rgexecutor"
@@ -15,6 +17,8 @@
 	DefaultTaskStopTime = 50 * time.Millisecond
 	// DefaultPeerPort is the default port on which entries listen for sidecars and other entries.
 	DefaultPeerPort = 7720
+	// maxPort is the highest TCP port.
+	maxPort = 65535
 )
 
 // PlatformProcess holds the settings of an entry or a sidecar on the platform, where executors run the tasks.
@@ -98,14 +102,48 @@
 	return set, firstError(
 		checkName("name", set.Name),
 		checkName("availabilityZone", set.AvailabilityZone),
-		checkAddresses("seeds", set.Seeds),
+		checkHost("address", set.Address),
+		checkRange("peerPort", set.PeerPort, 1, maxPort),
+		checkSeeds(set.Seeds),
 		checkAddress("store", set.Store),
 		checkNonNegative("cores", set.Cores),
 		checkNonNegative("entriesSameZone", float64(set.EntriesSameZone)),
 		checkNonNegative("entriesOtherZones", float64(set.EntriesOtherZones)),
-		checkOptionalAddress("advertisedAddress", set.AdvertisedAddress),
+		checkAdvertised(set.AdvertisedAddress),
 		checkOptionalAddress("metricsAddress", set.MetricsAddress),
 		checkMinimum("longestLease", set.MaxLease, 100*time.Millisecond),
 		checkMinimum("grace", set.DrainTimeout, time.Second),
 	)
 }
+
+// checkHost checks the IP address of a machine.
+func checkHost(fld, val string) error {
+	if ip, err := netip.ParseAddr(val); err != nil || ip.IsUnspecified() {
+		return FieldError{Field: fld, Value: fmt.Sprintf("%q", val), Reason: "need the IP address of a machine, such as 10.0.0.1"}
+	}
+	return nil
+}
+
+// checkSeeds ignores the ports, as PeerAddresses does.
+func checkSeeds(vals []string) error {
+	if err := checkAddresses("seeds", vals); err != nil {
+		return err
+	}
+	for _, val := range vals {
+		if err := checkHost("seeds", netip.MustParseAddrPort(val).Addr().String()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkAdvertised checks an address that other processes dial, as strictly as they do.
+func checkAdvertised(val string) error {
+	if err := checkOptionalAddress("advertisedAddress", val); err != nil || val == "" {
+		return err
+	}
+	if err := rgmodel.CheckAddress(val); err != nil {
+		return FieldError{Field: "advertisedAddress", Value: fmt.Sprintf("%q", val), Reason: err.Error()}
+	}
+	return nil
+}
--- a/io/rgwire/connection.go
+++ b/io/rgwire/connection.go
@@ -77,7 +77,10 @@
 	return ads
 }
 
-// PeerAddress joins an IP address and a port.
+// PeerAddress joins an IP address and a port. Processes are told apart by their addresses, so there is one spelling of each.
 func PeerAddress(ip string, port int) string {
+	if adr, err := netip.ParseAddr(ip); err == nil {
+		ip = adr.Unmap().String()
+	}
 	return net.JoinHostPort(ip, strconv.Itoa(port))
 }
