io/rgsidecar, io/rgentry: take the time of a tick from the clock, not from the ticker

What callers saw: nothing known.

Cause: a ticker's value waits in its channel while the process stands still. The first tick after a pause worked with the time from before it, so that a parked batch was accepted although contact with an entry had been lost meanwhile.

Evidence: TestParkedBatchAfterPause with the time of the old ticker: "0 batches wait for contact, want 1".

Change: tick reads the clock. Generations already excluded a second start there, so this removes a wrong acceptance and no known double run. The monotonic clock used here still stands still while a machine is suspended (docs/proofs.md, not proved).

--- a/io/rgentry/control.go
+++ b/io/rgentry/control.go
@@ -90,8 +90,8 @@
 		select {
 		case evt := <-pro.mailbox.Events:
 			pro.handle(workCtx, sta, evt)
-		case now := <-tic.C:
-			pro.tick(workCtx, sta, now)
+		case <-tic.C:
+			pro.tick(workCtx, sta)
 			if sta.Drained {
 				return
 			}
@@ -168,7 +168,9 @@
 	}
 }
 
-func (pro *Process) tick(workCtx context.Context, sta *State, now time.Time) {
+// tick does the periodic work. It reads the time itself, because the ticker's value is in the past after the process stood still.
+func (pro *Process) tick(workCtx context.Context, sta *State) {
+	now := time.Now()
 	for _, key := range rghome.RemoveLostSidecars(&sta.Home, now) {
 		pro.removeSidecar(workCtx, sta, key)
 	}
--- a/io/rgsidecar/control.go
+++ b/io/rgsidecar/control.go
@@ -84,8 +84,8 @@
 		select {
 		case evt := <-pro.mailbox.Events:
 			pro.handle(workCtx, sta, evt)
-		case now := <-tic.C:
-			pro.tick(workCtx, sta, now)
+		case <-tic.C:
+			pro.tick(workCtx, sta)
 		case <-stopping:
 			stopping = nil
 			timeout = time.After(pro.settings.DrainTimeout.Duration)
@@ -156,7 +156,9 @@
 	return wgts
 }
 
-func (pro *Process) tick(workCtx context.Context, sta *State, now time.Time) {
+// tick does the periodic work. It reads the time itself, because the ticker's value is in the past after the process stood still.
+func (pro *Process) tick(workCtx context.Context, sta *State) {
+	now := time.Now()
 	pro.replyToWaiters(sta, rgqueue.ExpireQueued(&sta.Queue, now))
 	if now.Sub(sta.LastExpiry) >= expireInterval {
 		sta.LastExpiry = now
