--- a/io/rgorders/command_store.go
+++ b/io/rgorders/command_store.go
@@ -37,13 +37,16 @@
 		switch {
 		case errors.Is(err, errors.NotFound):
 			return
+		case errors.Is(err, errors.NotValid):
+			pro.logInvalidExecutor(itm, err)
+			return
 		case err != nil:
 			rgclock.Sleep(workCtx, storeRetryDelay)
 			continue
 		}
-		var exe rgmodel.Executor
-		if err := json.Unmarshal(itm.Value, &exe); err != nil || exe.Service == "" {
-			pro.log.Warn("saved executor is invalid", zap.Uint64("storeVersion", itm.Version), zap.Error(err))
+		exe, err := decodeExecutor(itm.Value)
+		if err != nil {
+			pro.logInvalidExecutor(itm, err)
 			return
 		}
 		pro.mailbox.Send(workCtx, ExecutorRestored{Executor: exe})
@@ -52,6 +55,21 @@
 	pro.log.Warn("failed to read saved executor", zap.Int("tries", storeAttempts))
 }
 
+// logInvalidExecutor logs a saved executor that is not used. The sidecar waits for a heartbeat instead.
+func (pro *Process) logInvalidExecutor(itm rgstore.Item, err error) {
+	pro.log.Warn("saved executor is invalid", zap.Uint64("storeVersion", itm.Version), zap.Error(err))
+}
+
+// decodeExecutor decodes a saved executor. It fails with errors.NotValid if the record is malformed, because it may be from
+// another writer.
+func decodeExecutor(raw []byte) (rgmodel.Executor, error) {
+	var exe rgmodel.Executor
+	if err := json.Unmarshal(raw, &exe); err != nil {
+		return rgmodel.Executor{}, errors.NewNotValid(err, "saved executor")
+	}
+	return exe, rgmodel.CheckExecutor(exe)
+}
+
 // saveExecutors writes the newest executor to the store, until workCtx ends.
 func (pro *Process) saveExecutors(workCtx context.Context) {
 	for {
