--- a/io/rgorders/store_test.go
+++ b/io/rgorders/store_test.go
@@ -28,7 +28,8 @@
 // TestRestoreExecutor guards against a saved executor of another writer that a sidecar takes for its own, that ends the sidecar, or
 // that keeps it busy.
 func TestRestoreExecutor(t *testing.T) {
-	const sound = `{"lifetime":{"id":"i-1","born":7},"service":"desk","capacity":{"cores":8,"memoryBytes":1024},"labels":["a"],"sequence":3}`
+	const sound = `{"lifetime":{"id":"i-1","born":7},"service":"desk","capacity":{"cores":8,"memoryBytes":1024},"labels":["a"],` +
+		`"sequence":3}`
 	tests := map[string]struct {
 		value string
 		err   error
