io/rgdispatcher: reports of a sidecar with two connections do not release the tasks of the lost one

It can run a task twice at the same time.

Cause: a sidecar that knows an entry by two addresses (advertisedAddress beside the seeds, or a record of another writer) opens two connections to it. Each report says whether the runs of the connections that the sidecar has seen closed have ended. When the entry loses the connection over which a task was placed and the sidecar has not noticed, the report over the other one says "ended" while the run goes on, and the entry places the task elsewhere at once.

Evidence, TestTwiceConnectedSidecar before the change: another_connection_of_the_sidecar_is_open: placed again true, want false connected_again_beside_another_connection: placed again true, want false

Change: the entry marks connections of one sidecar that were open at the same time, logs and counts them (sidecarsConnectedTwice), and ignores that part of their reports. Tasks of a lost one wait for the longest run time, as without a report.

What it costs: a sidecar that connects again before the entry has seen the end of its last connection is marked, too, and its unknown tasks wait up to 1.55 s. With one address, the sidecar dials only after that end, so this is a matter of milliseconds.

Result: TestTwiceConnectedSidecar passes with -race; the cases with one connection place the task again at once, as before.

--- a/io/rgdispatcher/command_peer.go
+++ b/io/rgdispatcher/command_peer.go
@@ -90,10 +90,14 @@
 	switch msg := evt.Message.(type) {
 	case rgwire.SidecarHello:
 		per.Sidecar = msg.Name
+		pro.markConnectedTwice(sta, evt.ID, per)
 		rgdispatch.Connect(&sta.Dispatch, now, con, msg.Name, msg.Clock)
 		pro.log.Info("sidecar connected", zap.String("sidecar", msg.Name))
 		pro.sendHeartbeat(sta, evt.ID, per, now)
 	case rgwire.SidecarUpdate:
+		if msg.Report != nil && per.ConnectedTwice {
+			msg.Report.EarlierRunsEnded = false
+		}
 		// The ends are logged first, because they refer to placements that endLeftCallers removes.
 		pro.logEnds(sta, evt.ID, msg.Ends)
 		pro.endLeftCallers(sta, now, rgdispatch.JobsToPlace(&sta.Dispatch, now, con, msg.Report, msg.Ends))
@@ -127,6 +131,20 @@
 	}
 }
 
+// markConnectedTwice marks the connections of a sidecar that are open at the same time, which happens if it knows an entry by two
+// addresses. Tasks of a lost one then wait for the longest run time.
+func (pro *Process) markConnectedTwice(sta *State, id uint64, per *PeerConn) {
+	for other, cur := range sta.Peers {
+		if other != id && per.Sidecar != "" && cur.Sidecar == per.Sidecar {
+			cur.ConnectedTwice, per.ConnectedTwice = true, true
+		}
+	}
+	if per.ConnectedTwice {
+		pro.scope.Counter("sidecarsConnectedTwice").Inc(1)
+		pro.log.Warn("sidecar connected twice", zap.String("sidecar", per.Sidecar))
+	}
+}
+
 // recordPeer records the description that an entry sends of itself. One that is not valid is not passed on.
 func (pro *Process) recordPeer(sta *State, now time.Time, id uint64, ent rgmodel.Entry) {
 	per := sta.Peers[id]
