core/rgmembership: entries that do not exist take no connection out of use

What callers saw: nothing yet. With some hundreds of records of entries that do not exist in the store, each sidecar drops its connections to sound entries within seconds, and a new one hardly finds any: the entries have no executors, and refuse jobs.

Cause: a process selected the entries of the lowest rank, at most twice as many as its limit, whether they can be reached or not, and dropped every connection that was not among them. An entry that could not be reached counted as one that can as soon as it was not dialed.

Evidence, TestForgedEntries before the change (35 entries in 5 zones, limits 8 and 4): 500_after_the_start: 5s: 2 connections in the own zone and 1 to others, want 7 and 4 50_before_the_start: 31s: 6 connections in the own zone and 3 to others, want 7 and 4 500_before_the_start,_no_seeds: 2m1s: 1 connections in the own zone and 0 to others, want 7 and 4

Change: connected entries are kept until as many others as the limit are connected. Of the entries that cannot be reached only as many as the limit are dialed on, and the rest is passed over instead of ending the search. One that is passed over is tried again after 30 s, doubling to 2 min, or when its incarnation changes. At most 4,096 entries are known, besides seeds and connected ones.

Test changed: "entries that left are dropped" of TestSelection counts 19 dropped connections instead of 8. All 20 entries of its fleet are gone, and the process now tries those that it did not dial before; that no entry is known or dialed at the end is demanded as before.

Result: TestForgedEntries and TestRestartAfterFailure pass; the latter fails when a new incarnation is not tried at once.

--- a/core/rgmembership/command_record.go
+++ b/core/rgmembership/command_record.go
@@ -22,6 +22,9 @@
 		}
 	}
 	for _, ent := range ents {
+		if isRefused(sta, ent.Address) {
+			continue
+		}
 		if kno := describe(sta, now, ent); kno != nil {
 			kno.Listed = true
 			kno.LastSeen = now
@@ -33,7 +36,9 @@
 // mentions them again.
 func RecordFound(sta *State, now time.Time, ents []rgmodel.Entry) {
 	for _, ent := range ents {
-		describe(sta, now, ent)
+		if !isRefused(sta, ent.Address) {
+			describe(sta, now, ent)
+		}
 	}
 }
 
@@ -54,6 +59,7 @@
 	}
 	sta.Conns[con] = adr
 	kno.Conns[con] = true
+	kno.RetryAt, kno.RetryDelay = time.Time{}, 0
 	sta.Changed = true
 }
 
@@ -75,13 +81,15 @@
 		forgetMentions(sta, now, con)
 	}
 	for _, ent := range ents {
+		if isRefused(sta, ent.Address) {
+			continue
+		}
 		kno := known(sta, now, ent.Address)
 		if kno == nil {
 			continue
 		}
-		if kno.LastSeen.IsZero() && kno.Entry != ent {
-			kno.Entry = ent
-			sta.Changed = true
+		if kno.LastSeen.IsZero() {
+			setEntry(sta, kno, ent)
 		}
 		if kno.Mentions == nil {
 			kno.Mentions = map[ConnID]bool{}
@@ -124,12 +132,29 @@
 func describe(sta *State, now time.Time, ent rgmodel.Entry) *KnownEntry {
 	kno := known(sta, now, ent.Address)
 	if kno != nil {
-		sta.Changed = sta.Changed || kno.Entry != ent
-		kno.Entry, kno.LastMentioned = ent, now
+		setEntry(sta, kno, ent)
+		kno.LastMentioned = now
 	}
 	return kno
 }
 
+// setEntry changes the description of an entry. One that has started again is tried at once.
+func setEntry(sta *State, kno *KnownEntry, ent rgmodel.Entry) {
+	if kno.Entry == ent {
+		return
+	}
+	if kno.Entry.Incarnation != ent.Incarnation {
+		kno.RetryAt, kno.RetryDelay = time.Time{}, 0
+	}
+	kno.Entry = ent
+	sta.Changed = true
+}
+
+// isRefused reports whether the address stays unknown, because too many others are known.
+func isRefused(sta *State, adr string) bool {
+	return len(sta.Entries) >= maxEntries && sta.Entries[adr] == nil
+}
+
 // known returns the entry at the address, which it adds if it is new. It returns nil for the process itself and for an empty
 // address.
 func known(sta *State, now time.Time, adr string) *KnownEntry {
--- a/core/rgmembership/command_update.go
+++ b/core/rgmembership/command_update.go
@@ -35,6 +35,10 @@
 		case sel[adr] && !kno.Dialed && len(kno.Conns) == 0:
 			kno.Dialed, kno.UnreachableSince = true, now
 			acs = append(acs, Dial{Address: adr})
+		case kno.Dialed && !sel[adr] && !isReachable(kno, now):
+			kno.RetryDelay = min(max(2*kno.RetryDelay, retryDelay), maxRetryDelay)
+			kno.Dialed, kno.RetryAt = false, now.Add(kno.RetryDelay)
+			acs = append(acs, Drop{Address: adr})
 		case kno.Dialed && (gone && !kno.Seed || now.Sub(kno.SelectedAt) >= surplusDelay):
 			kno.Dialed = false
 			acs = append(acs, Drop{Address: adr})
--- a/core/rgmembership/membership.go
+++ b/core/rgmembership/membership.go
@@ -17,6 +17,10 @@
 	expiry = 10 * time.Second
 	// dialPatience is how long a process may fail to connect to an entry before it selects another one in addition.
 	dialPatience = 1500 * time.Millisecond
+	// retryDelay is how long an entry that could not be reached, and that is not dialed any more, counts as one that cannot be reached.
+	// It doubles with each attempt up to maxRetryDelay, so that all entries are tried in turn however many do not exist.
+	retryDelay    = 30 * time.Second
+	maxRetryDelay = 2 * time.Minute
 	// surplusDelay is how long a connection is kept after its entry was last selected. A restarted entry is connected again
 	// within that time, and the one that was selected in its place is not dropped too early.
 	surplusDelay = 3 * time.Second
@@ -27,6 +31,8 @@
 	maxPassedOver = 1
 	// maxChanges is the number of changes that are kept. A peer that has missed more of them gets the full list.
 	maxChanges = 256
+	// maxEntries is the number of known entries from which on others become known only by a connection or the settings.
+	maxEntries = 4096
 )
 
 const (
@@ -73,6 +79,10 @@
 		Dialed bool
 		// UnreachableSince is when the process began to dial or lost its last connection.
 		UnreachableSince time.Time
+		// RetryAt is when an entry that could not be reached may be selected again, and RetryDelay what led to it. Both are zero after a
+		// connection.
+		RetryAt    time.Time
+		RetryDelay time.Duration
 		// SelectedAt is when the entry was last selected.
 		SelectedAt time.Time
 		// Shared is the description in the list passed on; empty if the entry is not in it.
--- a/core/rgmembership/query_select.go
+++ b/core/rgmembership/query_select.go
@@ -51,7 +51,9 @@
 	return sel
 }
 
-// choose returns the candidates of the lowest rank until the limit of those that can be reached is met.
+// choose returns the candidates of the lowest rank until the limit of those that can be reached is met. Entries that cannot be reached
+// may be any number, if they do not exist: only a few of them are chosen, and connected entries beyond the limit are kept until
+// others are connected in their place.
 func choose(cnds []candidate, limit int, now time.Time) []candidate {
 	if limit <= 0 || len(cnds) <= limit {
 		return cnds
@@ -59,21 +61,36 @@
 	slices.SortFunc(cnds, func(one, two candidate) int {
 		return cmp.Or(cmp.Compare(one.rank, two.rank), cmp.Compare(one.address, two.address))
 	})
-	reachable := 0
-	for i, cnd := range cnds {
-		if isReachable(cnd.known, now) {
+	var chosen []candidate
+	reachable, passedOver, connected := 0, 0, 0
+	for _, cnd := range cnds {
+		isConnected := len(cnd.known.Conns) > 0
+		switch {
+		case reachable < limit && isReachable(cnd.known, now), isConnected && connected < limit:
 			reachable++
+		case reachable < limit && passedOver < maxPassedOver*limit:
+			passedOver++
+		default:
+			continue
 		}
-		if reachable == limit || i+1 == (1+maxPassedOver)*limit {
-			return cnds[:i+1]
+		if isConnected {
+			connected++
 		}
+		chosen = append(chosen, cnd)
 	}
-	return cnds
+	return chosen
 }
 
 // isReachable reports whether the process is connected to the entry or may soon be.
 func isReachable(kno *KnownEntry, now time.Time) bool {
-	return len(kno.Conns) > 0 || !kno.Dialed || now.Sub(kno.UnreachableSince) < dialPatience
+	switch {
+	case len(kno.Conns) > 0:
+		return true
+	case kno.Dialed:
+		return now.Sub(kno.UnreachableSince) < dialPatience
+	default:
+		return !now.Before(kno.RetryAt)
+	}
 }
 
 // isSeen reports whether the entry exists by what the store or the entry itself has shown.
