core/rgmembership, io/rgdispatcher: records that claim the name or the address of an entry change nothing of it

What callers saw: nothing yet. A record with another name at the address of a live entry renamed it every 2 s, and its own gossip back every 500 ms: each time a change for all connections, and another rank, by which sidecars choose. A record with the name of an entry at another of its addresses made each process connect to it twice, and one with the name of the process itself to itself.

Cause: the last description of an address held, whoever gave it; names were not compared at all.

Change: what an entry says of itself holds as long as the connection is open. While one address of a name is connected, no other one is selected, and a second connection is drained. An entry ignores records with its own name. Of several records of an address the newest holds, and a record whose key does not contain its name is malformed.

TestPollEntries uses keys as entries write them.

--- a/core/rgmembership/command_record.go
+++ b/core/rgmembership/command_record.go
@@ -50,6 +50,9 @@
 	}
 	if bef := sta.Entries[sta.Conns[con]]; bef != nil {
 		delete(bef.Conns, con)
+		if bef != kno && bef.DescribedBy == con {
+			bef.DescribedBy = 0
+		}
 	}
 	if sta.Conns == nil {
 		sta.Conns = map[ConnID]string{}
@@ -65,7 +68,7 @@
 
 // RecordSeen records the description that an entry has sent over an open connection.
 func RecordSeen(sta *State, now time.Time, con ConnID, ent rgmodel.Entry) {
-	kno := describe(sta, now, ent)
+	kno := describeOver(sta, now, con, ent)
 	if kno == nil {
 		return
 	}
@@ -84,11 +87,17 @@
 		if isRefused(sta, ent.Address) {
 			continue
 		}
+		if isOwnName(sta, ent) {
+			continue
+		}
 		kno := known(sta, now, ent.Address)
 		if kno == nil {
 			continue
 		}
-		if kno.LastSeen.IsZero() {
+		switch {
+		case sta.Conns[con] == ent.Address:
+			describeOver(sta, now, con, ent)
+		case kno.LastSeen.IsZero() && kno.DescribedBy == 0:
 			setEntry(sta, kno, ent)
 		}
 		if kno.Mentions == nil {
@@ -118,6 +127,9 @@
 func RecordClosed(sta *State, now time.Time, con ConnID) {
 	if kno := sta.Entries[sta.Conns[con]]; kno != nil && kno.Conns[con] {
 		delete(kno.Conns, con)
+		if kno.DescribedBy == con {
+			kno.DescribedBy = 0
+		}
 		kno.LastMentioned, kno.UnreachableSince = now, now
 		if !kno.LastSeen.IsZero() {
 			kno.LastSeen = now
@@ -128,16 +140,44 @@
 	forgetMentions(sta, now, con)
 }
 
-// describe records the description of an entry. It returns nil for the process itself and for an entry without an address.
+// describe records the description of an entry by the store, unless the entry has described itself. It returns nil for the process
+// itself and for an entry without an address.
 func describe(sta *State, now time.Time, ent rgmodel.Entry) *KnownEntry {
+	if isOwnName(sta, ent) {
+		return nil
+	}
 	kno := known(sta, now, ent.Address)
 	if kno != nil {
-		setEntry(sta, kno, ent)
+		if kno.DescribedBy == 0 {
+			setEntry(sta, kno, ent)
+		}
 		kno.LastMentioned = now
 	}
 	return kno
 }
 
+// describeOver records the description that an entry has sent of itself. That of the first of several connections is kept.
+func describeOver(sta *State, now time.Time, con ConnID, ent rgmodel.Entry) *KnownEntry {
+	if isOwnName(sta, ent) {
+		return nil
+	}
+	kno := known(sta, now, ent.Address)
+	if kno == nil {
+		return nil
+	}
+	if kno.DescribedBy == 0 {
+		kno.DescribedBy = con
+	}
+	if kno.DescribedBy == con {
+		setEntry(sta, kno, ent)
+	}
+	kno.LastMentioned = now
+	return kno
+}
+
+// isOwnName reports whether an entry has the name of the process, which is an entry itself. It would be a connection to itself.
+func isOwnName(sta *State, ent rgmodel.Entry) bool { return sta.Address != "" && ent.Name == sta.Name }
+
 // setEntry changes the description of an entry. One that has started again is tried at once.
 func setEntry(sta *State, kno *KnownEntry, ent rgmodel.Entry) {
 	if kno.Entry == ent {
--- a/core/rgmembership/membership.go
+++ b/core/rgmembership/membership.go
@@ -72,6 +72,9 @@
 		Mentions map[ConnID]bool
 		// Conns holds the open connections to the entry.
 		Conns map[ConnID]bool
+		// DescribedBy is the open connection over which the entry has described itself, or zero. Until it is closed, what others say of the
+		// entry is ignored.
+		DescribedBy ConnID
 		// LastSeen is when the store or the entry itself last showed that it exists, and LastMentioned when anybody did.
 		LastSeen      time.Time
 		LastMentioned time.Time
--- a/core/rgmembership/query_select.go
+++ b/core/rgmembership/query_select.go
@@ -24,8 +24,9 @@
 	var same, others []candidate
 	connected := 0
 	sel := map[string]bool{}
+	held := connectedNames(sta)
 	for adr, kno := range sta.Entries {
-		if kno.Entry.Name == "" {
+		if cur, found := held[kno.Entry.Name]; kno.Entry.Name == "" || found && cur != adr {
 			continue
 		}
 		cnd := candidate{address: adr, known: kno, rank: Rank(sta.Name, kno.Entry.Name)}
@@ -51,6 +52,30 @@
 	return sel
 }
 
+// connectedNames maps the names of the connected entries to the address of each. Another address of the same name is that of the same
+// entry, of one that has moved, or of a record of another writer; a second connection could count runs of the first one as ended.
+func connectedNames(sta *State) map[string]string {
+	held := map[string]string{}
+	for adr, kno := range sta.Entries {
+		if len(kno.Conns) == 0 || kno.Entry.Name == "" {
+			continue
+		}
+		cur, found := held[kno.Entry.Name]
+		if !found || isPreferred(kno, sta.Entries[cur]) {
+			held[kno.Entry.Name] = adr
+		}
+	}
+	return held
+}
+
+// isPreferred reports whether the first of two connected addresses of an entry is kept.
+func isPreferred(one, two *KnownEntry) bool {
+	if described := one.DescribedBy != 0; described != (two.DescribedBy != 0) {
+		return described
+	}
+	return one.Entry.Address < two.Entry.Address
+}
+
 // choose returns the candidates of the lowest rank until the limit of those that can be reached is met. Entries that cannot be reached
 // may be any number, if they do not exist: only a few of them are chosen, and connected entries beyond the limit are kept until
 // others are connected in their place.
--- a/io/rgdispatcher/command_store.go
+++ b/io/rgdispatcher/command_store.go
@@ -1,8 +1,11 @@
 package rgdispatcher
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -198,21 +201,37 @@
 		return EntryList{}, err
 	}
 	res := EntryList{Malformed: lis.Malformed, Incomplete: lis.Incomplete}
+	// The record of an entry that was restarted or replaced stays until its lease expires, so the newest one of an address holds. In
+	// this order, entries that have registered first become known first.
+	slices.SortStableFunc(lis.Items, func(one, two rgstore.Item) int { return cmp.Compare(one.Version, two.Version) })
+	newest := map[string]int{}
 	for _, itm := range lis.Items {
-		ent, err := decodeEntry(itm.Value)
+		ent, err := decodeEntry(itm)
 		if err != nil {
 			res.Malformed = append(res.Malformed, rgstore.MalformedItem{Key: itm.Key, Version: itm.Version, Err: err})
 			continue
 		}
+		if at, found := newest[ent.Address]; found {
+			res.Entries[at] = ent
+			continue
+		}
+		newest[ent.Address] = len(res.Entries)
 		res.Entries = append(res.Entries, ent)
 	}
 	return res, nil
 }
 
-func decodeEntry(raw []byte) (rgmodel.Entry, error) {
+// decodeEntry decodes a registration. Its key contains the name of the entry and a lease.
+func decodeEntry(itm rgstore.Item) (rgmodel.Entry, error) {
 	var ent rgmodel.Entry
-	if err := json.Unmarshal(raw, &ent); err != nil {
+	if err := json.Unmarshal(itm.Value, &ent); err != nil {
 		return rgmodel.Entry{}, errors.NewNotValid(err, "entry")
 	}
-	return ent, rgmodel.CheckEntry(ent)
+	if err := rgmodel.CheckEntry(ent); err != nil {
+		return rgmodel.Entry{}, err
+	}
+	if !strings.HasPrefix(itm.Key, EntryKeyPrefix+ent.Name+"/") {
+		return rgmodel.Entry{}, errors.NotValidf("entry with the name %q at another key", ent.Name)
+	}
+	return ent, nil
 }
--- a/io/rgdispatcher/store_test.go
+++ b/io/rgdispatcher/store_test.go
@@ -215,11 +215,13 @@
 func pollEntriesTests() map[string]pollEntriesTest {
 	entry := func(nam string, ver uint64) rgstore.Item {
 		val := `{"name":"` + nam + `","incarnation":"1","address":"10.0.0.` + nam[1:] + `:7720","availabilityZone":"a"}`
-		return rgstore.Item{Key: EntryKeyPrefix + nam, Value: []byte(val), Version: ver}
+		return rgstore.Item{Key: EntryKeyPrefix + nam + "/1", Value: []byte(val), Version: ver}
 	}
 	odd := func(val string) rgstore.Item {
-		return rgstore.Item{Key: EntryKeyPrefix + "odd", Value: []byte(val), Version: 9}
+		return rgstore.Item{Key: EntryKeyPrefix + "odd/", Value: []byte(val), Version: 9}
 	}
+	claim := entry("e1", 9)
+	claim.Key = EntryKeyPrefix + "e2/1"
 	return map[string]pollEntriesTest{
 		"sound": {
 			list: func(int) (rgstore.Listing, error) { return rgstore.Listing{Items: []rgstore.Item{entry("e1", 1)}}, nil },
@@ -238,6 +240,12 @@
 			},
 			want: []string{"10.0.0.1:7720", "10.0.0.2:7720"}, wantLines: len(oddEntries),
 		},
+		"key of another entry": {
+			list: func(int) (rgstore.Listing, error) {
+				return rgstore.Listing{Items: []rgstore.Item{claim, entry("e2", 1)}}, nil
+			},
+			want: []string{"10.0.0.2:7720"}, wantLines: 1,
+		},
 		"malformed item": {
 			list: func(int) (rgstore.Listing, error) {
 				return rgstore.Listing{
@@ -293,6 +301,41 @@
 	}
 }
 
+// TestListEntries guards against a record of an earlier process that is taken for the entry that runs at its address now.
+func TestListEntries(t *testing.T) {
+	record := func(nam, key string, ver uint64) rgstore.Item {
+		return rgstore.Item{
+			Key: EntryKeyPrefix + key, Version: ver,
+			Value: []byte(`{"name":"` + nam + `","incarnation":"` + strconv.FormatUint(ver, 10) + `","address":"10.0.0.1:7720"}`),
+		}
+	}
+	tests := map[string]struct {
+		items []rgstore.Item
+		want  []string
+	}{
+		"restarted":                    {items: []rgstore.Item{record("e1", "e1/9", 9), record("e1", "e1/3", 3)}, want: []string{"9"}},
+		"replaced":                     {items: []rgstore.Item{record("e0", "e0/9", 9), record("e1", "e1/3", 3)}, want: []string{"9"}},
+		"replaced, in the other order": {items: []rgstore.Item{record("e0", "e0/3", 3), record("e1", "e1/9", 9)}, want: []string{"9"}},
+		"key without a lease":          {items: []rgstore.Item{record("e1", "e1", 9), record("e1", "e1/3", 3)}, want: []string{"3"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			sto := &scriptedStore{list: func(int) (rgstore.Listing, error) { return rgstore.Listing{Items: tc.items}, nil }}
+			lis, err := ListEntries(t.Context(), sto)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var got []string
+			for _, ent := range lis.Entries {
+				got = append(got, ent.Incarnation)
+			}
+			if !slices.Equal(got, tc.want) {
+				t.Errorf("incarnations %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
 // decodeVersion decodes a configuration that consists of its version.
 func decodeVersion(raw []byte) (*rgroute.Config, error) {
 	ver, err := strconv.ParseUint(string(raw), 10, 64)
