core/rgexecutor: only a reply shows another incarnation, a heartbeat makes the sidecar ask

What callers saw: two runs of a task at the same time, or a sound run that was stopped.

Cause: a heartbeat with the known id and a later start time reported all confirmed runs as lost in the same moment, without an order to the executor, and one with another id abandoned the executor. Such a heartbeat may be delayed, or come from another writer.

A reply that names the announced start time adopts that incarnation with its description. An order that is refused by another id loses the known executor, and the sidecar asks the announced ids next, the latest first. A reply that names a start time where none was known may come from the same incarnation, so it ends no run by itself. An incarnation that replies no longer counts as ended. The process logs and saves the description also after a reply.

Replaced tests: "executor has restarted" of returnTests demanded that the heartbeat alone ends the runs; the reply of the next incarnation now follows it.

--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -7,61 +7,46 @@
 	"ragwortgap/core/rgmodel"
 )
 
-// UpdateExecutor stores the description that an executor reported, unless a newer one is known.
-func UpdateExecutor(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
+// followRestart takes control of the next incarnation with the same id as soon as it replies to an order. Until it has seen a higher
+// fencing token, it carries out start orders that were sent to the previous one.
+func followRestart(sta *State, now time.Time, rep rgmodel.OrderReply) []Effect {
 	cur := sta.Executor.Incarnation
-	switch {
-	case exe.Incarnation.StartedMillis != 0 && exe.Incarnation == sta.Deregistered:
-		// The heartbeat was sent before the deregistration and delayed.
-		return nil
-	case exe.Incarnation.StartedMillis != 0 && slices.Contains(sta.Restarted, exe.Incarnation):
-		// Its start time may be later than that of the current incarnation, if the machine's clock was set back.
-		return nil
-	case sta.Phase != PhaseNoExecutor && exe.Incarnation.StartedMillis < cur.StartedMillis:
-		// It is delayed, or the machine's clock was set back before a restart. Polls show which of the two.
-		sta.LateStartPossibleAt = now
-		return sendPolls(sta, now)
-	case sta.Phase != PhaseNoExecutor && exe.Incarnation == cur:
-		if exe.Sequence <= sta.Executor.Sequence && !sta.Undescribed {
-			return nil
-		}
-		sta.Undescribed = false
-		drained := exe.Draining && !sta.Executor.Draining
-		if exe.Clock > sta.Executor.Clock {
-			sta.ClockReadAt = now
-		} else {
-			// A reply to an order arrived before this report and has a newer reading of the clock.
-			exe.Clock = sta.Executor.Clock
-		}
-		sta.Executor = exe
-		if drained {
-			return returnQueue(sta, rgmodel.ReasonDraining)
-		}
-		return startQueued(sta, now)
-	default:
-		var los lossCause = lossRestarted{}
-		if exe.Incarnation.ID != cur.ID {
-			los = lossReplaced{}
-		}
-		efs := abandonIncarnation(sta, now, rgmodel.ReasonSidecarLost, los)
-		sta.Undescribed = false
-		return append(efs, adoptIncarnation(sta, now, exe)...)
+	var los lossCause = lossRestarted{}
+	if cur.StartedMillis == 0 {
+		los = lossIdentified{}
 	}
+	efs := abandonIncarnation(sta, now, rgmodel.ReasonSidecarLost, los)
+	next := rgmodel.ExecutorIncarnation{ID: cur.ID, StartedMillis: rep.StartedMillis}
+	exe, announced := takeAnnounced(sta, next)
+	if !announced {
+		exe = sta.Executor
+		exe.Incarnation, exe.Sequence = next, 0
+	}
+	exe.Clock = rep.Clock
+	sta.Restarted = slices.DeleteFunc(sta.Restarted, func(inc rgmodel.ExecutorIncarnation) bool { return inc == next })
+	efs = append(efs, adoptIncarnation(sta, now, exe)...)
+	sta.Undescribed = !announced
+	return efs
 }
 
-// followRestart takes control of the next incarnation with the same id as soon as it replies to an order. Until it has seen a higher
-// fencing token, it carries out start orders that were sent to the previous one, and its first heartbeat may be a second away.
-func followRestart(sta *State, now time.Time, rep rgmodel.OrderReply) []Effect {
-	efs := abandonIncarnation(sta, now, rgmodel.ReasonSidecarLost, lossRestarted{})
-	exe := sta.Executor
-	exe.Incarnation.StartedMillis, exe.Clock, exe.Sequence = rep.StartedMillis, rep.Clock, 0
-	sta.Undescribed = true
+// loseReplaced handles the reply of an executor with another id than the known one. If another id was announced, the executor with that
+// id is asked next.
+func loseReplaced(sta *State, now time.Time) []Effect {
+	efs := loseExecutor(sta, now, rgmodel.ReasonSidecarLost, lossReplaced{})
+	id := sta.Executor.Incarnation.ID
+	sta.Announced = slices.DeleteFunc(sta.Announced, func(exe rgmodel.Executor) bool { return exe.Incarnation.ID == id })
+	if len(sta.Announced) == 0 {
+		return efs
+	}
+	exe, _ := takeAnnounced(sta, sta.Announced[len(sta.Announced)-1].Incarnation)
 	return append(efs, adoptIncarnation(sta, now, exe)...)
 }
 
 // adoptIncarnation begins to take control of a new incarnation of the executor.
 func adoptIncarnation(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
+	takeAnnounced(sta, exe.Incarnation)
 	sta.Executor = exe
+	sta.Undescribed = false
 	sta.ClockReadAt = now
 	sta.Slowdown = 0
 	sta.Health = Health{}
--- /dev/null
+++ b/core/rgexecutor/command_heartbeat.go
@@ -0,0 +1,85 @@
+package rgexecutor
+
+import (
+	"slices"
+	"time"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// maxAnnounced is the number of announced incarnations that are kept. There is one at a time, and more only if another writer sends
+// heartbeats.
+const maxAnnounced = 4
+
+// UpdateExecutor handles a heartbeat, or the description that an earlier process has saved. It describes the known incarnation. One of
+// another incarnation may be delayed or come from another writer, so it changes nothing and makes the sidecar ask: only the reply to an
+// order shows which incarnation is there.
+func UpdateExecutor(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
+	switch {
+	case exe.Incarnation.StartedMillis != 0 && exe.Incarnation == sta.Deregistered:
+		// The heartbeat was sent before the deregistration and delayed.
+		return nil
+	case exe.Incarnation.StartedMillis != 0 && slices.Contains(sta.Restarted, exe.Incarnation):
+		// Its start time may be later than that of the current incarnation, if the machine's clock was set back.
+		return nil
+	case sta.Phase == PhaseNoExecutor:
+		return adoptIncarnation(sta, now, exe)
+	case exe.Incarnation != sta.Executor.Incarnation:
+		return announceIncarnation(sta, now, exe)
+	default:
+		return describeIncarnation(sta, now, exe)
+	}
+}
+
+// describeIncarnation stores the description of the known incarnation, unless a newer one is known.
+func describeIncarnation(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
+	if exe.Sequence <= sta.Executor.Sequence && !sta.Undescribed {
+		return nil
+	}
+	sta.Undescribed = false
+	drained := exe.Draining && !sta.Executor.Draining
+	if exe.Clock > sta.Executor.Clock {
+		sta.ClockReadAt = now
+	} else {
+		// A reply to an order arrived before this report and has a newer reading of the clock.
+		exe.Clock = sta.Executor.Clock
+	}
+	sta.Executor = exe
+	if drained {
+		return returnQueue(sta, rgmodel.ReasonDraining)
+	}
+	return startQueued(sta, now)
+}
+
+// announceIncarnation keeps the description of an incarnation that no reply has shown yet, and asks the known one. An idle executor is
+// polled on, because the announced incarnation may take the place of the known one later.
+func announceIncarnation(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
+	takeAnnounced(sta, exe.Incarnation)
+	if len(sta.Announced) == maxAnnounced {
+		sta.Announced = slices.Delete(sta.Announced, 0, 1)
+	}
+	sta.Announced = append(sta.Announced, exe)
+	sta.LateStartPossibleAt = now
+	return askExecutor(sta, now)
+}
+
+// takeAnnounced removes the announced incarnation and returns its description.
+func takeAnnounced(sta *State, inc rgmodel.ExecutorIncarnation) (rgmodel.Executor, bool) {
+	at := slices.IndexFunc(sta.Announced, func(exe rgmodel.Executor) bool { return exe.Incarnation == inc })
+	if at < 0 {
+		return rgmodel.Executor{}, false
+	}
+	exe := sta.Announced[at]
+	sta.Announced = slices.Delete(sta.Announced, at, at+1)
+	return exe, true
+}
+
+// askExecutor sends a poll without a wait, because those in flight may wait or may have been sent before a restart. Heartbeats in quick
+// succession send only one more than the other polls.
+func askExecutor(sta *State, now time.Time) []Effect {
+	if len(sta.Polls) > desiredPolls(sta, now) {
+		return nil
+	}
+	sta.Polls = append(sta.Polls, now)
+	return []Effect{SendOrder{Order: newPoll(sta, now)}}
+}
--- a/core/rgexecutor/command_poll.go
+++ b/core/rgexecutor/command_poll.go
@@ -66,7 +66,7 @@
 		return sendPolls(sta, now)
 	}
 	if rep.Refusal == rgmodel.RefusalWrongIncarnation {
-		return loseExecutor(sta, now, rgmodel.ReasonSidecarLost, lossReplaced{})
+		return loseReplaced(sta, now)
 	}
 	if repliedByNext(sta, ord.Incarnation, rep) {
 		return followRestart(sta, now, rep)
--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -140,7 +140,7 @@
 	case rgmodel.RefusalFenced:
 		return retakeControl(sta, now, rgmodel.ReasonUpstreamRefused, lossFenced{})
 	case rgmodel.RefusalWrongIncarnation:
-		return loseExecutor(sta, now, rgmodel.ReasonSidecarLost, lossReplaced{})
+		return loseReplaced(sta, now)
 	case rgmodel.RefusalNoCapacity, rgmodel.RefusalUnhealthy:
 		sta.Health.EjectedUntil = now.Add(refusalEjectionTime)
 	case rgmodel.RefusalInvalid:
@@ -191,7 +191,7 @@
 	}
 	if rep.Refusal == rgmodel.RefusalWrongIncarnation {
 		// The clock in the reply is that of another executor and says nothing about the leases.
-		return loseExecutor(sta, now, rgmodel.ReasonSidecarLost, lossReplaced{})
+		return loseReplaced(sta, now)
 	}
 	if !recordClock(sta, now, ord.Incarnation, rep) {
 		return nil
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -234,6 +234,9 @@
 		Phase    Phase
 		// Undescribed is set while Executor describes an earlier incarnation than Executor.Incarnation, until the next heartbeat.
 		Undescribed bool
+		// Announced holds the descriptions of other incarnations by heartbeats, the latest last, at most maxAnnounced of them. No reply
+		// has shown that these incarnations exist.
+		Announced []rgmodel.Executor
 		// Deregistered is the last incarnation that has deregistered.
 		Deregistered rgmodel.ExecutorIncarnation
 		// Restarted holds the last incarnations that have ended by a restart, at most maxRestarted of them.
--- a/core/rgexecutor/loss.go
+++ b/core/rgexecutor/loss.go
@@ -14,6 +14,10 @@
 	// were sent to the previous one.
 	lossRestarted struct{}
 
+	// lossIdentified means that a reply names a start time, and none was known before. It may be that of the same incarnation or of
+	// the next one.
+	lossIdentified struct{}
+
 	// lossLeaseExpired means that every lease has expired, so that all runs have ended.
 	lossLeaseExpired struct{}
 
@@ -24,6 +28,7 @@
 func (lossDeregistered) isLossCause() {}
 func (lossReplaced) isLossCause()     {}
 func (lossRestarted) isLossCause()    {}
+func (lossIdentified) isLossCause()   {}
 func (lossLeaseExpired) isLossCause() {}
 func (lossFenced) isLossCause()       {}
 
@@ -36,6 +41,8 @@
 		return "replaced"
 	case lossRestarted:
 		return "restarted"
+	case lossIdentified:
+		return "identified"
 	case lossLeaseExpired:
 		return "leaseExpired"
 	case lossFenced:
@@ -48,7 +55,7 @@
 // mayStillRun reports whether the run may go on after the loss.
 func mayStillRun(los lossCause, run *Run) bool {
 	switch los.(type) {
-	case lossDeregistered, lossReplaced, lossFenced:
+	case lossDeregistered, lossReplaced, lossIdentified, lossFenced:
 		return true
 	case lossRestarted:
 		return !run.StartConfirmed
--- a/core/rgexecutor/loss_test.go
+++ b/core/rgexecutor/loss_test.go
@@ -25,6 +25,12 @@
 		exe.Incarnation.ID = "i-2"
 		har.announce(exe)
 	},
+	"another id reports and replies": func(har *harness) {
+		exe := newExecutor(2)
+		exe.Incarnation.ID = "i-2"
+		har.announce(exe)
+		har.replyFromNewIncarnation(false)
+	},
 	"another id replies": func(har *harness) { har.replyFromNewIncarnation(false) },
 	"another id replies to a stop": func(har *harness) {
 		ord := rgmodel.StopOrder{Incarnation: har.sta.Executor.Incarnation, FenceToken: har.sta.FenceToken}
--- a/core/rgexecutor/query_capacity.go
+++ b/core/rgexecutor/query_capacity.go
@@ -27,7 +27,7 @@
 func maxTimeLeft(sta *State, now time.Time, los lossCause, run *Run) time.Duration {
 	left := leaseLeft(sta, now)
 	switch los.(type) {
-	case lossDeregistered, lossRestarted:
+	case lossDeregistered, lossRestarted, lossIdentified:
 		if !run.StartConfirmed {
 			return max(left, maxUnrenewedRunTime(sta))
 		}
--- a/core/rgexecutor/query_report.go
+++ b/core/rgexecutor/query_report.go
@@ -53,6 +53,14 @@
 		!mayRun(sta, func(act AcceptedTask) bool { return act.Conn != id && sta.Conns[act.Conn] == nil })
 }
 
+// Description returns the description of the known incarnation, or the zero value if there is none.
+func Description(sta *State) rgmodel.Executor {
+	if sta.Phase == PhaseNoExecutor || sta.Undescribed {
+		return rgmodel.Executor{}
+	}
+	return sta.Executor
+}
+
 // HasRuns reports whether a task of any entry may be running.
 func HasRuns(sta *State) bool { return len(sta.Runs) > 0 || len(sta.Orphans) > 0 }
 
--- a/core/rgexecutor/return_test.go
+++ b/core/rgexecutor/return_test.go
@@ -35,6 +35,7 @@
 	},
 	"executor has restarted": func(_ *testing.T, har *harness) {
 		har.announce(newExecutor(2))
+		har.replyFromNewIncarnation(true)
 	},
 	"executor is ejected": func(_ *testing.T, har *harness) {
 		failed := rgmodel.TaskKey{Job: "failed"}
--- a/core/rgsimulation/simulation_test.go
+++ b/core/rgsimulation/simulation_test.go
@@ -157,6 +157,8 @@
 	overloaded    bool
 	// heldPercent and leavingPercent are the shares of requests that are held back and of callers that leave early.
 	heldPercent, leavingPercent int
+	// lateHeartbeats is the share of heartbeats that are late.
+	lateHeartbeats int
 	// live holds the runs of each task.
 	live      map[rgmodel.TaskKey][]*run
 	lastEnds  map[reportedTask]rgmodel.TaskEnd
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -102,18 +102,25 @@
 }
 
 func (pro *Process) updateExecutor(workCtx context.Context, sta *State, now time.Time, exe rgmodel.Executor) {
-	before, known := sta.ExecutorState.Executor, sta.ExecutorState.Phase != rgexecutor.PhaseNoExecutor && !sta.ExecutorState.Undescribed
+	before := rgexecutor.Description(&sta.ExecutorState)
 	pro.logHeartbeat(sta, now, exe)
 	efs := rgexecutor.UpdateExecutor(&sta.ExecutorState, now, exe)
-	if exe = sta.ExecutorState.Executor; !known || !sameExecutor(before, exe) {
-		pro.log.Info("executor", zap.String("id", exe.Incarnation.ID), zap.Int64("born", exe.Incarnation.StartedMillis),
-			zap.Bool("draining", exe.Draining), zap.Float64("cores", exe.Capacity.Cores))
-		pro.queueSave(exe)
-		rgexecutor.MarkLoadChanged(&sta.ExecutorState)
-	}
+	pro.recordExecutor(sta, before)
 	pro.perform(workCtx, sta, efs)
 }
 
+// recordExecutor logs and saves the description of the executor if it has changed.
+func (pro *Process) recordExecutor(sta *State, before rgmodel.Executor) {
+	exe := rgexecutor.Description(&sta.ExecutorState)
+	if exe.Service == "" || sameExecutor(before, exe) {
+		return
+	}
+	pro.log.Info("executor", zap.String("id", exe.Incarnation.ID), zap.Int64("born", exe.Incarnation.StartedMillis),
+		zap.Bool("draining", exe.Draining), zap.Float64("cores", exe.Capacity.Cores))
+	pro.queueSave(exe)
+	rgexecutor.MarkLoadChanged(&sta.ExecutorState)
+}
+
 // logHeartbeat logs a heartbeat that contradicts what the executor's replies have shown, with the state before it takes effect.
 func (pro *Process) logHeartbeat(sta *State, now time.Time, exe rgmodel.Executor) {
 	if sta.ExecutorState.Phase == rgexecutor.PhaseNoExecutor {
@@ -143,7 +150,7 @@
 }
 
 func (pro *Process) handleOrderReply(workCtx context.Context, sta *State, now time.Time, evt OrderReplied) {
-	phase := sta.ExecutorState.Phase
+	phase, before := sta.ExecutorState.Phase, rgexecutor.Description(&sta.ExecutorState)
 	var efs []rgexecutor.Effect
 	switch ord := evt.Order.(type) {
 	case rgmodel.StartOrder:
@@ -163,6 +170,7 @@
 			zap.Uint64("fence", sta.ExecutorState.FenceToken))
 		rgexecutor.MarkLoadChanged(&sta.ExecutorState)
 	}
+	pro.recordExecutor(sta, before)
 	pro.perform(workCtx, sta, efs)
 }
 
--- a/io/rgorders/process.go
+++ b/io/rgorders/process.go
@@ -22,8 +22,8 @@
 const (
 	// drainMargin is the part of the drain timeout that is left when the drain no longer waits for runs.
 	drainMargin = 1500 * time.Millisecond
-	// tolerableClockLead is how far the clock of a heartbeat may be ahead of the one estimated from the replies without being logged. A reply
-	// may take some tens of milliseconds, and an executor's clock does not gain on real time.
+	// tolerableClockLead is how far the clock of a heartbeat may be ahead of the one estimated from the replies without being logged. A
+	// reply may take some tens of milliseconds, and an executor's clock does not gain on real time.
 	tolerableClockLead = 250 * time.Millisecond
 	// listInterval is how often the entries in the store are listed while none is connected.
 	listInterval = time.Second
