core/rgexecutor: clock, leases and fencing token come from replies only

What callers saw: two runs of a task at the same time, when a lost entry's tasks went on for longer than the lease that its callers count on.

Cause: a heartbeat of the known incarnation moved the clock. One that is an hour ahead makes leases last for the longest time that the executor grants instead of 0.7 of it, and late orders are no longer rejected for their own lease; with the largest integer the sum overflows. The fencing token was taken from that clock, and a process that restored the executor from the store began with 1, like the one before it. Without any false heartbeat, a lease requested after an idle time was longer by 2 % of it on a slow clock.

Change: only replies to orders move the clock. A takeover begins with the token of the process + 1; once a reply has shown the clock, the token is raised to it and polled again before the sidecar serves. A lease counts from the earliest time that the clock can show, so it is at most 714 ms however old the last reading is, and a heartbeat of the known incarnation makes the sidecar poll an idle executor whose clock was last read more than a second ago. Differences and sums of clocks are limited. A reply's clock that is far ahead is taken as it is: whatever answers there has that clock, and leases by the clock before have expired on it.

The test harness replies to two polls before the sidecar serves, where it replied to one.

--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -22,9 +22,9 @@
 		exe = sta.Executor
 		exe.Incarnation, exe.Sequence = next, 0
 	}
-	exe.Clock = rep.Clock
+	exe.Clock = max(rep.Clock, 0)
 	sta.Restarted = slices.DeleteFunc(sta.Restarted, func(inc rgmodel.ExecutorIncarnation) bool { return inc == next })
-	efs = append(efs, adoptIncarnation(sta, now, exe)...)
+	efs = append(efs, adoptIncarnation(sta, now, exe, now)...)
 	sta.Undescribed = !announced
 	return efs
 }
@@ -39,15 +39,18 @@
 		return efs
 	}
 	exe, _ := takeAnnounced(sta, sta.Announced[len(sta.Announced)-1].Incarnation)
-	return append(efs, adoptIncarnation(sta, now, exe)...)
+	return append(efs, adoptIncarnation(sta, now, exe, time.Time{})...)
 }
 
-// adoptIncarnation begins to take control of a new incarnation of the executor.
-func adoptIncarnation(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
+// adoptIncarnation begins to take control of a new incarnation of the executor. readAt is when its clock was read from a reply, or zero.
+func adoptIncarnation(sta *State, now time.Time, exe rgmodel.Executor, readAt time.Time) []Effect {
 	takeAnnounced(sta, exe.Incarnation)
+	if readAt.IsZero() {
+		exe.Clock = 0
+	}
 	sta.Executor = exe
 	sta.Undescribed = false
-	sta.ClockReadAt = now
+	sta.ClockReadAt = readAt
 	sta.Slowdown = 0
 	sta.Health = Health{}
 	return takeControl(sta, now)
@@ -64,20 +67,31 @@
 }
 
 // takeControl raises the fencing token, so that orders of earlier sidecar processes are refused, and polls for the runs that
-// they started. The token is taken from the executor's clock, which makes it higher than that of an earlier process. If that
-// process came from an incarnation whose clock was further on, its token may be higher: see retakeControl.
+// they started. The token is taken from the executor's clock, which makes it higher than that of an earlier process. Until a reply has
+// shown the clock, it is only higher than the last one of this process: see raiseToken. If the earlier process came from an incarnation
+// whose clock was further on, its token may be higher: see retakeControl.
 func takeControl(sta *State, now time.Time) []Effect {
 	sta.Phase = PhaseFencing
 	if !sta.HadControl {
 		// An earlier process may have sent a start order that is still on its way.
 		sta.LateStartPossibleAt = now
 	}
-	sta.FenceToken = max(sta.FenceToken+1, uint64(max(sta.Executor.Clock, 1)))
+	sta.FenceToken = max(sta.FenceToken+1, uint64(sta.Executor.Clock))
+	sta.TokenRaised = !sta.ClockReadAt.IsZero()
 	sta.AckedSequence = 0
 	sta.UntrackedRuns = nil
+	sta.Polls = nil
 	return sendPolls(sta, now)
 }
 
+// raiseToken takes control again with a token from the clock that the first reply has shown. Two processes that know no clock begin with
+// the same token, and a clock that comes from elsewhere may be false.
+func raiseToken(sta *State, now time.Time) []Effect {
+	efs := takeControl(sta, now)
+	sta.TokenRaised = true
+	return efs
+}
+
 // loseExecutor abandons the current incarnation, which has ended or is about to end, and waits for the next one.
 func loseExecutor(sta *State, now time.Time, rsn rgmodel.Reason, los lossCause) []Effect {
 	efs := abandonIncarnation(sta, now, rsn, los)
@@ -211,16 +225,17 @@
 	if inc != sta.Executor.Incarnation || rep.StartedMillis != 0 && rep.StartedMillis != inc.StartedMillis {
 		return false
 	}
-	if rep.Clock > sta.Executor.Clock {
-		sta.Executor.Clock = rep.Clock
+	if rep.Clock > sta.Executor.Clock || sta.ClockReadAt.IsZero() {
+		sta.Executor.Clock = max(rep.Clock, 0)
 		sta.ClockReadAt = now
 	}
 	return true
 }
 
-// extendLease returns the end of the lease for an order that is sent now, and records it.
+// extendLease returns the end of the lease for an order that is sent now, and records it. It counts from the earliest time that the clock
+// can show, so that no lease is longer than the bounds which rest on it, however old the last reading is.
 func extendLease(sta *State, now time.Time) rgmodel.ExecutorTime {
-	end := sta.Executor.Clock + rgmodel.ExecutorTime((now.Sub(sta.ClockReadAt) + LeaseTime(sta)).Milliseconds())
+	end := addMillis(earliestClock(sta, now), LeaseTime(sta))
 	sta.LeaseEnd = max(sta.LeaseEnd, end)
 	return end
 }
--- a/core/rgexecutor/command_heartbeat.go
+++ b/core/rgexecutor/command_heartbeat.go
@@ -7,9 +7,14 @@
 	"ragwortgap/core/rgmodel"
 )
 
-// maxAnnounced is the number of announced incarnations that are kept. There is one at a time, and more only if another writer sends
-// heartbeats.
-const maxAnnounced = 4
+const (
+	// maxAnnounced is the number of announced incarnations that are kept. There is one at a time, and more only if another writer sends
+	// heartbeats.
+	maxAnnounced = 4
+	// maxReadingAge is the age of the last reading of the clock above which a heartbeat makes the sidecar poll an idle executor. The next
+	// lease is shorter by 2 % of that age.
+	maxReadingAge = time.Second
+)
 
 // UpdateExecutor handles a heartbeat, or the description that an earlier process has saved. It describes the known incarnation. One of
 // another incarnation may be delayed or come from another writer, so it changes nothing and makes the sidecar ask: only the reply to an
@@ -23,7 +28,7 @@
 		// Its start time may be later than that of the current incarnation, if the machine's clock was set back.
 		return nil
 	case sta.Phase == PhaseNoExecutor:
-		return adoptIncarnation(sta, now, exe)
+		return adoptIncarnation(sta, now, exe, time.Time{})
 	case exe.Incarnation != sta.Executor.Incarnation:
 		return announceIncarnation(sta, now, exe)
 	default:
@@ -31,24 +36,24 @@
 	}
 }
 
-// describeIncarnation stores the description of the known incarnation, unless a newer one is known.
+// describeIncarnation stores the description of the known incarnation, unless a newer one is known. It does not store the clock: a false
+// one would make leases longer. If the last reading is old, it asks for one.
 func describeIncarnation(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
 	if exe.Sequence <= sta.Executor.Sequence && !sta.Undescribed {
 		return nil
 	}
 	sta.Undescribed = false
 	drained := exe.Draining && !sta.Executor.Draining
-	if exe.Clock > sta.Executor.Clock {
-		sta.ClockReadAt = now
-	} else {
-		// A reply to an order arrived before this report and has a newer reading of the clock.
-		exe.Clock = sta.Executor.Clock
-	}
+	exe.Clock = sta.Executor.Clock
 	sta.Executor = exe
 	if drained {
 		return returnQueue(sta, rgmodel.ReasonDraining)
 	}
-	return startQueued(sta, now)
+	efs := startQueued(sta, now)
+	if len(sta.Polls) == 0 && sinceReading(sta, now) > maxReadingAge {
+		efs = append(efs, askExecutor(sta, now)...)
+	}
+	return efs
 }
 
 // announceIncarnation keeps the description of an incarnation that no reply has shown yet, and asks the known one. An idle executor is
--- a/core/rgexecutor/command_poll.go
+++ b/core/rgexecutor/command_poll.go
@@ -79,6 +79,9 @@
 	if rep.Refusal != rgmodel.RefusalNone {
 		return nil
 	}
+	if !sta.TokenRaised {
+		return raiseToken(sta, now)
+	}
 	sta.Counts.MalformedRuns += uint64(rep.MalformedRuns)
 	efs := handleEnds(sta, now, rep.Ended)
 	if outdated && sta.Phase == PhaseServing {
--- a/core/rgexecutor/control_test.go
+++ b/core/rgexecutor/control_test.go
@@ -43,10 +43,15 @@
 // takeControlOf reports the executor to the sidecar and carries out its orders until it has control, or up to the limit. It returns the
 // number of orders.
 func takeControlOf(sta *State, exe *simExecutor, limit int) int {
+	return takeControlByDescription(sta, exe, rgmodel.ExecutorTime(exe.clock), limit)
+}
+
+// takeControlByDescription does so with a description that shows the given clock.
+func takeControlByDescription(sta *State, exe *simExecutor, clk rgmodel.ExecutorTime, limit int) int {
 	now := exe.sim.now
 	efs := UpdateExecutor(sta, now, rgmodel.Executor{
 		Incarnation: exe.incarnation(), Service: "desk", Capacity: rgmodel.Resources{Cores: simCores},
-		Clock: rgmodel.ExecutorTime(exe.clock),
+		Clock: clk,
 	})
 	orders := 0
 	for sta.Phase != PhaseServing && orders < limit {
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -55,7 +55,7 @@
 	connDrainTime = time.Second
 	// runNumberTTL is how long the last run number of a task is kept.
 	runNumberTTL = 30 * time.Second
-	// maxClockLead limits the reported lead of a clock, so that no reading exceeds the range of a duration.
+	// maxClockLead limits differences between clocks, so that none exceeds the range of a duration.
 	maxClockLead = 1000 * time.Hour
 	// defaultMeanCores is the assumed number of cores per task while nothing runs.
 	defaultMeanCores = 1
@@ -246,7 +246,10 @@
 		// HadControl is set once this process has controlled an incarnation of the executor.
 		HadControl bool
 		FenceToken uint64
-		// ClockReadAt is when Executor.Clock was received. The executor's clock showed it at that time or before.
+		// TokenRaised is set if FenceToken was taken from a clock that a reply of the known incarnation has shown.
+		TokenRaised bool
+		// ClockReadAt is when Executor.Clock was received in the reply to an order, or zero. The executor's clock showed it at that time or
+		// before.
 		ClockReadAt time.Time
 		// LeaseEnd is the latest end of the leases of all orders.
 		LeaseEnd      rgmodel.ExecutorTime
--- a/core/rgexecutor/query_capacity.go
+++ b/core/rgexecutor/query_capacity.go
@@ -1,6 +1,7 @@
 package rgexecutor
 
 import (
+	"math"
 	"time"
 
 	"ragwortgap/core/rgmodel"
@@ -134,23 +135,47 @@
 }
 
 // ClockLead returns how far a reading of the executor's clock is ahead of the clock that is estimated from the last reading, at most
-// maxClockLead.
+// maxClockLead. It is zero if there is no reading yet.
 func ClockLead(sta *State, now time.Time, clk rgmodel.ExecutorTime) time.Duration {
-	lead := min(clk-sta.Executor.Clock, rgmodel.ExecutorTime(maxClockLead.Milliseconds()))
-	return time.Duration(lead)*time.Millisecond - now.Sub(sta.ClockReadAt)
+	if sta.ClockReadAt.IsZero() {
+		return 0
+	}
+	return clockDifference(clk, sta.Executor.Clock) - sinceReading(sta, now)
+}
+
+// clockDifference returns the difference between two readings, neither of which is negative, at most maxClockLead either way.
+func clockDifference(one, two rgmodel.ExecutorTime) time.Duration {
+	limit := rgmodel.ExecutorTime(maxClockLead.Milliseconds())
+	return time.Duration(min(max(one-two, -limit), limit)) * time.Millisecond
+}
+
+// addMillis adds a duration to a reading that is not negative.
+func addMillis(clk rgmodel.ExecutorTime, dur time.Duration) rgmodel.ExecutorTime {
+	ms := rgmodel.ExecutorTime(dur.Milliseconds())
+	if clk > math.MaxInt64-ms {
+		return math.MaxInt64
+	}
+	return clk + ms
+}
+
+// sinceReading returns the age of the last reading of the executor's clock, at most maxClockLead, or zero if there is none.
+func sinceReading(sta *State, now time.Time) time.Duration {
+	if sta.ClockReadAt.IsZero() {
+		return 0
+	}
+	return min(max(now.Sub(sta.ClockReadAt), 0), maxClockLead)
 }
 
 // leaseLeft returns the time until every run has ended by the expiry of its lease, even by the slowest clock that an executor may
 // have. It is negative if all leases have expired.
 func leaseLeft(sta *State, now time.Time) time.Duration {
-	left := float64(sta.LeaseEnd - sta.Executor.Clock)
-	onClock := time.Duration(left)*time.Millisecond + sta.Limits.TaskStopTime
-	return time.Duration(float64(onClock)/minClockRate) - now.Sub(sta.ClockReadAt)
+	onClock := clockDifference(sta.LeaseEnd, sta.Executor.Clock) + sta.Limits.TaskStopTime
+	return time.Duration(float64(onClock)/minClockRate) - sinceReading(sta, now)
 }
 
 // earliestClock returns the earliest time that the executor's clock can show now.
 func earliestClock(sta *State, now time.Time) rgmodel.ExecutorTime {
-	return sta.Executor.Clock + rgmodel.ExecutorTime(minClockRate*float64(now.Sub(sta.ClockReadAt).Milliseconds()))
+	return addMillis(sta.Executor.Clock, time.Duration(minClockRate*float64(sinceReading(sta, now))))
 }
 
 // fits reports whether the task fits into the free part of the allocatable resources. A recovering executor gets one run even
--- a/core/rgsimulation/heartbeatfault_test.go
+++ b/core/rgsimulation/heartbeatfault_test.go
@@ -46,6 +46,7 @@
 	"late":                             {delayHeartbeats{percent: 30}},
 	"start time forged":                {forgeStartTime{}},
 	"id forged":                        {forgeID{}},
+	"clock forged":                     {forgeClock{}},
 	"sequence forged":                  {forgeSequence{}},
 	"clock set back":                   {setClockBack{}, restartExecutor{}},
 	"late, executor restarted":         {delayHeartbeats{percent: 50}, restartExecutor{}, setClockBack{}},
@@ -53,7 +54,14 @@
 	"late, executor leaves":            {delayHeartbeats{percent: 50}, deregisterExecutor{}, setClockBack{}, killSidecar{}},
 	"start time forged, both restart":  {forgeStartTime{}, restartExecutor{}, killSidecar{}},
 	"id forged, executor replaced":     {forgeID{}, replaceExecutor{}, restartExecutor{}},
+	"clock forged, sidecar killed":     {forgeClock{}, killSidecar{}, killEntry{}, loseOrders{percent: 20}},
+	"clock forged, orders late":        {forgeClock{}, delayOrders{percent: 8, minDelay: maxOrderLatency}, killEntry{}, cutLink{}},
+	"clock forged, long tasks":         {longTasks{}, forgeClock{}, loseEntry{}, slowSidecar{}, loseOrders{percent: 30}},
 	"sequence forged, executor leaves": {forgeSequence{}, deregisterExecutor{}},
+	"all forged, orders late": {
+		forgeStartTime{}, forgeID{}, forgeClock{}, forgeSequence{}, delayOrders{percent: 8, minDelay: maxOrderLatency}, restartExecutor{},
+		killSidecar{}, killEntry{},
+	},
 }
 
 // TestNoConcurrentRunsWithFalseHeartbeats guards against a task that has two runs at the same time because a heartbeat that is delayed or
