--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -7,62 +7,50 @@
 	"ragwortgap/core/rgmodel"
 )
 
-// UpdateExecutor stores the description that an executor reported, unless a newer one is known.
-func UpdateExecutor(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
+// followRestart takes control of the next incarnation with the same id as soon as it replies to an order. Until it has seen a higher
+// fencing token, it carries out start orders that were sent to the previous one.
+func followRestart(sta *State, now time.Time, rep rgmodel.OrderReply) []Effect {
 	cur := sta.Executor.Incarnation
-	switch {
-	case exe.Incarnation.StartedMillis != 0 && exe.Incarnation == sta.Deregistered:
-		// The heartbeat was sent before the deregistration and delayed.
-		return nil
-	case exe.Incarnation.StartedMillis != 0 && slices.Contains(sta.Restarted, exe.Incarnation):
-		// Its start time may be later than that of the current incarnation, if the machine's clock was set back.
-		return nil
-	case sta.Phase != PhaseNoExecutor && exe.Incarnation.StartedMillis < cur.StartedMillis:
-		// It is delayed, or the machine's clock was set back before a restart. Polls show which of the two.
-		sta.LateStartPossibleAt = now
-		return sendPolls(sta, now)
-	case sta.Phase != PhaseNoExecutor && exe.Incarnation == cur:
-		if exe.Sequence <= sta.Executor.Sequence && !sta.Undescribed {
-			return nil
-		}
-		sta.Undescribed = false
-		drained := exe.Draining && !sta.Executor.Draining
-		if exe.Clock > sta.Executor.Clock {
-			sta.ClockReadAt = now
-		} else {
-			// A reply to an order arrived before this report and has a newer reading of the clock.
-			exe.Clock = sta.Executor.Clock
-		}
-		sta.Executor = exe
-		if drained {
-			return returnQueue(sta, rgmodel.ReasonDraining)
-		}
-		return startQueued(sta, now)
-	default:
-		var los lossCause = lossRestarted{}
-		if exe.Incarnation.ID != cur.ID {
-			los = lossReplaced{}
-		}
-		efs := abandonIncarnation(sta, now, rgmodel.ReasonSidecarLost, los)
-		sta.Undescribed = false
-		return append(efs, adoptIncarnation(sta, now, exe)...)
+	var los lossCause = lossRestarted{}
+	if cur.StartedMillis == 0 {
+		los = lossIdentified{}
 	}
+	efs := abandonIncarnation(sta, now, rgmodel.ReasonSidecarLost, los)
+	next := rgmodel.ExecutorIncarnation{ID: cur.ID, StartedMillis: rep.StartedMillis}
+	exe, announced := takeAnnounced(sta, next)
+	if !announced {
+		exe = sta.Executor
+		exe.Incarnation, exe.Sequence = next, 0
+	}
+	exe.Clock = max(rep.Clock, 0)
+	sta.Restarted = slices.DeleteFunc(sta.Restarted, func(inc rgmodel.ExecutorIncarnation) bool { return inc == next })
+	efs = append(efs, adoptIncarnation(sta, now, exe, now)...)
+	sta.Undescribed = !announced
+	return efs
 }
 
-// followRestart takes control of the next incarnation with the same id as soon as it replies to an order. Until it has seen a higher
-// fencing token, it carries out start orders that were sent to the previous one, and its first heartbeat may be a second away.
-func followRestart(sta *State, now time.Time, rep rgmodel.OrderReply) []Effect {
-	efs := abandonIncarnation(sta, now, rgmodel.ReasonSidecarLost, lossRestarted{})
-	exe := sta.Executor
-	exe.Incarnation.StartedMillis, exe.Clock, exe.Sequence = rep.StartedMillis, rep.Clock, 0
-	sta.Undescribed = true
-	return append(efs, adoptIncarnation(sta, now, exe)...)
+// loseReplaced handles the reply of an executor with another id than the known one. If another id was announced, the executor with that
+// id is asked next.
+func loseReplaced(sta *State, now time.Time) []Effect {
+	efs := loseExecutor(sta, now, rgmodel.ReasonSidecarLost, lossReplaced{})
+	id := sta.Executor.Incarnation.ID
+	sta.Announced = slices.DeleteFunc(sta.Announced, func(exe rgmodel.Executor) bool { return exe.Incarnation.ID == id })
+	if len(sta.Announced) == 0 {
+		return efs
+	}
+	exe, _ := takeAnnounced(sta, sta.Announced[len(sta.Announced)-1].Incarnation)
+	return append(efs, adoptIncarnation(sta, now, exe, time.Time{})...)
 }
 
-// adoptIncarnation begins to take control of a new incarnation of the executor.
-func adoptIncarnation(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
+// adoptIncarnation begins to take control of a new incarnation of the executor. readAt is when its clock was read from a reply, or zero.
+func adoptIncarnation(sta *State, now time.Time, exe rgmodel.Executor, readAt time.Time) []Effect {
+	takeAnnounced(sta, exe.Incarnation)
+	if readAt.IsZero() {
+		exe.Clock = 0
+	}
 	sta.Executor = exe
-	sta.ClockReadAt = now
+	sta.Undescribed = false
+	sta.ClockReadAt = readAt
 	sta.Slowdown = 0
 	sta.Health = Health{}
 	return takeControl(sta, now)
@@ -79,20 +67,31 @@
 }
 
 // takeControl raises the fencing token, so that orders of earlier sidecar processes are refused, and polls for the runs that
-// they started. The token is taken from the executor's clock, which makes it higher than that of an earlier process. If that
-// process came from an incarnation whose clock was further on, its token may be higher: see retakeControl.
+// they started. The token is taken from the executor's clock, which makes it higher than that of an earlier process. Until a reply has
+// shown the clock, it is only higher than the last one of this process: see raiseToken. If the earlier process came from an incarnation
+// whose clock was further on, its token may be higher: see retakeControl.
 func takeControl(sta *State, now time.Time) []Effect {
 	sta.Phase = PhaseFencing
 	if !sta.HadControl {
 		// An earlier process may have sent a start order that is still on its way.
 		sta.LateStartPossibleAt = now
 	}
-	sta.FenceToken = max(sta.FenceToken+1, uint64(max(sta.Executor.Clock, 1)))
+	sta.FenceToken = max(sta.FenceToken+1, uint64(sta.Executor.Clock))
+	sta.TokenRaised = !sta.ClockReadAt.IsZero()
 	sta.AckedSequence = 0
 	sta.UntrackedRuns = nil
+	sta.Polls = nil
 	return sendPolls(sta, now)
 }
 
+// raiseToken takes control again with a token from the clock that the first reply has shown. Two processes that know no clock begin with
+// the same token, and a clock that comes from elsewhere may be false.
+func raiseToken(sta *State, now time.Time) []Effect {
+	efs := takeControl(sta, now)
+	sta.TokenRaised = true
+	return efs
+}
+
 // loseExecutor abandons the current incarnation, which has ended or is about to end, and waits for the next one.
 func loseExecutor(sta *State, now time.Time, rsn rgmodel.Reason, los lossCause) []Effect {
 	efs := abandonIncarnation(sta, now, rsn, los)
@@ -226,16 +225,17 @@
 	if inc != sta.Executor.Incarnation || rep.StartedMillis != 0 && rep.StartedMillis != inc.StartedMillis {
 		return false
 	}
-	if rep.Clock > sta.Executor.Clock {
-		sta.Executor.Clock = rep.Clock
+	if rep.Clock > sta.Executor.Clock || sta.ClockReadAt.IsZero() {
+		sta.Executor.Clock = max(rep.Clock, 0)
 		sta.ClockReadAt = now
 	}
 	return true
 }
 
-// extendLease returns the end of the lease for an order that is sent now, and records it.
+// extendLease returns the end of the lease for an order that is sent now, and records it. It counts from the earliest time that the clock
+// can show, so that no lease is longer than the bounds which rest on it, however old the last reading is.
 func extendLease(sta *State, now time.Time) rgmodel.ExecutorTime {
-	end := sta.Executor.Clock + rgmodel.ExecutorTime((now.Sub(sta.ClockReadAt) + LeaseTime(sta)).Milliseconds())
+	end := addMillis(earliestClock(sta, now), LeaseTime(sta))
 	sta.LeaseEnd = max(sta.LeaseEnd, end)
 	return end
 }
--- a/core/rgexecutor/command_poll.go
+++ b/core/rgexecutor/command_poll.go
@@ -66,7 +66,7 @@
 		return sendPolls(sta, now)
 	}
 	if rep.Refusal == rgmodel.RefusalWrongIncarnation {
-		return loseExecutor(sta, now, rgmodel.ReasonSidecarLost, lossReplaced{})
+		return loseReplaced(sta, now)
 	}
 	if repliedByNext(sta, ord.Incarnation, rep) {
 		return followRestart(sta, now, rep)
@@ -79,6 +79,9 @@
 	if rep.Refusal != rgmodel.RefusalNone {
 		return nil
 	}
+	if !sta.TokenRaised {
+		return raiseToken(sta, now)
+	}
 	sta.Counts.MalformedRuns += uint64(rep.MalformedRuns)
 	efs := handleEnds(sta, now, rep.Ended)
 	if outdated && sta.Phase == PhaseServing {
