core/rgexecutor: a run with an earlier start order on its way is an orphan after a restart

What callers saw: possibly two runs of a task at the same time. A start order gets no reply, its run is stopped, and the task is started again, which the executor confirms. Then the executor restarts under its id. The sidecar reported the task as lost in the same moment, because its last start was confirmed, and the entry placed it elsewhere, while the new incarnation may carry out the first order: the confirmed stop has excluded it on the last incarnation only.

Cause: mayStillRun looked at the last start order and not at the earlier ones.

Evidence, before the change:

--- FAIL: TestLateStartAcrossRestart/next_start_confirmed (0.00s) late_start_test.go:41: task is reported as lost although the new incarnation may carry out its first start order

Change: such a run is an orphan until the sidecar controls the new incarnation. Runs whose only start order was confirmed are reported at once, as before.

--- /dev/null
+++ b/core/rgexecutor/late_start_test.go
@@ -0,0 +1,47 @@
+package rgexecutor
+
+import (
+	"testing"
+
+	"ragwortgap/core/rgmodel"
+)
+
+// lateStartTests contains what has become of a task, whose first start order got no reply, when its executor restarts.
+var lateStartTests = map[string]func(t *testing.T, har *harness){
+	"next start confirmed": func(t *testing.T, har *harness) {
+		har.replyToPoll(t, nil, nil)
+		if starts := har.replyToStarts(har.acceptedReply()); starts != 1 {
+			t.Fatalf("%d starts after the first one was excluded, want 1", starts)
+		}
+	},
+}
+
+// TestLateStartAcrossRestart guards against two runs of a task at the same time: the executor restarts under its id, the sidecar reports
+// the task as lost, so that its entry places it elsewhere, and the next incarnation carries out an earlier start order of the task that
+// got no reply. The confirmed stop has excluded that order on the last incarnation only.
+func TestLateStartAcrossRestart(t *testing.T) {
+	for name, prepare := range lateStartTests {
+		t.Run(name, func(t *testing.T) {
+			har := newHarness(t)
+			har.place("job", 1)
+			har.replyToStarts(rgmodel.OrderReply{})
+			har.replyToStops(har.acceptedReply())
+			prepare(t, har)
+			har.takeEffects()
+			har.replyFromNewIncarnation(true)
+			if har.takeLossReports() {
+				t.Fatal("task is reported as lost although the new incarnation may carry out its first start order")
+			}
+			late := []rgmodel.RunningRun{{Task: rgmodel.TaskKey{Job: "job"}, Run: 1}}
+			har.replyToPoll(t, late, nil)
+			if har.takeLossReports() {
+				t.Fatal("task is reported as lost while the new incarnation runs it")
+			}
+			har.advance(TickInterval)
+			har.replyToPoll(t, nil, nil)
+			if !har.takeLossReports() {
+				t.Error("task is not reported as lost although it can no longer run")
+			}
+		})
+	}
+}
--- a/core/rgexecutor/loss.go
+++ b/core/rgexecutor/loss.go
@@ -51,8 +51,14 @@
 	case lossDeregistered, lossReplaced, lossFenced:
 		return true
 	case lossRestarted:
-		return !run.StartConfirmed
+		return mayStartLate(run)
 	default:
 		return false
 	}
 }
+
+// mayStartLate reports whether a start order of the run is possibly on its way, so that the next incarnation with the same id may carry
+// it out: the last one, if the known incarnation has not confirmed it, or an earlier one without a reply.
+func mayStartLate(run *Run) bool {
+	return !run.StartConfirmed || run.AcceptedTask.UnrefusedStarts > 1
+}
--- a/core/rgexecutor/query_capacity.go
+++ b/core/rgexecutor/query_capacity.go
@@ -28,7 +28,7 @@
 	left := leaseLeft(sta, now)
 	switch los.(type) {
 	case lossDeregistered, lossRestarted:
-		if !run.StartConfirmed {
+		if mayStartLate(run) {
 			return max(left, maxUnrenewedRunTime(sta))
 		}
 	}
