core/rgexecutor: a queued task with a start order on its way is an orphan after a restart

What callers saw: possibly two runs of a task at the same time. A start order gets no reply, its run is stopped, and the task is queued again. Then the executor restarts under its id. The sidecar returned its queue in the same moment, and the entry placed the task elsewhere, while the new incarnation may carry out the order until it has seen a higher fencing token.

Evidence, before the change:

--- FAIL: TestLateStartAcrossRestart/queued_again (0.00s) late_start_test.go:41: task is reported as lost although the new incarnation may carry out its first start order

Change: such a task is an orphan until the sidecar controls the new incarnation, which takes a reply to one poll. Queued tasks without such an order are returned at once, as before. After a deregistration or the expiry of the lease, such tasks are also returned at once, because no new incarnation is known that could be brought under control.

TestReturnAfterUnansweredStart demanded the report in the moment of the restart. Its row "executor has restarted" now lets the new incarnation reply to the next poll, and demands the same single report with the same status and number of starts.

--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -114,7 +114,7 @@
 func abandonIncarnation(sta *State, now time.Time, rsn rgmodel.Reason, los lossCause) []Effect {
 	log := LogLoss{Cause: lossName(los), Incarnation: sta.Executor.Incarnation, Queued: len(sta.Queue), LeaseLeft: leaseLeft(sta, now)}
 	controlled := sta.Phase != PhaseNoExecutor
-	efs := returnQueue(sta, rsn)
+	efs := abandonQueue(sta, now, rsn, los)
 	for _, run := range sta.Runs {
 		if run.StartConfirmed {
 			log.Confirmed++
@@ -126,10 +126,7 @@
 			continue
 		}
 		if mayStillRun(los, run) {
-			sta.Orphans = append(sta.Orphans, OrphanedTask{
-				AcceptedTask: run.AcceptedTask, Reason: rsn, ExecutorID: sta.Executor.Incarnation.ID,
-				EndedBy: now.Add(maxTimeLeft(sta, now, los, run)),
-			})
+			addOrphan(sta, run.AcceptedTask, rsn, now.Add(maxTimeLeft(sta, now, los, run)))
 			continue
 		}
 		efs = append(efs, reportEnd(sta, run.AcceptedTask, rgmodel.EndLost, rsn, 0))
@@ -146,6 +143,30 @@
 	return efs
 }
 
+// abandonQueue returns the queued tasks of an incarnation that is abandoned. After a restart, tasks become orphans if a start order of
+// them got no reply, because the new incarnation may carry it out until it is under control.
+func abandonQueue(sta *State, now time.Time, rsn rgmodel.Reason, los lossCause) []Effect {
+	if _, restarted := los.(lossRestarted); restarted {
+		kept := sta.Queue[:0]
+		for _, act := range sta.Queue {
+			if act.UnrefusedStarts > 0 {
+				addOrphan(sta, act, rsn, now.Add(maxUnrenewedRunTime(sta)))
+				continue
+			}
+			kept = append(kept, act)
+		}
+		sta.Queue = kept
+	}
+	return returnQueue(sta, rsn)
+}
+
+// addOrphan keeps a task that may run on an abandoned incarnation, or the next one with its id, until the time at the latest.
+func addOrphan(sta *State, act AcceptedTask, rsn rgmodel.Reason, endedBy time.Time) {
+	sta.Orphans = append(sta.Orphans, OrphanedTask{
+		AcceptedTask: act, Reason: rsn, ExecutorID: sta.Executor.Incarnation.ID, EndedBy: endedBy,
+	})
+}
+
 // recordEndOf records what is left of an incarnation that is abandoned.
 func recordEndOf(sta *State, now time.Time, los lossCause) {
 	switch los.(type) {
--- a/core/rgexecutor/late_start_test.go
+++ b/core/rgexecutor/late_start_test.go
@@ -14,6 +14,14 @@
 			t.Fatalf("%d starts after the first one was excluded, want 1", starts)
 		}
 	},
+	"queued again": func(t *testing.T, har *harness) {
+		// Without ejection, the task would be started again at once.
+		har.sta.Health.EjectedUntil = har.now.Add(refusalEjectionTime)
+		har.replyToPoll(t, nil, nil)
+		if len(har.sta.Queue) != 1 {
+			t.Fatalf("%d tasks queued, want 1", len(har.sta.Queue))
+		}
+	},
 }
 
 // TestLateStartAcrossRestart guards against two runs of a task at the same time: the executor restarts under its id, the sidecar reports
--- a/core/rgexecutor/return_test.go
+++ b/core/rgexecutor/return_test.go
@@ -33,8 +33,9 @@
 	"executor has left": func(_ *testing.T, har *harness) {
 		har.efs = append(har.efs, DeregisterExecutor(&har.sta, har.now, "i-1")...)
 	},
-	"executor has restarted": func(_ *testing.T, har *harness) {
-		har.announce(newExecutor(2))
+	"executor has restarted": func(t *testing.T, har *harness) {
+		har.replyFromNewIncarnation(true)
+		har.replyToPoll(t, nil, nil)
 	},
 	"executor is ejected": func(_ *testing.T, har *harness) {
 		failed := rgmodel.TaskKey{Job: "failed"}
