io/rgwire: a message of a known kind that cannot be decoded costs its connection

What callers saw: nothing yet. A message with a field of another type or a number out of range was skipped without a trace. If it contains the ends of tasks, the entry waits for them until the deadline of the job; a list of entries with a missing change stays wrong.

Cause: Read skipped all messages that Decode refused, not only those of unknown kinds, unlike docs/platform.md says.

Evidence, TestNotificationConnClose before the change: parameters_of_another_type: connection is still open number_out_of_range: connection is still open A message with 100,000 levels, a length out of range and the largest length closed the connection already; the cases guard it.

Change: only messages of unknown kinds are skipped. The fuzz tests of peers' messages get seeds with odd entries, 100,000 levels and numbers out of range, of which none failed.

Result: TestNotificationConn and TestNotificationConnClose pass with -race; 10 s each of FuzzPeerMessage (24,871 inputs), FuzzEntryMessage (46,616), FuzzHeartbeat (31,035) and FuzzConfig (41,457) found nothing.

--- a/io/rgdispatcher/fuzz_test.go
+++ b/io/rgdispatcher/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +16,9 @@
 	"ragwortgap/io/rgwire"
 )
 
+// nested is deeper than the limit of encoding/json.
+var nested = strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000)
+
 // FuzzPeerMessage guards against a message of a sidecar or of another entry that makes an entry panic, or that makes a later
 // message or job panic.
 func FuzzPeerMessage(f *testing.F) {
@@ -27,6 +31,9 @@
 		{"meet", `{"entry":{"name":"","address":""}}`},
 		{"gossip", `{"from":{"address":"x"},"version":18446744073709551615,"config":"AA=="}`},
 		{"gossip", `{"entries":[{"address":""},{"address":"a:1","name":"e"}],"left":["a:1",""],"full":true}`},
+		{"gossip", `{"entries":[{"name":"e","address":"10.0.0.1:70000"},{"name":"e","address":"0.0.0.0:1"},{"name":"e","address":7}]}`},
+		{"gossip", `{"version":36893488147419103232}`}, {"gossip", `{"version":-1}`}, {"gossip", `{"entries":` + nested + `}`},
+		{"meet", nested}, {"progress", `{"load":{"stretch":1e999}}`}, {"progress", `{"next":9223372036854775807,"load":{"usable":true}}`},
 		{"ask", `{}`}, {"pulse", `{}`},
 		{"place", `{"tasks":null}`}, {"recall", `{}`}, {"unknown", `{}`}, {"progress", `null`}, {"enlist", `[]`},
 	} {
--- a/io/rgorders/fuzz_test.go
+++ b/io/rgorders/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +16,9 @@
 	"ragwortgap/io/rgwire"
 )
 
+// nested is deeper than the limit of encoding/json.
+var nested = strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000)
+
 // FuzzEntryMessage guards against a message of an entry that makes a sidecar panic, at once or at the next tick.
 func FuzzEntryMessage(f *testing.F) {
 	for _, msg := range [][2]string{
@@ -23,6 +27,10 @@
 			`"tasks":[{"ticket":1,"name":{"job":"j"},"estimate":-1}]}`},
 		{"place", `{"issued":1000000,"deadline":-9223372036854775808,"service":"desk","slack":-9223372036854775808,` +
 			`"needs":{"cores":-1e308},"tasks":[{},{}]}`},
+		{"pulse", `{"entries":[{"name":"e","address":"10.0.0.1:70000"},{"name":"e","address":""},{"name":"","address":"a:1"}]}`},
+		{"pulse", `{"issued":36893488147419103232}`}, {"pulse", `{"every":9223372036854775807}`}, {"pulse", `{"entries":` + nested + `}`},
+		{"place", nested}, {"place", `{"needs":{"cores":1e999}}`},
+		{"place", `{"deadline":9223372036854775807,"slack":9223372036854775807}`},
 		{"place", `{"tasks":null}`}, {"recall", `{"issued":-1,"tickets":[0,1,18446744073709551615]}`},
 		{"gossip", `{}`}, {"enlist", `{}`}, {"pulse", `null`},
 	} {
--- a/io/rgwire/notification_conn.go
+++ b/io/rgwire/notification_conn.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -65,10 +66,14 @@
 			return
 		}
 		msg, err := Decode(ntf.Method, ntf.Params)
-		if err != nil {
+		if errors.Is(err, errors.NotSupported) {
 			// Newer versions may send unknown methods.
 			continue
 		}
+		if err != nil {
+			// A stream with a missing message is unusable: it may have contained the ends of tasks.
+			return
+		}
 		hdl(msg)
 	}
 }
--- a/io/rgwire/notification_conn_test.go
+++ b/io/rgwire/notification_conn_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"math"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,6 +65,21 @@
 			}
 		},
 		"malformed message": func(_ context.CancelFunc, _ *NotificationConn, peer net.Conn) { _, _ = peer.Write([]byte("\x02{{")) },
+		"parameters of another type": func(_ context.CancelFunc, _ *NotificationConn, peer net.Conn) {
+			writeNotification(peer, `{"method":"progress","params":{"ends":7}}`)
+		},
+		"number out of range": func(_ context.CancelFunc, _ *NotificationConn, peer net.Conn) {
+			writeNotification(peer, `{"method":"pulse","params":{"issued":36893488147419103232}}`)
+		},
+		"deeply nested": func(_ context.CancelFunc, _ *NotificationConn, peer net.Conn) {
+			writeNotification(peer, `{"method":"pulse","params":`+strings.Repeat("[", 100_000)+strings.Repeat("]", 100_000)+`}`)
+		},
+		"length out of range": func(_ context.CancelFunc, _ *NotificationConn, peer net.Conn) {
+			_, _ = peer.Write([]byte("\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff"))
+		},
+		"length of the largest integer": func(_ context.CancelFunc, _ *NotificationConn, peer net.Conn) {
+			_, _ = peer.Write(append(binary.AppendUvarint(nil, math.MaxUint64), "{}"...))
+		},
 	}
 	for name, end := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -79,3 +97,8 @@
 		})
 	}
 }
+
+// writeNotification writes a message with its length. The connection may be closed before all of it is read.
+func writeNotification(con net.Conn, txt string) {
+	_, _ = con.Write(append(binary.AppendUvarint(nil, uint64(len(txt))), txt...))
+}
