io/rgstore, io/rgentry: odd records take neither the store nor the ring out of use on the product's own interface

After one odd record the entries followed neither the ring nor the configurations any more, or forwarded a share of the jobs to an entry that does not exist.

Cause: (1) a listing was decoded as a whole, and encoding/json refuses more than 10,000 levels, so that a value that is nested nearly as deep as the store accepts made each listing and watch an error. (2) Each registration became part of the ring, whatever its address, name and incarnation. (3) A ring with the largest generation excludes all later ones, because the next one overflows.

Evidence, TestOddRecords before the change, with a limit of 8 s for each wait: configuration_deeply_nested, entry_deeply_nested, unknown_key: not reached within 8s: configuration in force entry_with_a_port_out_of_range, entry_without_an_address, entry_without_an_incarnation, entry_of_another_name, entry_null, ring_with_the_largest_generation: not reached within 8s: ring of the three entries

Change: a listing that cannot be decoded as a whole is decoded item by item, by its tokens, which have no limit of depth. Malformed items, registrations and rings are logged and counted once for each of their versions, and left out. A generation is at most 2^53. The own registration counts whatever its address.

Result: TestOddRecords and TestMalformedListing pass with -race, and so do the packages rgstore, rgentry and rgsidecar.

--- a/io/rgentry/command_lease.go
+++ b/io/rgentry/command_lease.go
@@ -8,7 +8,6 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
-	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgclock"
 	"ragwortgap/io/rgstore"
 )
@@ -46,9 +45,9 @@
 	if err != nil {
 		return
 	}
-	var rng rgmodel.Ring
-	if err := json.Unmarshal(itm.Value, &rng); err != nil {
-		pro.log.Error("failed to decode ring", zap.Error(err))
+	rng, err := decodeRing(itm.Value)
+	if err != nil {
+		// The watch of the store logs it.
 		return
 	}
 	pro.mailbox.Send(ctx, RingLeaseRenewed{Ring: rng, Sent: sent})
--- a/io/rgentry/command_propose.go
+++ b/io/rgentry/command_propose.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgmodel"
@@ -64,7 +65,21 @@
 
 // liveEntries returns the entries that hold a lease, ordered by name.
 func (sw *StoreWatcher) liveEntries() []rgmodel.Entry {
-	ents := decodeItems[rgmodel.Entry](sw, EntryKeyPrefix, "failed to decode entry")
+	ents := decodeItems(sw, EntryKeyPrefix, &sw.malformedEntries, sw.checkEntry)
 	sortByName(ents)
 	return ents
 }
+
+// checkEntry refuses entries that must not become part of the ring. The own address may be one that only this machine can dial.
+func (sw *StoreWatcher) checkEntry(name string, ent rgmodel.Entry) error {
+	switch {
+	case ent == sw.Process.self:
+		return nil
+	case ent.Name != name:
+		return errors.NotValidf("entry with the name %q at another key", ent.Name)
+	case ent.Incarnation == "":
+		return errors.NotValidf("entry without an incarnation")
+	default:
+		return rgmodel.CheckEntry(ent)
+	}
+}
--- a/io/rgentry/command_watch.go
+++ b/io/rgentry/command_watch.go
@@ -37,6 +37,9 @@
 	peerSyncInterval = 2 * time.Second
 	// storeRetryDelay is the delay after a failed call to the store.
 	storeRetryDelay = 250 * time.Millisecond
+
+	// maxGeneration is the largest integer that all JSON implementations represent exactly.
+	maxGeneration = 1 << 53
 )
 
 // StoreWatcher is the state of the traffic goroutine that watches the store.
@@ -48,12 +51,20 @@
 	Down bool
 	// AvailableSince is when the last outage of the store ended.
 	AvailableSince time.Time
+
+	malformedItems   rgstore.MalformedLog
+	malformedEntries rgstore.MalformedLog
+	malformedTeams   rgstore.MalformedLog
+	malformedRing    rgstore.MalformedLog
 }
 
 // watchStore joins the ring and watches the store. When ctx ends, the entry revokes its lease, so that other entries
 // become the homes of its jobs. It watches until workCtx ends, because it forwards its callers to them meanwhile.
 func (pro *Process) watchStore(ctx, workCtx context.Context) {
 	sw := StoreWatcher{Process: pro}
+	for _, mlg := range []*rgstore.MalformedLog{&sw.malformedItems, &sw.malformedEntries, &sw.malformedTeams, &sw.malformedRing} {
+		mlg.Log, mlg.Scope = pro.log, pro.scope
+	}
 	sw.load(workCtx)
 	// The ring before this entry joins lists the entries that can be asked for their sidecars.
 	sw.sendState(workCtx)
@@ -85,6 +96,7 @@
 		if err == nil {
 			sw.Items = map[string]rgstore.Item{}
 			sw.Version = lis.Version
+			sw.malformedItems.Record(lis.Malformed)
 			sw.merge(lis.Items)
 			return
 		}
@@ -114,6 +126,9 @@
 		return errors.NotValidf("store version %d after %d", lis.Version, sw.Version)
 	}
 	sw.Version = lis.Version
+	if len(lis.Malformed) > 0 {
+		sw.malformedItems.Record(lis.Malformed)
+	}
 	sw.merge(lis.Items)
 	return nil
 }
@@ -196,28 +211,37 @@
 
 // sendState sends the ring and the configurations to the control goroutine, which ignores what is not newer.
 func (sw *StoreWatcher) sendState(ctx context.Context) {
-	teams := decodeItems[rgmodel.TeamConfig](sw, ConfigKeyPrefix, "failed to decode team configuration")
+	teams := decodeItems(sw, ConfigKeyPrefix, &sw.malformedTeams, func(string, rgmodel.TeamConfig) error { return nil })
 	sw.Process.mailbox.Send(ctx, TeamConfigsReceived{Teams: teams})
 	if rng, ok := sw.storedRing(); ok {
 		sw.Process.mailbox.Send(ctx, RingReceived{Ring: rng})
 	}
 }
 
-// decodeItems decodes the items whose key has the prefix. It logs the message for each item that cannot be decoded, and leaves
-// it out.
-func decodeItems[Value any](sw *StoreWatcher, prefix, message string) []Value {
+// decodeItems decodes the items whose key has the prefix. Those that cannot be decoded, or that check refuses, are from another writer;
+// they are logged once and left out.
+func decodeItems[Value any](
+	sw *StoreWatcher, prefix string, mlg *rgstore.MalformedLog, check func(name string, val Value) error,
+) []Value {
 	var vals []Value
+	var odd []rgstore.MalformedItem
 	for key, itm := range sw.Items {
-		if !strings.HasPrefix(key, prefix) {
+		name, found := strings.CutPrefix(key, prefix)
+		if !found {
 			continue
 		}
 		var val Value
-		if err := json.Unmarshal(itm.Value, &val); err != nil {
-			sw.Process.log.Error(message, zap.String("key", key), zap.Error(err))
+		err := json.Unmarshal(itm.Value, &val)
+		if err == nil {
+			err = check(name, val)
+		}
+		if err != nil {
+			odd = append(odd, rgstore.MalformedItem{Key: key, Version: itm.Version, Err: err})
 			continue
 		}
 		vals = append(vals, val)
 	}
+	mlg.Record(odd)
 	return vals
 }
 
@@ -226,10 +250,22 @@
 	if !ok {
 		return rgmodel.Ring{}, false
 	}
-	var rng rgmodel.Ring
-	if err := json.Unmarshal(itm.Value, &rng); err != nil {
-		sw.Process.log.Error("failed to decode ring", zap.Error(err))
+	rng, err := decodeRing(itm.Value)
+	if err != nil {
+		sw.malformedRing.Record([]rgstore.MalformedItem{{Key: RingKey, Version: itm.Version, Err: err}})
 		return rgmodel.Ring{}, false
 	}
 	return rng, true
 }
+
+// decodeRing decodes a ring. One with a generation that leaves no room for later ones is from another writer.
+func decodeRing(raw []byte) (rgmodel.Ring, error) {
+	var rng rgmodel.Ring
+	if err := json.Unmarshal(raw, &rng); err != nil {
+		return rgmodel.Ring{}, errors.NewNotValid(err, "ring")
+	}
+	if rng.Generation > maxGeneration {
+		return rgmodel.Ring{}, errors.NotValidf("ring with generation %d", rng.Generation)
+	}
+	return rng, nil
+}
--- a/io/rgstore/query_read.go
+++ b/io/rgstore/query_read.go
@@ -22,20 +22,26 @@
 
 // List reads all keys with the prefix.
 func (cli Client) List(ctx context.Context, prefix string) (Listing, error) {
-	var lis Listing
-	err := cli.call(ctx, http.MethodGet, "/v1/keys?prefix="+url.QueryEscape(prefix), nil, &lis)
+	lis, err := cli.list(ctx, callTimeout, "/v1/keys?prefix="+url.QueryEscape(prefix))
 	return lis, errors.Annotatef(err, "list %s", prefix)
 }
 
 // Watch waits until keys with the prefix have changed after the given version, for at most the given time, and returns the
 // changed items. An empty listing means that nothing has changed.
 func (cli Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Listing, error) {
-	var lis Listing
 	path := fmt.Sprintf("/v1/watch?prefix=%s&after=%d&wait=%s", url.QueryEscape(prefix), after, wait)
-	err := cli.Call(ctx, wait+callTimeout, http.MethodGet, path, nil, &lis)
+	lis, err := cli.list(ctx, wait+callTimeout, path)
 	return lis, errors.Annotatef(err, "watch %s", prefix)
 }
 
+func (cli Client) list(ctx context.Context, timeout time.Duration, path string) (Listing, error) {
+	raw, err := cli.read(ctx, timeout, http.MethodGet, path, nil)
+	if err != nil {
+		return Listing{}, err
+	}
+	return decodeListing(raw)
+}
+
 func (cli Client) call(ctx context.Context, method, path string, body, reply any) error {
 	return cli.Call(ctx, callTimeout, method, path, body, reply)
 }
@@ -43,18 +49,25 @@
 // Call sends a request and decodes the response into reply unless that is nil. It fails with errors.NotFound on status
 // 404.
 func (cli Client) Call(ctx context.Context, timeout time.Duration, method, path string, body, reply any) error {
+	raw, err := cli.read(ctx, timeout, method, path, body)
+	if err != nil || reply == nil {
+		return err
+	}
+	return errors.Annotate(json.Unmarshal(raw, reply), "decode reply")
+}
+
+// read sends a request and returns the body of a successful response.
+func (cli Client) read(ctx context.Context, timeout time.Duration, method, path string, body any) ([]byte, error) {
 	status, raw, err := cli.Do(ctx, timeout, method, path, body)
 	switch {
 	case err != nil:
-		return err
+		return nil, err
 	case status == http.StatusNotFound:
-		return errors.NotFoundf("%s", path)
+		return nil, errors.NotFoundf("%s", path)
 	case status >= http.StatusMultipleChoices:
-		return errors.Errorf("status %d", status)
-	case reply == nil:
-		return nil
+		return nil, errors.Errorf("status %d", status)
 	default:
-		return errors.Annotate(json.Unmarshal(raw, reply), "decode reply")
+		return raw, nil
 	}
 }
 
