core/rgexecutor, io/rgorders: poll an executor at short intervals while a late start order may cross its restart

What callers saw: possibly two runs of a task at the same time. An executor that restarts under its id carries out start orders that were meant for its last incarnation, until it gets an order with a higher fencing token.

Cause: that order came late, for three reasons, each seen in the logs of the soak. A poll that found connections refused or reset waited for the next tick of 100 ms. A new incarnation got one poll at a time, and when that one got no reply, the next one came with the next tick. Polls without a reply were sent two at a time, and both waited for 100 ms.

07:01:57.316 i-0 restarts; 39 % of the orders are late by seconds 07:01:57.440 control lost cause=restarted executor=i-0 running=0 unconfirmed=0 queued=0 07:01:57.745 i-0: first order with a higher fencing token, 429.208902ms after the start

Evidence, with the polls as they were:

--- FAIL: TestUrgentPolls/connections_reset (0.00s) poll_test.go:111: no poll for 100ms after 0s, want one after 8ms --- FAIL: TestUrgentPolls/no_reply (0.00s) poll_test.go:111: no poll for 100ms after 0s, want one after 8ms --- FAIL: TestUrgentPolls/no_reply_at_takeover (0.00s) poll_test.go:111: no poll for 100ms after 0s, want one after 8ms --- FAIL: TestUrgentPolls/connections_refused (0.00s) poll_test.go:111: no poll for 100ms after 0s, want one after 2.25ms --- FAIL: TestUrgentPolls/connections_refused_at_takeover (0.00s) poll_test.go:111: no poll for 100ms after 0s, want one after 8ms

Change: while a start order may be on its way (15 s after one without a reply, or after the start of the process), and no poll of the incarnation has got a reply, or the last one has not, the executor is polled every 8 ms, or every 2 ms while it refuses connections, with at most five polls in flight. The core decides on the delay of each poll, and the goroutine that sends it waits. Such polls do not count as a change of the load, which would be reported to all entries.

TestFailedPoll and TestSparePoll keep their rows for an executor for which no start order is on its way. The two simulations wait for the delay of a poll.

Ruled out: a shorter wait of all polls while a start order may be on its way, because the crash of a process breaks its connections.

--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -135,6 +135,8 @@
 	sta.Runs = nil
 	sta.UntrackedRuns = nil
 	sta.Polls = nil
+	_, fenced := los.(lossFenced)
+	sta.PollUnanswered, sta.LastUrgentPoll = !fenced, time.Time{}
 	sta.ConnectionRefusedSince, sta.Unreachable = time.Time{}, false
 	sta.LeaseEnd = 0
 	if controlled {
--- a/core/rgexecutor/command_poll.go
+++ b/core/rgexecutor/command_poll.go
@@ -15,21 +15,55 @@
 	var efs []Effect
 	for len(sta.Polls) < desiredPolls(sta, now) {
 		ord := newPoll(sta, now)
-		if sta.Phase == PhaseServing {
+		switch {
+		case pollsUrgently(sta, now):
+			ord.Delay = urgentPollDelay(sta, now)
+			sta.LastUrgentPoll = now.Add(ord.Delay)
+		case sta.Phase == PhaseServing:
 			ord.Wait = pollWait
 		}
-		sta.Polls = append(sta.Polls, now)
+		sta.Polls = append(sta.Polls, ord.Sent)
 		efs = append(efs, SendOrder{Order: ord})
 	}
 	return efs
 }
 
+// sendUrgentPolls polls again at once an executor that may restart with a start order on its way. Otherwise the next tick polls, because
+// polling at once would keep both sides busy while polls fail immediately.
+func sendUrgentPolls(sta *State, now time.Time) []Effect {
+	if !pollsUrgently(sta, now) {
+		return nil
+	}
+	return sendPolls(sta, now)
+}
+
 // desiredPolls returns the number of polls to keep in flight.
 func desiredPolls(sta *State, now time.Time) int {
-	if sta.Phase == PhaseServing && now.Sub(sta.LastMissingReply) < sparePollDuration {
+	switch {
+	case !sta.ConnectionRefusedSince.IsZero():
+		return 1
+	case pollsUrgently(sta, now):
+		return maxSilentPolls
+	case sta.Phase == PhaseServing && now.Sub(sta.LastMissingReply) < sparePollDuration:
 		return 2
+	default:
+		return 1
 	}
-	return 1
+}
+
+// pollsUrgently reports whether the executor is polled at short intervals, because it does not reply and may restart while a start order
+// is on its way.
+func pollsUrgently(sta *State, now time.Time) bool {
+	return sta.PollUnanswered && now.Sub(sta.LateStartPossibleAt) <= maxOrderDelay
+}
+
+// urgentPollDelay returns the time until the next poll of an executor that does not reply.
+func urgentPollDelay(sta *State, now time.Time) time.Duration {
+	every := silentPollInterval
+	if !sta.ConnectionRefusedSince.IsZero() {
+		every = refusedPollInterval
+	}
+	return max(0, sta.LastUrgentPoll.Add(every).Sub(now))
 }
 
 func newPoll(sta *State, now time.Time) rgmodel.PollOrder {
@@ -55,13 +89,12 @@
 		sta.Polls = slices.Delete(sta.Polls, at, at+1)
 	}
 	if efs, unreachable := checkReachable(sta, now, rep); unreachable {
-		return efs
+		return append(efs, sendUrgentPolls(sta, now)...)
 	}
 	if !rep.Replied {
-		sta.LastMissingReply = now
+		sta.LastMissingReply, sta.PollUnanswered = now, true
 		if sta.Phase == PhaseFencing || now.Sub(ord.Sent) < pollWait {
-			// The next tick polls again. Polling at once would keep both sides busy while polls fail immediately.
-			return nil
+			return sendUrgentPolls(sta, now)
 		}
 		return sendPolls(sta, now)
 	}
@@ -79,6 +112,7 @@
 	if rep.Refusal != rgmodel.RefusalNone {
 		return nil
 	}
+	sta.PollUnanswered = false
 	sta.Counts.MalformedRuns += uint64(rep.MalformedRuns)
 	efs := handleEnds(sta, now, rep.Ended)
 	if outdated && sta.Phase == PhaseServing {
--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -120,7 +120,7 @@
 		// The order may still be carried out. Once a stop is confirmed, it cannot be, and the task may be started again.
 		sta.LastMissingReply, sta.LateStartPossibleAt = now, now
 		run.Requeue = run.State != RunStopping
-		return stopRun(sta, now, run, rgmodel.ReasonUpstreamTimeout)
+		return append(stopRun(sta, now, run, rgmodel.ReasonUpstreamTimeout), sendUrgentPolls(sta, now)...)
 	}
 	switch rep.Refusal {
 	case rgmodel.RefusalNone:
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -25,6 +25,12 @@
 	// sparePollDuration is how long two polls are kept in flight after an order without a reply, so that the loss of one
 	// does not leave the state of all runs unknown.
 	sparePollDuration = 3 * time.Second
+	// silentPollInterval and refusedPollInterval are the intervals of the polls of an executor that does not reply, or refuses connections,
+	// while a start order may be on its way. The next incarnation carries out that order until it has got a poll.
+	silentPollInterval  = 8 * time.Millisecond
+	refusedPollInterval = 2 * time.Millisecond
+	// maxSilentPolls is the number of polls in flight to such an executor, as many as are sent until the first one has timed out.
+	maxSilentPolls = 5
 	// connectionRefusedTimeout is how long nothing listens at the executor's address before it is considered unreachable and gets no
 	// more tasks.
 	connectionRefusedTimeout = 50 * time.Millisecond
@@ -250,6 +256,10 @@
 		AckedSequence uint64
 		// Polls holds the send times of the polls in flight.
 		Polls []time.Time
+		// PollUnanswered is set until the current incarnation has replied to a poll, and again when it has not replied to one.
+		PollUnanswered bool
+		// LastUrgentPoll is when the last poll was or will be sent to an executor that may restart with a start order on its way.
+		LastUrgentPoll time.Time
 		// LastMissingReply is when an order last got no reply.
 		LastMissingReply time.Time
 		// LateStartPossibleAt is when a start order was last known or assumed to be on its way without a reply. An order of an earlier
--- a/core/rgexecutor/harness_test.go
+++ b/core/rgexecutor/harness_test.go
@@ -1,6 +1,7 @@
 package rgexecutor
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +27,9 @@
 	if har.sta.Phase != PhaseServing {
 		t.Fatalf("phase %v after the first poll", har.sta.Phase)
 	}
+	for len(har.sta.Polls) > 1 {
+		har.replyToPoll(t, nil, nil)
+	}
 	har.takeEffects()
 	return har
 }
@@ -133,6 +137,43 @@
 	return rgmodel.PollOrder{Incarnation: har.sta.Executor.Incarnation, FenceToken: har.sta.FenceToken, Sent: har.sta.Polls[0]}
 }
 
+// excludeLateStarts makes the sidecar assume that no start order is on its way.
+func (har *harness) excludeLateStarts() { har.sta.LateStartPossibleAt = time.Time{} }
+
+// failPolls lets each poll fail with the reply, a given time after it is sent. It returns when polls are sent during the time.
+func (har *harness) failPolls(dur, took time.Duration, rep rgmodel.OrderReply) []time.Time {
+	type poll struct {
+		ord rgmodel.PollOrder
+		at  time.Time
+	}
+	var sent []time.Time
+	var inFlight []poll
+	end, nextTick := har.now.Add(dur), har.now.Add(TickInterval)
+	for {
+		for _, eff := range har.takeEffects() {
+			if snd, ok := eff.(SendOrder); ok {
+				if ord, ok := snd.Order.(rgmodel.PollOrder); ok {
+					inFlight = append(inFlight, poll{ord: ord, at: har.now.Add(ord.Delay)})
+					sent = append(sent, har.now.Add(ord.Delay))
+				}
+			}
+		}
+		slices.SortFunc(inFlight, func(one, two poll) int { return one.at.Compare(two.at) })
+		if len(inFlight) == 0 || nextTick.Before(inFlight[0].at.Add(took)) {
+			har.now, nextTick = nextTick, nextTick.Add(TickInterval)
+			RecordHeartbeat(&har.sta, testConn, har.now)
+			har.efs = append(har.efs, Tick(&har.sta, har.now)...)
+		} else {
+			pol := inFlight[0]
+			inFlight, har.now = inFlight[1:], pol.at.Add(took)
+			har.efs = append(har.efs, HandlePollReply(&har.sta, har.now, pol.ord, rep)...)
+		}
+		if har.now.After(end) {
+			return sent
+		}
+	}
+}
+
 // replyFromNewIncarnation replies to the oldest poll in flight as a new incarnation with the same or another id does.
 func (har *harness) replyFromNewIncarnation(sameID bool) {
 	ord := har.pollOrder()
--- a/core/rgexecutor/poll_test.go
+++ b/core/rgexecutor/poll_test.go
@@ -1,6 +1,7 @@
 package rgexecutor
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -36,6 +37,7 @@
 			har := newHarness(t)
 			har.place("job", 1)
 			har.replyToStarts(har.acceptedReply())
+			har.excludeLateStarts()
 			har.sta.Queue = []AcceptedTask{{Task: rgmodel.PlacedTask{Ticket: 1}, Conn: testConn, Requires: rgmodel.Resources{Cores: 8}}}
 			har.takeEffects()
 			for range tc.polls {
@@ -64,6 +66,59 @@
 	}
 }
 
+// TestUrgentPolls guards against an incarnation that carries out a start order of the last one for longer than necessary, because the
+// executor is polled too rarely while it does not reply or refuses connections, and against polls without an interval.
+func TestUrgentPolls(t *testing.T) {
+	const refusalTime, replyTimeout = time.Millisecond / 4, 40 * time.Millisecond
+	refused := rgmodel.OrderReply{ConnectionRefused: true}
+	tests := map[string]struct {
+		// took is the time after which each poll fails with the given reply.
+		took  time.Duration
+		reply rgmodel.OrderReply
+		// fencing is set if the sidecar has not got control of the executor yet.
+		fencing bool
+		// want is the longest time between two polls, and least the shortest one on average.
+		want, least time.Duration
+	}{
+		"connections refused": {took: refusalTime, reply: refused, want: refusedPollInterval + refusalTime, least: refusedPollInterval},
+		"connections refused at takeover": {
+			took: refusalTime, reply: refused, fencing: true, want: silentPollInterval, least: refusedPollInterval,
+		},
+		"connections reset":    {took: refusalTime, want: silentPollInterval, least: silentPollInterval},
+		"no reply":             {took: replyTimeout, want: silentPollInterval, least: silentPollInterval},
+		"no reply at takeover": {took: replyTimeout, fencing: true, want: silentPollInterval, least: silentPollInterval},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			har := newHarness(t)
+			har.place("job", 1)
+			har.replyToStarts(rgmodel.OrderReply{})
+			har.replyToStops(har.acceptedReply())
+			har.sta.Polls = nil
+			har.takeEffects()
+			if tc.fencing {
+				har.efs = followRestart(&har.sta, har.now, rgmodel.OrderReply{Replied: true, Clock: 10, StartedMillis: 2})
+			} else {
+				har.sta.Polls = []time.Time{har.now}
+				har.efs = append(har.efs, HandlePollReply(&har.sta, har.now, har.pollOrder(), tc.reply)...)
+			}
+			const observed = 200 * time.Millisecond
+			sent := har.failPolls(observed, tc.took, tc.reply)
+			slices.SortFunc(sent, time.Time.Compare)
+			last := sent[0]
+			for _, at := range sent[1:] {
+				if at.Sub(last) > tc.want {
+					t.Fatalf("no poll for %v after %v, want one after %v", at.Sub(last), last.Sub(sent[0]), tc.want)
+				}
+				last = at
+			}
+			if most := int(observed/tc.least) + maxSilentPolls; len(sent) > most {
+				t.Errorf("%d polls in %v, want at most %d", len(sent), observed, most)
+			}
+		})
+	}
+}
+
 // TestSparePoll guards against an end that is noticed with a delay because the reply to the only poll is lost, and against two
 // polls at a time to an executor that replies to them.
 func TestSparePoll(t *testing.T) {
@@ -79,6 +134,7 @@
 			har := newHarness(t)
 			har.place("job", 1)
 			har.replyToStarts(har.acceptedReply())
+			har.excludeLateStarts()
 			for range 2 {
 				ord := har.pollOrder()
 				har.now = har.now.Add(pollWait)
--- a/core/rgexecutor/simulation_test.go
+++ b/core/rgexecutor/simulation_test.go
@@ -118,6 +118,11 @@
 				key := simStart{exe: sc.exe, fenceToken: ord.FenceToken, task: ord.Task, run: ord.Run}
 				sim.startConns[key] = sc.sta.Runs[ord.Task].AcceptedTask.Conn
 			}
+			if pol, ok := eff.Order.(rgmodel.PollOrder); ok && pol.Delay > 0 {
+				process := sc.process
+				sim.after(pol.Delay, func() { sim.runWhenResumed(sc, process, func() { sim.deliver(sc, pol) }) })
+				continue
+			}
 			sim.deliver(sc, eff.Order)
 		case ReportEnd:
 			sim.recordEnd(eff)
--- a/core/rgmodel/order.go
+++ b/core/rgmodel/order.go
@@ -106,8 +106,9 @@
 		LeaseEnd      ExecutorTime
 		// Wait is how long the executor may delay its reply until a run ends.
 		Wait time.Duration
-		// Sent is when the sidecar sent the order.
-		Sent time.Time
+		// Sent is when the sidecar made the order, and Delay how long it then waits before it sends it.
+		Sent  time.Time
+		Delay time.Duration
 	}
 
 	// RunningRun is a run that an executor lists as running.
--- a/core/rgsimulation/order_test.go
+++ b/core/rgsimulation/order_test.go
@@ -35,8 +35,24 @@
 	}
 )
 
-// sendOrder sends an order to the executor that listens on the sidecar's machine.
+// sendOrder sends an order, after its delay, to the executor that listens on the sidecar's machine.
 func (sim *simulation) sendOrder(sc *sidecar, ord rgmodel.Order) {
+	if pol, ok := ord.(rgmodel.PollOrder); ok && pol.Delay > 0 {
+		gen := sc.generation
+		sim.after(pol.Delay, func() {
+			sc.post(nil, func() {
+				if sc.generation == gen {
+					sim.sendNow(sc, ord)
+				}
+			})
+		})
+		return
+	}
+	sim.sendNow(sc, ord)
+}
+
+// sendNow sends an order to the executor that listens on the sidecar's machine.
+func (sim *simulation) sendNow(sc *sidecar, ord rgmodel.Order) {
 	cll := &call{sim: sim, sc: sc, ord: ord, gen: sc.generation}
 	timeout := orderTimeout
 	noteOrder(sc, ord)
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -178,7 +179,7 @@
 
 // perform carries out the effects that the core returned.
 func (pro *Process) perform(workCtx context.Context, sta *State, efs []rgexecutor.Effect) {
-	if len(efs) > 0 {
+	if slices.ContainsFunc(efs, mayChangeLoad) {
 		rgexecutor.MarkLoadChanged(&sta.ExecutorState)
 	}
 	for _, eff := range efs {
@@ -188,6 +189,9 @@
 				pro.logStopOrder(sta, ord)
 			}
 			pro.traffic.Go(func() {
+				if ord, ok := eff.Order.(rgmodel.PollOrder); ok && ord.Delay > 0 {
+					rgclock.Sleep(workCtx, ord.Delay)
+				}
 				pro.mailbox.Send(workCtx, OrderReplied{Order: eff.Order, Reply: pro.sendOrder(workCtx, eff.Order)})
 			})
 		case rgexecutor.ReportEnd:
@@ -210,6 +214,17 @@
 	}
 }
 
+// mayChangeLoad reports whether the load may have changed with the effect. A delayed poll only repeats one that got no reply, many times a
+// second.
+func mayChangeLoad(eff rgexecutor.Effect) bool {
+	snd, ok := eff.(rgexecutor.SendOrder)
+	if !ok {
+		return true
+	}
+	ord, ok := snd.Order.(rgmodel.PollOrder)
+	return !ok || ord.Delay == 0
+}
+
 // logStopOrder logs each stop order, repeated ones too.
 func (pro *Process) logStopOrder(sta *State, ord rgmodel.StopOrder) {
 	rsn, age := rgmodel.Reason("foreign"), time.Duration(0)
