--- a/core/rgexecutor/command_poll.go
+++ b/core/rgexecutor/command_poll.go
@@ -99,7 +99,7 @@
 		return sendPolls(sta, now)
 	}
 	if rep.Refusal == rgmodel.RefusalWrongIncarnation {
-		return loseExecutor(sta, now, rgmodel.ReasonSidecarLost, lossReplaced{})
+		return loseReplaced(sta, now)
 	}
 	if repliedByNext(sta, ord.Incarnation, rep) {
 		return followRestart(sta, now, rep)
@@ -112,6 +112,9 @@
 	if rep.Refusal != rgmodel.RefusalNone {
 		return nil
 	}
+	if !sta.TokenRaised {
+		return raiseToken(sta, now)
+	}
 	sta.PollUnanswered = false
 	sta.Counts.MalformedRuns += uint64(rep.MalformedRuns)
 	efs := handleEnds(sta, now, rep.Ended)
--- a/core/rgexecutor/return_test.go
+++ b/core/rgexecutor/return_test.go
@@ -34,6 +34,7 @@
 		har.efs = append(har.efs, DeregisterExecutor(&har.sta, har.now, "i-1")...)
 	},
 	"executor has restarted": func(t *testing.T, har *harness) {
+		har.announce(newExecutor(2))
 		har.replyFromNewIncarnation(true)
 		har.replyToPoll(t, nil, nil)
 	},
--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -59,6 +59,8 @@
 		// EntriesSent is set once the list of entries was sent to the peer, and EntriesVersion is the version that the peer has.
 		EntriesSent    bool
 		EntriesVersion rgmembership.Version
+		// RejectionLogged is set once the peer has sent an entry that is not valid.
+		RejectionLogged bool
 	}
 
 	// Caller is a caller that waits for the answer to a job. Without the context of its request, it never counts as having left.
@@ -94,6 +96,9 @@
 		lastCallerID atomic.Uint64
 		stop         context.CancelFunc
 		traffic      rgsupervisor.Supervisor
+
+		malformedConfigs rgstore.MalformedLog
+		malformedEntries rgstore.MalformedLog
 	}
 )
 
@@ -114,6 +119,8 @@
 		pro.self.Address = set.AdvertisedAddress
 	}
 	pro.traffic.Log, pro.traffic.Scope = log, sco
+	pro.malformedConfigs.Log, pro.malformedConfigs.Scope = log, sco
+	pro.malformedEntries.Log, pro.malformedEntries.Scope = log, sco
 	pro.traffic.Maintain(workCtx, func() { pro.accept(workCtx, lis) })
 	pro.traffic.Maintain(workCtx, func() { pro.watchConfig(workCtx) })
 	pro.traffic.Maintain(workCtx, func() { pro.maintainLease(workCtx) })
