core/rgexecutor: a drain counts whatever its sequence, and the rest of a description stays

What callers saw: tasks placed on an executor that leaves, and that end with it.

Cause: a heartbeat of another writer with the known incarnation and the largest sequence made the sidecar ignore all later ones of the executor, so that its drain was not seen. Its service and capacity replaced the executor's own.

Change: within an incarnation only the drain changes. It begins with any sequence and ends with a sequence later than that of the heartbeat which began it; the executor itself never sends one. A heartbeat of another service is ignored. The first description stays, so one of another writer that arrives before the executor's own holds until the executor or the sidecar restarts. A false drain returns queued tasks and takes no more until the next heartbeat, or, with the largest sequence, until a restart; nothing runs twice.

FuzzHeartbeat passes the heartbeat to a sidecar that controls its executor.

--- a/core/rgexecutor/command_heartbeat.go
+++ b/core/rgexecutor/command_heartbeat.go
@@ -36,17 +36,14 @@
 	}
 }
 
-// describeIncarnation stores the description of the known incarnation, unless a newer one is known. It does not store the clock: a false
-// one would make leases longer. If the last reading is old, it asks for one.
+// describeIncarnation handles a heartbeat of the known incarnation. It does not store the clock: a false one would make leases longer. If
+// the last reading is old, it asks for one.
 func describeIncarnation(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
-	if exe.Sequence <= sta.Executor.Sequence && !sta.Undescribed {
-		return nil
+	if sta.Undescribed {
+		exe.Clock = sta.Executor.Clock
+		sta.Executor, sta.Undescribed = exe, false
 	}
-	sta.Undescribed = false
-	drained := exe.Draining && !sta.Executor.Draining
-	exe.Clock = sta.Executor.Clock
-	sta.Executor = exe
-	if drained {
+	if updateDescription(&sta.Executor, exe) {
 		return returnQueue(sta, rgmodel.ReasonDraining)
 	}
 	efs := startQueued(sta, now)
@@ -56,10 +53,28 @@
 	return efs
 }
 
+// updateDescription updates the description of an incarnation by a later heartbeat, and reports whether the executor begins to drain. Only
+// the drain may change. A heartbeat of another service comes from another writer. A drain counts whatever its sequence is, because another
+// writer may have used a larger one; it ends with a later sequence, which its own executor never sends.
+func updateDescription(cur *rgmodel.Executor, exe rgmodel.Executor) bool {
+	switch {
+	case exe.Service != cur.Service:
+	case exe.Draining && !cur.Draining:
+		cur.Draining, cur.Sequence = true, exe.Sequence
+		return true
+	case exe.Sequence > cur.Sequence:
+		cur.Draining, cur.Sequence = exe.Draining, exe.Sequence
+	}
+	return false
+}
+
 // announceIncarnation keeps the description of an incarnation that no reply has shown yet, and asks the known one. An idle executor is
 // polled on, because the announced incarnation may take the place of the known one later.
 func announceIncarnation(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
-	takeAnnounced(sta, exe.Incarnation)
+	if known, found := takeAnnounced(sta, exe.Incarnation); found {
+		updateDescription(&known, exe)
+		exe = known
+	}
 	if len(sta.Announced) == maxAnnounced {
 		sta.Announced = slices.Delete(sta.Announced, 0, 1)
 	}
