--- a/core/rgexecutor/query_capacity.go
+++ b/core/rgexecutor/query_capacity.go
@@ -29,7 +29,7 @@
 	left := leaseLeft(sta, now)
 	switch los.(type) {
 	case lossDeregistered, lossRestarted, lossIdentified:
-		if !run.StartConfirmed {
+		if mayStartLate(run) {
 			return max(left, maxUnrenewedRunTime(sta))
 		}
 	}
