--- a/core/rgexecutor/describe_test.go
+++ b/core/rgexecutor/describe_test.go
@@ -8,8 +8,8 @@
 )
 
 // TestLaterHeartbeat guards against work that goes to an executor that is about to leave: a heartbeat of another writer with a large
-// sequence makes the sidecar ignore its drain. It also guards against a description of another writer that replaces its own, and against a drain
-// that a delayed heartbeat undoes.
+// sequence makes the sidecar ignore its drain. It also guards against a description of another writer that replaces its own, and against a
+// drain that a delayed heartbeat undoes.
 func TestLaterHeartbeat(t *testing.T) {
 	const largest = math.MaxUint64
 	ready := func(seq uint64) rgmodel.Executor {
