core/rgexecutor, platform: an incomplete list does not show that a run has ended

What callers saw: two runs of a task at the same time.

Cause: a row of the executor's list that cannot be decoded counted as a run that is not listed, and so as one that has ended. The task was reported as lost while it ran, an untracked run was dropped, and a new process served before the runs of its predecessor had ended.

Change: rows of running and of ended runs that cannot be decoded are counted apart. With an incomplete list, a run ends only by its row among the ended ones, or once its stop was confirmed for longer than a run lasts without a renewed lease; an untracked run is kept until its lease has run out; and a takeover ends when the leases of all runs have run out since the executor first accepted the raised token.

--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -77,7 +77,7 @@
 		sta.LateStartPossibleAt = now
 	}
 	sta.FenceToken = max(sta.FenceToken+1, uint64(sta.Executor.Clock))
-	sta.TokenRaised = !sta.ClockReadAt.IsZero()
+	sta.TokenRaised, sta.FencedAt = !sta.ClockReadAt.IsZero(), time.Time{}
 	sta.AckedSequence = 0
 	sta.UntrackedRuns = nil
 	sta.Polls = nil
--- a/core/rgexecutor/command_poll.go
+++ b/core/rgexecutor/command_poll.go
@@ -7,6 +7,12 @@
 	"ragwortgap/core/rgmodel"
 )
 
+// runList is the executor's list of running runs. It is incomplete if rows could not be decoded.
+type runList struct {
+	listed     map[RunKey]bool
+	incomplete bool
+}
+
 // sendPolls keeps polls in flight until nothing can run on the executor without the knowledge of this process.
 func sendPolls(sta *State, now time.Time) []Effect {
 	if sta.Phase == PhaseNoExecutor || sta.Phase == PhaseServing && isIdle(sta, now) {
@@ -82,24 +88,42 @@
 	if !sta.TokenRaised {
 		return raiseToken(sta, now)
 	}
-	sta.Counts.MalformedRuns += uint64(rep.MalformedRuns)
+	sta.Counts.MalformedRuns += uint64(rep.MalformedRunning + rep.MalformedEnded)
 	efs := handleEnds(sta, now, rep.Ended)
 	if outdated && sta.Phase == PhaseServing {
 		// The reply to a later poll has arrived before, so this list of running runs is outdated.
 		return append(efs, startQueued(sta, now)...)
 	}
-	listed := make(map[RunKey]bool, len(rep.Running))
+	lis := newRunList(rep)
+	efs = append(efs, endUnlistedRuns(sta, now, ord.Sent, lis)...)
+	efs = append(efs, stopUntrackedRuns(sta, now, lis)...)
+	endFencing(sta, now, lis)
+	efs = append(efs, reportEndedOrphans(sta, now)...)
+	return append(efs, startQueued(sta, now)...)
+}
+
+// newRunList returns the executor's list of running runs.
+func newRunList(rep rgmodel.OrderReply) runList {
+	lis := runList{listed: make(map[RunKey]bool, len(rep.Running)), incomplete: rep.MalformedRunning > 0}
 	for _, run := range rep.Running {
-		listed[RunKey{Task: run.Task, Number: run.Run}] = true
+		lis.listed[RunKey{Task: run.Task, Number: run.Run}] = true
 	}
-	efs = append(efs, endUnlistedRuns(sta, now, ord.Sent, listed)...)
-	efs = append(efs, stopUntrackedRuns(sta, now, listed)...)
-	if sta.Phase == PhaseFencing && len(sta.UntrackedRuns) == 0 {
+	return lis
+}
+
+// endFencing ends the fencing if no run of an earlier process can be left. If the list is incomplete, it waits until the leases of all
+// runs have run out: none was renewed since the executor has first accepted the token.
+func endFencing(sta *State, now time.Time, lis runList) {
+	if sta.Phase != PhaseFencing {
+		return
+	}
+	if sta.FencedAt.IsZero() {
+		sta.FencedAt = now
+	}
+	if len(sta.UntrackedRuns) == 0 && (!lis.incomplete || now.Sub(sta.FencedAt) > maxUnrenewedRunTime(sta)) {
 		sta.Phase = PhaseServing
 		sta.HadControl = true
 	}
-	efs = append(efs, reportEndedOrphans(sta, now)...)
-	return append(efs, startQueued(sta, now)...)
 }
 
 // checkReachable records whether anything listens at the executor's address. After connectionRefusedTimeout, it returns the queued tasks
@@ -172,15 +196,17 @@
 }
 
 // endUnlistedRuns ends runs that the executor no longer lists, if their start or their stop was confirmed before the poll was
-// sent. A confirmed stop excludes that the run is started later.
-func endUnlistedRuns(sta *State, now, sent time.Time, listed map[RunKey]bool) []Effect {
+// sent. A confirmed stop excludes that the run is started later. An incomplete list does not show that a run has ended, but a run whose
+// stop was confirmed long ago has.
+func endUnlistedRuns(sta *State, now, sent time.Time, lis runList) []Effect {
 	var efs []Effect
 	for tsk, run := range sta.Runs {
-		if listed[RunKey{Task: tsk, Number: run.Number}] {
+		if lis.listed[RunKey{Task: tsk, Number: run.Number}] {
 			continue
 		}
-		confirmed := run.State == RunRunning && run.Started.Before(sent)
-		stopped := run.State == RunStopping && !run.StopConfirmed.IsZero() && !run.StopConfirmed.After(sent)
+		confirmed := !lis.incomplete && run.State == RunRunning && run.Started.Before(sent)
+		stopped := run.State == RunStopping && !run.StopConfirmed.IsZero() && !run.StopConfirmed.After(sent) &&
+			(!lis.incomplete || now.Sub(run.StopConfirmed) > maxUnrenewedRunTime(sta))
 		if confirmed || stopped {
 			delete(sta.Runs, tsk)
 			efs = append(efs, endRun(sta, now, run, rgmodel.EndLost)...)
@@ -189,15 +215,16 @@
 	return efs
 }
 
-// stopUntrackedRuns stops the runs that the executor lists and this process does not track.
-func stopUntrackedRuns(sta *State, now time.Time, listed map[RunKey]bool) []Effect {
+// stopUntrackedRuns stops the runs that the executor lists and this process does not track. One that an incomplete list lacks is kept until
+// its lease has run out, which is not renewed once its stop has been without effect for stopConfirmTimeout.
+func stopUntrackedRuns(sta *State, now time.Time, lis runList) []Effect {
 	var efs []Effect
-	for key := range sta.UntrackedRuns {
-		if !listed[key] {
+	for key, unt := range sta.UntrackedRuns {
+		if !lis.listed[key] && (!lis.incomplete || now.Sub(unt.StopRequested) > stopConfirmTimeout+maxUnrenewedRunTime(sta)) {
 			delete(sta.UntrackedRuns, key)
 		}
 	}
-	for key := range listed {
+	for key := range lis.listed {
 		run := sta.Runs[key.Task]
 		if run != nil && run.Number == key.Number {
 			continue
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -248,6 +248,8 @@
 		FenceToken uint64
 		// TokenRaised is set if FenceToken was taken from a clock that a reply of the known incarnation has shown.
 		TokenRaised bool
+		// FencedAt is when the executor has first accepted the raised token in PhaseFencing, or zero.
+		FencedAt time.Time
 		// ClockReadAt is when Executor.Clock was received in the reply to an order, or zero. The executor's clock showed it at that time or
 		// before.
 		ClockReadAt time.Time
--- a/core/rgmodel/order.go
+++ b/core/rgmodel/order.go
@@ -135,8 +135,8 @@
 		StartedMillis int64
 		Running       []RunningRun
 		Ended         []EndedRun
-		// MalformedRuns counts listed runs that could not be decoded.
-		MalformedRuns int
+		// MalformedRunning and MalformedEnded count the rows of Running and Ended that could not be decoded.
+		MalformedRunning, MalformedEnded int
 	}
 )
 
--- a/core/rgsimulation/executor_test.go
+++ b/core/rgsimulation/executor_test.go
@@ -260,6 +260,10 @@
 	rep := exe.newReply()
 	rep.StartedMillis = exe.incarnation.StartedMillis
 	for _, run := range exe.sortedRuns() {
+		if exe.sim.malformedPercent > 0 && exe.sim.faultRnd.IntN(100) < exe.sim.malformedPercent {
+			rep.MalformedRunning++
+			continue
+		}
 		rep.Running = append(rep.Running, rgmodel.RunningRun{Task: run.task, Run: run.number})
 	}
 	rep.Ended = slices.Clone(exe.ended)
--- a/core/rgsimulation/fault_test.go
+++ b/core/rgsimulation/fault_test.go
@@ -46,6 +46,8 @@
 		// crossRestart lets an executor that has restarted under its id carry out orders to the one before.
 		crossRestart bool
 	}
+	// malformRows makes a share of the rows of the executors' lists of running runs unreadable.
+	malformRows struct{ percent int }
 	// leaveEarly makes a share of the callers leave before the answer.
 	leaveEarly struct{ percent int }
 	// longWaits makes all callers wait longer for an answer, so that lost tasks are placed again before the deadline.
@@ -88,6 +90,7 @@
 func (loseOrders) isFault()               {}
 func (loseReplies) isFault()              {}
 func (delayOrders) isFault()              {}
+func (malformRows) isFault()              {}
 func (leaveEarly) isFault()               {}
 func (longWaits) isFault()                {}
 func (longTasks) isFault()                {}
@@ -125,6 +128,8 @@
 		sim.orders.unanswered = flt.percent
 	case delayOrders:
 		sim.orders.late, sim.orders.minDelay, sim.orders.crossRestart = flt.percent, flt.minDelay, flt.crossRestart
+	case malformRows:
+		sim.malformedPercent = flt.percent
 	case longWaits:
 		sim.callerWait = longCallerWait
 	case longTasks:
@@ -301,7 +306,7 @@
 // isPermanent reports whether the fault begins once and holds until the end.
 func isPermanent(flt fault) bool {
 	switch flt.(type) {
-	case loseOrders, loseReplies, delayOrders, delayHeartbeats, leaveEarly, longWaits, longTasks, overload, holdRequests:
+	case loseOrders, loseReplies, delayOrders, delayHeartbeats, malformRows, leaveEarly, longWaits, longTasks, overload, holdRequests:
 		return true
 	default:
 		return false
--- a/core/rgsimulation/simulation_test.go
+++ b/core/rgsimulation/simulation_test.go
@@ -85,6 +85,9 @@
 	"orders late, executor restarted":    {delayOrders{percent: 4, minDelay: lateOrder}, restartExecutor{}},
 	"orders late, sidecar killed":        {delayOrders{percent: 8, minDelay: maxOrderLatency}, killSidecar{}},
 	"orders late, links cut":             {delayOrders{percent: 8, minDelay: maxOrderLatency}, cutLink{}, resetConnection{}, killEntry{}},
+	"rows malformed":                     {malformRows{percent: 20}},
+	"rows malformed, orders lost":        {malformRows{percent: 20}, loseOrders{percent: 20}, killEntry{}},
+	"rows malformed, sidecar killed":     {malformRows{percent: 50}, longTasks{}, loseEntry{}, killSidecar{}, killEntry{}},
 	"deregistered, sidecar suspended":    {deregisterExecutor{}, suspendSidecar{}},
 	"executor restarted, sidecar slow":   {restartExecutor{}, slowSidecar{}, killEntry{}},
 	"executor restarted, sidecar killed": {restartExecutor{}, killSidecar{}, killEntry{}},
@@ -157,6 +160,8 @@
 	overloaded    bool
 	// heldPercent and leavingPercent are the shares of requests that are held back and of callers that leave early.
 	heldPercent, leavingPercent int
+	// malformedPercent is the share of rows that cannot be decoded.
+	malformedPercent int
 	// lateHeartbeats is the share of heartbeats that are late.
 	lateHeartbeats int
 	// live holds the runs of each task.
