--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -53,6 +53,7 @@
 	sta.ClockReadAt = readAt
 	sta.Slowdown = 0
 	sta.Health = Health{}
+	sta.PollUnanswered = true
 	return takeControl(sta, now)
 }
 
@@ -80,7 +81,7 @@
 	sta.TokenRaised, sta.FencedAt = !sta.ClockReadAt.IsZero(), time.Time{}
 	sta.AckedSequence = 0
 	sta.UntrackedRuns = nil
-	sta.Polls = nil
+	sta.Polls, sta.LastUrgentPoll = nil, time.Time{}
 	return sendPolls(sta, now)
 }
 
@@ -101,10 +102,12 @@
 
 // retakeControl takes control of the same incarnation again after its runs have ended or their state has become unknown.
 func retakeControl(sta *State, now time.Time, rsn rgmodel.Reason, los lossCause) []Effect {
-	if _, fenced := los.(lossFenced); fenced && sta.FenceToken < maxDoubledToken {
+	_, fenced := los.(lossFenced)
+	if fenced && sta.FenceToken < maxDoubledToken {
 		// Doubling exceeds the token that the executor has seen after few orders.
 		sta.FenceToken *= 2
 	}
+	sta.PollUnanswered = !fenced
 	return append(abandonIncarnation(sta, now, rsn, los), takeControl(sta, now)...)
 }
 
