io/rgserver: measure the silence of a connection from its opening by the kernel

While an entry process is suspended, the kernel of its machine goes on and opens connections of callers. A cut then holds the request back, and it arrives on a connection that counts as a fresh one, because the process has accepted it only just now. After the first 200 ms, in which a resumed entry refuses all jobs, the job was placed at once.

Evidence: the simulation, once it opened connections while a process is suspended.

Change: the silence of an accepted connection begins when its socket last received data or was opened, as the kernel tells (TCP_INFO, one system call a connection). If the first bytes have arrived before the accept, the time before them is unknown; the process was suspended then, and refuses the job for that reason.

TestSilenceBeforeAccept and TestReceiveAge are new. The server's tests pass a listener without that age, because they have a clock of their own.

--- a/core/rgsimulation/callerconn_test.go
+++ b/core/rgsimulation/callerconn_test.go
@@ -11,8 +11,10 @@
 	ent *entry
 	// generation is that of the entry process which has the other end.
 	generation int
-	// lastRead is when the process last read bytes from the connection, or accepted it.
+	// lastRead is when the process last read bytes from the connection. At the accept, it is when the kernel of the entry, which is
+	// not suspended with the process, has received the first bytes or opened the connection.
 	lastRead time.Time
+	accepted bool
 }
 
 // openConn returns a connection to an entry, and the time until a request can be sent over it. An idle connection is used if there is
@@ -29,11 +31,14 @@
 	arrival := sim.between(minLatency, maxLatency)
 	var accept func()
 	accept = func() {
+		if con.lastRead.IsZero() {
+			con.lastRead = sim.now
+		}
 		if ent.isSuspended() {
 			sim.at(ent.suspendedUntil, accept)
 			return
 		}
-		con.lastRead = sim.now
+		con.accepted = true
 	}
 	sim.after(arrival, accept)
 	return con, arrival + sim.between(minLatency, maxLatency)
@@ -45,6 +50,9 @@
 	if !ent.up || con.generation != ent.generation {
 		return
 	}
+	if !con.accepted {
+		con.lastRead = later(con.lastRead, att.arrives)
+	}
 	if ent.isSuspended() {
 		sim.at(ent.suspendedUntil.Add(sim.between(0, resumeTime)), func() { con.read(att) })
 		return
--- a/core/rgsimulation/simulation_test.go
+++ b/core/rgsimulation/simulation_test.go
@@ -115,6 +115,7 @@
 	"late across a restart, suspended": {
 		delayOrders{percent: 8, minDelay: lateOrder, crossRestart: true}, restartExecutor{}, suspendSidecar{}, killSidecar{},
 	},
+	"requests held back, entry suspended":   {holdRequests{percent: 10}, suspendEntry{}},
 	"requests held back, entry slow":        {holdRequests{percent: 10}, slowEntry{}, killEntry{}},
 	"requests held back, orders lost":       {holdRequests{percent: 10}, loseOrders{percent: 20}, leaveEarly{percent: 30}},
 	"requests held back, sidecar suspended": {holdRequests{percent: 10}, suspendSidecar{}, cutLink{}},
@@ -127,15 +128,16 @@
 
 // regressions contains seeds that have failed before or had a risk, by the name of their row in the tables.
 var regressions = map[string][]uint64{
-	"entry suspended":                  {1119},
-	"late across a restart, suspended": {2012},
-	"orders late across a restart":     {12},
-	"request held back":                {2, 5},
-	"request held back, ends late":     {4, 5, 7},
-	"executor deregistered":            {2, 3},
-	"all faults":                       {4, 6},
-	"long tasks, sidecar killed":       {24, 123},
-	"long waits, entry suspended":      {22},
+	"entry suspended":                     {1119},
+	"late across a restart, suspended":    {2012},
+	"orders late across a restart":        {12},
+	"request held back":                   {2, 5},
+	"request held back, ends late":        {4, 5, 7},
+	"executor deregistered":               {2, 3},
+	"all faults":                          {4, 6},
+	"long tasks, sidecar killed":          {24, 123},
+	"long waits, entry suspended":         {22},
+	"requests held back, entry suspended": {4, 48},
 }
 
 // simulation is a system in virtual time.
--- a/io/rgdispatcher/hold_test.go
+++ b/io/rgdispatcher/hold_test.go
@@ -56,7 +56,7 @@
 			}
 			caller, own := connectTCP(t)
 			clk := har.now
-			con := rgserver.Measure(own, func() time.Time { return clk })
+			con := rgserver.Measure(own, har.now, func() time.Time { return clk })
 			clk = clk.Add(tc.silence)
 			exchangeByte(t, caller, con)
 			var heldSince time.Time
@@ -95,7 +95,7 @@
 	har := newCallerHarness(t)
 	har.pro.applySettings(withResendDelay(har, time.Nanosecond))
 	caller, own := connectTCP(t)
-	con := rgserver.Measure(own, func() time.Time { return har.now })
+	con := rgserver.Measure(own, har.now, func() time.Time { return har.now })
 	exchangeByte(t, caller, con)
 	// Without a hold, the caller leaves later.
 	ctx, cancel := context.WithTimeout(rgserver.WithConnection(t.Context(), con), time.Second)
--- a/io/rgserver/caller_test.go
+++ b/io/rgserver/caller_test.go
@@ -104,9 +104,10 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			lis, left := newLateListener(t), make(chan bool, 2)
-			srv := serve(lis, http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+			mea := measuredListener{Listener: lis, now: rgclock.Now}
+			srv := serve(mea, http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
 				left <- CallerLeft(req.Context())
-			}), time.Minute, rgclock.Now)
+			}), time.Minute)
 			defer func() {
 				close(lis.ended)
 				_ = srv.Close()
--- a/io/rgserver/server.go
+++ b/io/rgserver/server.go
@@ -42,11 +42,10 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen on %s", adr)
 	}
-	return serve(lis, hdl, headerTimeout, rgclock.Now), nil
+	return serve(measuredListener{Listener: lis, now: rgclock.Now, age: receiveAge}, hdl, headerTimeout), nil
 }
 
-func serve(lis net.Listener, hdl http.Handler, headerTimeout time.Duration, now func() time.Time) *Server {
-	lis = measuredListener{Listener: lis, now: now}
+func serve(lis measuredListener, hdl http.Handler, headerTimeout time.Duration) *Server {
 	srv := &Server{Done: make(chan struct{}), listener: lis, conns: map[net.Conn]connection{}}
 	srv.http = &http.Server{
 		Handler: recordAnswers(hdl), ReadHeaderTimeout: headerTimeout, ConnState: srv.trackState, ConnContext: WithConnection,
--- a/io/rgserver/server_test.go
+++ b/io/rgserver/server_test.go
@@ -61,11 +61,12 @@
 				t.Fatal(err)
 			}
 			allowRead, allowResponse, begun := make(chan struct{}), make(chan struct{}), make(chan struct{})
-			srv := serve(busyListener{Listener: lis, unblock: allowRead}, http.HandlerFunc(func(wtr http.ResponseWriter, _ *http.Request) {
+			mea := measuredListener{Listener: busyListener{Listener: lis, unblock: allowRead}, now: rgclock.Now}
+			srv := serve(mea, http.HandlerFunc(func(wtr http.ResponseWriter, _ *http.Request) {
 				close(begun)
 				<-allowResponse
 				wtr.Header().Set("Connection", "close")
-			}), 5*time.Second, rgclock.Now)
+			}), 5*time.Second)
 			con, err := net.Dial("tcp", lis.Addr().String())
 			if err != nil {
 				t.Fatal(err)
--- a/io/rgserver/silence.go
+++ b/io/rgserver/silence.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 // pipelineTime is how soon after the first bytes of a request those of the next one may be read that the caller has sent together with
@@ -20,6 +21,8 @@
 	measuredListener struct {
 		net.Listener
 		now func() time.Time
+		// age returns how long ago the socket of an accepted connection last received something; nil if that does not count.
+		age func(con net.Conn) time.Duration
 	}
 
 	// measuredConn is a connection that measures how long it was silent before a request. A silence lasts from the time at which
@@ -38,18 +41,42 @@
 	}
 )
 
-// Accept returns the next connection.
+// Accept returns the next connection. The kernel may have opened it long ago if the process was suspended.
 func (lis measuredListener) Accept() (net.Conn, error) {
 	con, err := lis.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return Measure(con, lis.now), nil
+	opened := lis.now()
+	if lis.age != nil {
+		opened = opened.Add(-lis.age(con))
+	}
+	return Measure(con, opened, lis.now), nil
+}
+
+// receiveAge returns how long ago the socket of a connection last received data, or was opened, or zero if it is unknown.
+func receiveAge(con net.Conn) time.Duration {
+	sys, ok := con.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	age := time.Duration(0)
+	// An error means that the connection is closed.
+	_ = raw.Control(func(fd uintptr) {
+		if inf, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			age = time.Duration(inf.Last_data_recv) * time.Millisecond
+		}
+	})
+	return age
 }
 
-// Measure returns a connection that measures silences from now on, for WithConnection.
-func Measure(con net.Conn, now func() time.Time) net.Conn {
-	return &measuredConn{Conn: con, now: now, lastRead: now()}
+// Measure returns a connection whose silences are measured from the time at which it was opened, for WithConnection.
+func Measure(con net.Conn, opened time.Time, now func() time.Time) net.Conn {
+	return &measuredConn{Conn: con, now: now, lastRead: opened}
 }
 
 // Read reads bytes and records the silence that they end.
--- a/io/rgserver/silence_test.go
+++ b/io/rgserver/silence_test.go
@@ -66,14 +66,14 @@
 		t: t, clk: &testClock{time: time.Unix(1000, 0)}, begun: make(chan struct{}, 9), silences: make(chan time.Duration, 9),
 		answer: make(chan struct{}, 9),
 	}
-	har.srv = serve(lis, http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+	har.srv = serve(measuredListener{Listener: lis, now: har.clk.now}, http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
 		har.begun <- struct{}{}
 		if _, err := io.ReadAll(req.Body); err != nil {
 			t.Errorf("read a body: %v", err)
 		}
 		har.silences <- Silence(req.Context())
 		<-har.answer
-	}), time.Minute, har.clk.now)
+	}), time.Minute)
 	if har.con, err = net.Dial("tcp", lis.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
@@ -225,9 +225,9 @@
 // was suspended or gets little CPU time.
 func TestSilenceOfUnreadRequest(t *testing.T) {
 	clk, lis, silences := &testClock{time: time.Unix(1000, 0)}, newLateListener(t), make(chan time.Duration, 1)
-	srv := serve(lis, http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+	srv := serve(measuredListener{Listener: lis, now: clk.now}, http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
 		silences <- Silence(req.Context())
-	}), time.Minute, clk.now)
+	}), time.Minute)
 	defer func() {
 		close(lis.ended)
 		_ = srv.Close()
@@ -254,6 +254,66 @@
 	}
 }
 
+// TestSilenceBeforeAccept guards against a connection that counts as a fresh one although the kernel has opened it long before the
+// process accepted it, as during a suspension. A request on it may come from a caller that has left.
+func TestSilenceBeforeAccept(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clk := &testClock{time: time.Unix(1000, 0)}
+	opened := measuredListener{Listener: lis, now: clk.now, age: func(net.Conn) time.Duration { return pause }}
+	silences := make(chan time.Duration, 1)
+	srv := serve(opened, http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+		silences <- Silence(req.Context())
+	}), time.Minute)
+	defer func() { _ = srv.Close() }()
+	con, err := net.Dial("tcp", lis.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = con.Close() }()
+	if _, err := fmt.Fprint(con, submission); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case got := <-silences:
+		if got != pause {
+			t.Errorf("silence %v, want %v", got, pause)
+		}
+	case <-time.After(testTimeout):
+		t.Fatal("no request was handled")
+	}
+}
+
+// TestReceiveAge guards against a kernel that does not tell when it has opened a connection which has received nothing.
+func TestReceiveAge(t *testing.T) {
+	const least = 20 * time.Millisecond
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	con, err := net.Dial("tcp", lis.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = con.Close() }()
+	opened, tick := time.Now(), time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for time.Since(opened) < 2*least {
+		<-tick.C
+	}
+	own, err := lis.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = own.Close() }()
+	if got := receiveAge(own); got < least || got > time.Since(opened)+least {
+		t.Errorf("%v since the connection was opened, want about %v", got, time.Since(opened))
+	}
+}
+
 // TestSilenceWithoutConnection guards against a panic for a request of which no connection is known.
 func TestSilenceWithoutConnection(t *testing.T) {
 	pipe, peer := net.Pipe()
@@ -261,7 +321,7 @@
 	if got := Silence(t.Context()) + Silence(WithConnection(t.Context(), pipe)); got != 0 {
 		t.Errorf("silence %v, want 0", got)
 	}
-	if CallerLeft(WithConnection(t.Context(), Measure(pipe, rgclock.Now))) {
+	if CallerLeft(WithConnection(t.Context(), Measure(pipe, rgclock.Now(), rgclock.Now))) {
 		t.Error("the caller of a connection without a socket counts as left")
 	}
 }
