--- a/core/rgsimulation/fault_test.go
+++ b/core/rgsimulation/fault_test.go
@@ -46,6 +46,8 @@
 		// crossRestart lets an executor that has restarted under its id carry out orders to the one before.
 		crossRestart bool
 	}
+	// malformRows makes a share of the rows of the executors' lists of running runs unreadable.
+	malformRows struct{ percent int }
 	// leaveEarly makes a share of the callers leave before the answer.
 	leaveEarly struct{ percent int }
 	// longWaits makes all callers wait longer for an answer, so that lost tasks are placed again before the deadline.
@@ -55,8 +57,12 @@
 	longTasks struct{}
 	// overload makes the jobs of a seed frequent and their tasks short, so that many are queued and end at any time.
 	overload struct{}
-	// holdRequests holds a share of the requests back until the caller may have left.
-	holdRequests struct{ percent int }
+	// holdRequests holds a share of the requests back until the caller may have left. The ends of connections arrive up to endDelay
+	// after the request; zero means maxEndDelay.
+	holdRequests struct {
+		percent  int
+		endDelay time.Duration
+	}
 
 	// restartExecutor lets an executor crash and restart under the same id.
 	restartExecutor struct{}
@@ -88,6 +94,7 @@
 func (loseOrders) isFault()               {}
 func (loseReplies) isFault()              {}
 func (delayOrders) isFault()              {}
+func (malformRows) isFault()              {}
 func (leaveEarly) isFault()               {}
 func (longWaits) isFault()                {}
 func (longTasks) isFault()                {}
@@ -125,6 +132,8 @@
 		sim.orders.unanswered = flt.percent
 	case delayOrders:
 		sim.orders.late, sim.orders.minDelay, sim.orders.crossRestart = flt.percent, flt.minDelay, flt.crossRestart
+	case malformRows:
+		sim.malformedPercent = flt.percent
 	case longWaits:
 		sim.callerWait = longCallerWait
 	case longTasks:
@@ -135,6 +144,9 @@
 		sim.leavingPercent = flt.percent
 	case holdRequests:
 		sim.heldPercent = flt.percent
+		if flt.endDelay > 0 {
+			sim.endDelay = flt.endDelay
+		}
 	case delayHeartbeats:
 		sim.lateHeartbeats = flt.percent
 	case setClockBack, forgeStartTime, forgeID, forgeClock, forgeSequence:
@@ -301,7 +313,7 @@
 // isPermanent reports whether the fault begins once and holds until the end.
 func isPermanent(flt fault) bool {
 	switch flt.(type) {
-	case loseOrders, loseReplies, delayOrders, delayHeartbeats, leaveEarly, longWaits, longTasks, overload, holdRequests:
+	case loseOrders, loseReplies, delayOrders, delayHeartbeats, malformRows, leaveEarly, longWaits, longTasks, overload, holdRequests:
 		return true
 	default:
 		return false
--- a/io/rgserver/caller_test.go
+++ b/io/rgserver/caller_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"ragwortgap/io/rgclock"
 )
 
 // submission is a whole request with a body, as a caller sends it.
@@ -102,7 +104,8 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			lis, left := newLateListener(t), make(chan bool, 2)
-			srv := serve(lis, http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+			mea := measuredListener{Listener: lis, now: rgclock.Now}
+			srv := serve(mea, http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
 				left <- CallerLeft(req.Context())
 			}), time.Minute)
 			defer func() {
