core/rgdispatch: no hold for jobs that are refused in any case

A job that no entry could ever run, such as one with a feature that is not supported, waited 10 ms for its refusal if its connection had been silent.

--- a/core/rgdispatch/query_hold.go
+++ b/core/rgdispatch/query_hold.go
@@ -13,9 +13,9 @@
 
 // HoldTime returns how long a request is held before its job is placed, so that the end of the connection can arrive if the caller has
 // left. A caller may be running the job elsewhere if it has given up the request for the resend delay. It has sent the request after the
-// bytes before, so that only a request after nearly that silence can be such a one.
-func HoldTime(silence, resendDelay time.Duration) time.Duration {
-	if silence < resendDelay-cancelTime || resendDelay <= 0 {
+// bytes before, so that only a request after nearly that silence can be such a one. A job that is refused in any case is not held.
+func HoldTime(req Request, resendDelay time.Duration) time.Duration {
+	if resendDelay <= 0 || req.Silence < resendDelay-cancelTime || isNeverRunnable(req) {
 		return 0
 	}
 	return holdTime
--- a/core/rgdispatch/query_job.go
+++ b/core/rgdispatch/query_job.go
@@ -11,7 +11,7 @@
 // refusalReason returns the reason why a job is refused regardless of the load, or an empty reason.
 func refusalReason(sta *State, now time.Time, jb *Job) rgmodel.Reason {
 	switch req := jb.Request; {
-	case req.Unsupported != "", req.Route.ExternallyPlaced:
+	case isNeverRunnable(req):
 		return rgmodel.ReasonNeverRunnable
 	case !sta.ResumedAt.IsZero() && (now.Sub(sta.ResumedAt) < suspensionRefusalTime || receivedBefore(req, sta.ResumedAt)):
 		return rgmodel.ReasonNotReady
@@ -22,6 +22,9 @@
 	}
 }
 
+// isNeverRunnable reports whether no entry could ever run the job.
+func isNeverRunnable(req Request) bool { return req.Unsupported != "" || req.Route.ExternallyPlaced }
+
 // receivedBefore reports whether the request is known to have been received before that time.
 func receivedBefore(req Request, at time.Time) bool {
 	return !req.Received.IsZero() && req.Received.Before(at)
--- a/core/rgsimulation/callerconn_test.go
+++ b/core/rgsimulation/callerconn_test.go
@@ -58,7 +58,7 @@
 		return
 	}
 	silence := sim.now.Sub(con.lastRead)
-	hold := rgdispatch.HoldTime(silence, resendDelay)
+	hold := rgdispatch.HoldTime(rgdispatch.Request{Silence: silence}, resendDelay)
 	att.received, con.lastRead = sim.now, sim.now
 	sim.note(att.job.id, "%s reads %s after a silence of %v and holds it for %v", ent.name, att.label, silence, hold)
 	sim.after(hold, func() {
--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -155,7 +155,7 @@
 	cid := rgdispatch.CallerID(pro.lastCallerID.Add(1))
 	rpl := make(chan rgdispatch.SendAnswer, 1)
 	req.Received, req.Silence = rgclock.Now(), rgserver.Silence(ctx)
-	pro.hold(ctx, req.Silence)
+	pro.hold(ctx, req)
 	// If ctx has ended, Send may still succeed as long as the queue has room.
 	if ctx.Err() != nil || !pro.mailbox.Send(ctx, JobSubmitted{ID: cid, Caller: Caller{Context: ctx, Reply: rpl}, Request: req}) {
 		ans := rgdispatch.SendAnswer{Caller: cid, Job: req.ID, Verdict: rgmodel.NotRun, Reason: rgmodel.ReasonNotReady}
@@ -176,8 +176,8 @@
 }
 
 // hold waits for the end of the caller's connection if the caller may have left before its request arrived.
-func (pro *Process) hold(ctx context.Context, silence time.Duration) {
-	dur := rgdispatch.HoldTime(silence, time.Duration(pro.resendDelay.Load()))
+func (pro *Process) hold(ctx context.Context, req rgdispatch.Request) {
+	dur := rgdispatch.HoldTime(req, time.Duration(pro.resendDelay.Load()))
 	if dur == 0 {
 		return
 	}
