--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -25,6 +25,12 @@
 	// sparePollDuration is how long two polls are kept in flight after an order without a reply, so that the loss of one
 	// does not leave the state of all runs unknown.
 	sparePollDuration = 3 * time.Second
+	// silentPollInterval and refusedPollInterval are the intervals of the polls of an executor that does not reply, or refuses connections,
+	// while a start order may be on its way. The next incarnation carries out that order until it has got a poll.
+	silentPollInterval  = 8 * time.Millisecond
+	refusedPollInterval = 2 * time.Millisecond
+	// maxSilentPolls is the number of polls in flight to such an executor, as many as are sent until the first one has timed out.
+	maxSilentPolls = 5
 	// connectionRefusedTimeout is how long nothing listens at the executor's address before it is considered unreachable and gets no
 	// more tasks.
 	connectionRefusedTimeout = 50 * time.Millisecond
@@ -55,7 +61,7 @@
 	connDrainTime = time.Second
 	// runNumberTTL is how long the last run number of a task is kept.
 	runNumberTTL = 30 * time.Second
-	// maxClockLead limits the reported lead of a clock, so that no reading exceeds the range of a duration.
+	// maxClockLead limits differences between clocks, so that none exceeds the range of a duration.
 	maxClockLead = 1000 * time.Hour
 	// defaultMeanCores is the assumed number of cores per task while nothing runs.
 	defaultMeanCores = 1
@@ -234,6 +240,9 @@
 		Phase    Phase
 		// Undescribed is set while Executor describes an earlier incarnation than Executor.Incarnation, until the next heartbeat.
 		Undescribed bool
+		// Announced holds the descriptions of other incarnations by heartbeats, the latest last, at most maxAnnounced of them. No reply
+		// has shown that these incarnations exist.
+		Announced []rgmodel.Executor
 		// Deregistered is the last incarnation that has deregistered.
 		Deregistered rgmodel.ExecutorIncarnation
 		// Restarted holds the last incarnations that have ended by a restart, at most maxRestarted of them.
@@ -243,13 +252,22 @@
 		// HadControl is set once this process has controlled an incarnation of the executor.
 		HadControl bool
 		FenceToken uint64
-		// ClockReadAt is when Executor.Clock was received. The executor's clock showed it at that time or before.
+		// TokenRaised is set if FenceToken was taken from a clock that a reply of the known incarnation has shown.
+		TokenRaised bool
+		// FencedAt is when the executor has first accepted the raised token in PhaseFencing, or zero.
+		FencedAt time.Time
+		// ClockReadAt is when Executor.Clock was received in the reply to an order, or zero. The executor's clock showed it at that time or
+		// before.
 		ClockReadAt time.Time
 		// LeaseEnd is the latest end of the leases of all orders.
 		LeaseEnd      rgmodel.ExecutorTime
 		AckedSequence uint64
 		// Polls holds the send times of the polls in flight.
 		Polls []time.Time
+		// PollUnanswered is set until the current incarnation has replied to a poll, and again when it has not replied to one.
+		PollUnanswered bool
+		// LastUrgentPoll is when the last poll was or will be sent to an executor that may restart with a start order on its way.
+		LastUrgentPoll time.Time
 		// LastMissingReply is when an order last got no reply.
 		LastMissingReply time.Time
 		// LateStartPossibleAt is when a start order was last known or assumed to be on its way without a reply. An order of an earlier
--- a/core/rgexecutor/loss.go
+++ b/core/rgexecutor/loss.go
@@ -14,6 +14,10 @@
 	// were sent to the previous one.
 	lossRestarted struct{}
 
+	// lossIdentified means that a reply names a start time, and none was known before. It may be that of the same incarnation or of
+	// the next one.
+	lossIdentified struct{}
+
 	// lossLeaseExpired means that every lease has expired, so that all runs have ended.
 	lossLeaseExpired struct{}
 
@@ -24,6 +28,7 @@
 func (lossDeregistered) isLossCause() {}
 func (lossReplaced) isLossCause()     {}
 func (lossRestarted) isLossCause()    {}
+func (lossIdentified) isLossCause()   {}
 func (lossLeaseExpired) isLossCause() {}
 func (lossFenced) isLossCause()       {}
 
@@ -36,6 +41,8 @@
 		return "replaced"
 	case lossRestarted:
 		return "restarted"
+	case lossIdentified:
+		return "identified"
 	case lossLeaseExpired:
 		return "leaseExpired"
 	case lossFenced:
@@ -48,11 +55,17 @@
 // mayStillRun reports whether the run may go on after the loss.
 func mayStillRun(los lossCause, run *Run) bool {
 	switch los.(type) {
-	case lossDeregistered, lossReplaced, lossFenced:
+	case lossDeregistered, lossReplaced, lossIdentified, lossFenced:
 		return true
 	case lossRestarted:
-		return !run.StartConfirmed
+		return mayStartLate(run)
 	default:
 		return false
 	}
 }
+
+// mayStartLate reports whether a start order of the run is possibly on its way, so that the next incarnation with the same id may carry
+// it out: the last one, if the known incarnation has not confirmed it, or an earlier one without a reply.
+func mayStartLate(run *Run) bool {
+	return !run.StartConfirmed || run.AcceptedTask.UnrefusedStarts > 1
+}
--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -60,6 +60,11 @@
 		// EntriesSent is set once the list of entries was sent to the peer, and EntriesVersion is the version that the peer has.
 		EntriesSent    bool
 		EntriesVersion rgmembership.Version
+		// ConnectedTwice is set once a sidecar has had another connection to this entry beside this one. Its reports on earlier
+		// connections do not cover the other one, which it may still have open when this entry has lost it.
+		ConnectedTwice bool
+		// RejectionLogged is set once the peer has sent an entry that is not valid.
+		RejectionLogged bool
 	}
 
 	// Caller is a caller that waits for the answer to a job. Without the context of its request, it never counts as having left.
@@ -99,6 +104,9 @@
 		sleep   func(ctx context.Context, dur time.Duration) bool
 		stop    context.CancelFunc
 		traffic rgsupervisor.Supervisor
+
+		malformedConfigs rgstore.MalformedLog
+		malformedEntries rgstore.MalformedLog
 	}
 )
 
@@ -120,6 +128,8 @@
 	}
 	pro.resendDelay.Store(int64(set.ResendDelay.Duration))
 	pro.traffic.Log, pro.traffic.Scope = log, sco
+	pro.malformedConfigs.Log, pro.malformedConfigs.Scope = log, sco
+	pro.malformedEntries.Log, pro.malformedEntries.Scope = log, sco
 	pro.traffic.Maintain(workCtx, func() { pro.accept(workCtx, lis) })
 	pro.traffic.Maintain(workCtx, func() { pro.watchConfig(workCtx) })
 	pro.traffic.Maintain(workCtx, func() { pro.maintainLease(workCtx) })
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -102,18 +103,25 @@
 }
 
 func (pro *Process) updateExecutor(workCtx context.Context, sta *State, now time.Time, exe rgmodel.Executor) {
-	before, known := sta.ExecutorState.Executor, sta.ExecutorState.Phase != rgexecutor.PhaseNoExecutor && !sta.ExecutorState.Undescribed
+	before := rgexecutor.Description(&sta.ExecutorState)
 	pro.logHeartbeat(sta, now, exe)
 	efs := rgexecutor.UpdateExecutor(&sta.ExecutorState, now, exe)
-	if exe = sta.ExecutorState.Executor; !known || !sameExecutor(before, exe) {
-		pro.log.Info("executor", zap.String("id", exe.Incarnation.ID), zap.Int64("born", exe.Incarnation.StartedMillis),
-			zap.Bool("draining", exe.Draining), zap.Float64("cores", exe.Capacity.Cores))
-		pro.queueSave(exe)
-		rgexecutor.MarkLoadChanged(&sta.ExecutorState)
-	}
+	pro.recordExecutor(sta, before)
 	pro.perform(workCtx, sta, efs)
 }
 
+// recordExecutor logs and saves the description of the executor if it has changed.
+func (pro *Process) recordExecutor(sta *State, before rgmodel.Executor) {
+	exe := rgexecutor.Description(&sta.ExecutorState)
+	if exe.Service == "" || sameExecutor(before, exe) {
+		return
+	}
+	pro.log.Info("executor", zap.String("id", exe.Incarnation.ID), zap.Int64("born", exe.Incarnation.StartedMillis),
+		zap.Bool("draining", exe.Draining), zap.Float64("cores", exe.Capacity.Cores))
+	pro.queueSave(exe)
+	rgexecutor.MarkLoadChanged(&sta.ExecutorState)
+}
+
 // logHeartbeat logs a heartbeat that contradicts what the executor's replies have shown, with the state before it takes effect.
 func (pro *Process) logHeartbeat(sta *State, now time.Time, exe rgmodel.Executor) {
 	if sta.ExecutorState.Phase == rgexecutor.PhaseNoExecutor {
@@ -143,7 +151,7 @@
 }
 
 func (pro *Process) handleOrderReply(workCtx context.Context, sta *State, now time.Time, evt OrderReplied) {
-	phase := sta.ExecutorState.Phase
+	phase, before := sta.ExecutorState.Phase, rgexecutor.Description(&sta.ExecutorState)
 	var efs []rgexecutor.Effect
 	switch ord := evt.Order.(type) {
 	case rgmodel.StartOrder:
@@ -163,6 +171,7 @@
 			zap.Uint64("fence", sta.ExecutorState.FenceToken))
 		rgexecutor.MarkLoadChanged(&sta.ExecutorState)
 	}
+	pro.recordExecutor(sta, before)
 	pro.perform(workCtx, sta, efs)
 }
 
@@ -178,7 +187,7 @@
 
 // perform carries out the effects that the core returned.
 func (pro *Process) perform(workCtx context.Context, sta *State, efs []rgexecutor.Effect) {
-	if len(efs) > 0 {
+	if slices.ContainsFunc(efs, mayChangeLoad) {
 		rgexecutor.MarkLoadChanged(&sta.ExecutorState)
 	}
 	for _, eff := range efs {
@@ -188,6 +197,9 @@
 				pro.logStopOrder(sta, ord)
 			}
 			pro.traffic.Go(func() {
+				if ord, ok := eff.Order.(rgmodel.PollOrder); ok && ord.Delay > 0 {
+					rgclock.Sleep(workCtx, ord.Delay)
+				}
 				pro.mailbox.Send(workCtx, OrderReplied{Order: eff.Order, Reply: pro.sendOrder(workCtx, eff.Order)})
 			})
 		case rgexecutor.ReportEnd:
@@ -210,6 +222,17 @@
 	}
 }
 
+// mayChangeLoad reports whether the load may have changed with the effect. A delayed poll only repeats one that got no reply, many times a
+// second.
+func mayChangeLoad(eff rgexecutor.Effect) bool {
+	snd, ok := eff.(rgexecutor.SendOrder)
+	if !ok {
+		return true
+	}
+	ord, ok := snd.Order.(rgmodel.PollOrder)
+	return !ok || ord.Delay == 0
+}
+
 // logStopOrder logs each stop order, repeated ones too.
 func (pro *Process) logStopOrder(sta *State, ord rgmodel.StopOrder) {
 	rsn, age := rgmodel.Reason("foreign"), time.Duration(0)
