--- a/io/rgserver/server_test.go
+++ b/io/rgserver/server_test.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"ragwortgap/io/rgclock"
 )
 
 // blockTime is how long a request is kept from being read or answered after the drain begins.
@@ -59,7 +61,8 @@
 				t.Fatal(err)
 			}
 			allowRead, allowResponse, begun := make(chan struct{}), make(chan struct{}), make(chan struct{})
-			srv := serve(busyListener{Listener: lis, unblock: allowRead}, http.HandlerFunc(func(wtr http.ResponseWriter, _ *http.Request) {
+			mea := measuredListener{Listener: busyListener{Listener: lis, unblock: allowRead}, now: rgclock.Now}
+			srv := serve(mea, http.HandlerFunc(func(wtr http.ResponseWriter, _ *http.Request) {
 				close(begun)
 				<-allowResponse
 				wtr.Header().Set("Connection", "close")
