core/rgexecutor, io/rgorders: a deregistration counts like a drain

What callers saw: an executor that gets no work until its next restart, and tasks reported as lost that went on running.

Cause: a deregistration names the id only. One that is handled after the first heartbeat of the next incarnation with the same id ended the control of that one, whose later heartbeats were ignored. Also a timely one ended the tracking of runs that go on until the executor ends.

Change: a deregistration begins a drain, which the next heartbeat of that incarnation ends. The runs stay tracked until a reply or the expiry of their lease shows their end. State.Deregistered and the loss cause "deregistered" are gone; the log line is `executor has deregistered`.

--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -56,16 +56,6 @@
 	return takeControl(sta, now)
 }
 
-// DeregisterExecutor handles the graceful shutdown of an incarnation of the executor.
-func DeregisterExecutor(sta *State, now time.Time, id string) []Effect {
-	if sta.Phase == PhaseNoExecutor || sta.Executor.Incarnation.ID != id {
-		return nil
-	}
-	sta.Executor.Draining = true
-	sta.Deregistered = sta.Executor.Incarnation
-	return loseExecutor(sta, now, rgmodel.ReasonDraining, lossDeregistered{})
-}
-
 // takeControl raises the fencing token, so that orders of earlier sidecar processes are refused, and polls for the runs that
 // they started. The token is taken from the executor's clock, which makes it higher than that of an earlier process. Until a reply has
 // shown the clock, it is only higher than the last one of this process: see raiseToken. If the earlier process came from an incarnation
@@ -174,7 +164,7 @@
 		if len(sta.Restarted) > maxRestarted {
 			sta.Restarted = sta.Restarted[1:]
 		}
-	case lossDeregistered, lossReplaced:
+	case lossReplaced:
 		if len(sta.UntrackedRuns) > 0 {
 			// Another process may have renewed the lease of these runs last.
 			sta.UntrackedUntil = now.Add(maxUnrenewedRunTime(sta))
--- a/core/rgexecutor/command_heartbeat.go
+++ b/core/rgexecutor/command_heartbeat.go
@@ -21,9 +21,6 @@
 // order shows which incarnation is there.
 func UpdateExecutor(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
 	switch {
-	case exe.Incarnation.StartedMillis != 0 && exe.Incarnation == sta.Deregistered:
-		// The heartbeat was sent before the deregistration and delayed.
-		return nil
 	case exe.Incarnation.StartedMillis != 0 && slices.Contains(sta.Restarted, exe.Incarnation):
 		// Its start time may be later than that of the current incarnation, if the machine's clock was set back.
 		return nil
@@ -36,6 +33,22 @@
 	}
 }
 
+// DeregisterExecutor handles the announcement that an executor leaves, which counts like a drain: no work is sent there, and its runs stay
+// tracked until a reply or the expiry of their lease shows their end. It names no start time, so it may be a late one of the incarnation
+// before, and the next heartbeat ends the drain.
+func DeregisterExecutor(sta *State, id string) []Effect {
+	for i := range sta.Announced {
+		if exe := &sta.Announced[i]; exe.Incarnation.ID == id {
+			exe.Draining = true
+		}
+	}
+	if sta.Phase == PhaseNoExecutor || sta.Executor.Incarnation.ID != id {
+		return nil
+	}
+	sta.Executor.Draining = true
+	return returnQueue(sta, rgmodel.ReasonDraining)
+}
+
 // describeIncarnation handles a heartbeat of the known incarnation. It does not store the clock: a false one would make leases longer. If
 // the last reading is old, it asks for one.
 func describeIncarnation(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -237,8 +237,6 @@
 		// Announced holds the descriptions of other incarnations by heartbeats, the latest last, at most maxAnnounced of them. No reply
 		// has shown that these incarnations exist.
 		Announced []rgmodel.Executor
-		// Deregistered is the last incarnation that has deregistered.
-		Deregistered rgmodel.ExecutorIncarnation
 		// Restarted holds the last incarnations that have ended by a restart, at most maxRestarted of them.
 		Restarted []rgmodel.ExecutorIncarnation
 		// UntrackedUntil is when the untracked runs of a lost incarnation have ended by the expiry of their lease.
--- a/core/rgexecutor/loss.go
+++ b/core/rgexecutor/loss.go
@@ -4,9 +4,6 @@
 	// lossCause is the way in which the sidecar lost control of an incarnation of its executor.
 	lossCause interface{ isLossCause() }
 
-	// lossDeregistered means that the executor has announced its end. Its runs go on until it ends.
-	lossDeregistered struct{}
-
 	// lossReplaced means that an executor with another id has reported or replied. That says nothing about the runs of the earlier one.
 	lossReplaced struct{}
 
@@ -25,7 +22,6 @@
 	lossFenced struct{}
 )
 
-func (lossDeregistered) isLossCause() {}
 func (lossReplaced) isLossCause()     {}
 func (lossRestarted) isLossCause()    {}
 func (lossIdentified) isLossCause()   {}
@@ -35,8 +31,6 @@
 // lossName returns the name of the cause for logs and metrics.
 func lossName(los lossCause) string {
 	switch los.(type) {
-	case lossDeregistered:
-		return "deregistered"
 	case lossReplaced:
 		return "replaced"
 	case lossRestarted:
@@ -55,7 +49,7 @@
 // mayStillRun reports whether the run may go on after the loss.
 func mayStillRun(los lossCause, run *Run) bool {
 	switch los.(type) {
-	case lossDeregistered, lossReplaced, lossIdentified, lossFenced:
+	case lossReplaced, lossIdentified, lossFenced:
 		return true
 	case lossRestarted:
 		return mayStartLate(run)
--- a/core/rgexecutor/loss_test.go
+++ b/core/rgexecutor/loss_test.go
@@ -10,7 +10,7 @@
 // lossTests contains the signs that the executor is about to end or has ended, none of which shows that its runs have ended.
 var lossTests = map[string]func(har *harness){
 	"deregistered": func(har *harness) {
-		har.efs = append(har.efs, DeregisterExecutor(&har.sta, har.now, "i-1")...)
+		har.efs = append(har.efs, DeregisterExecutor(&har.sta, "i-1")...)
 	},
 	"connections refused": func(har *harness) {
 		for range 2 {
--- a/core/rgexecutor/query_capacity.go
+++ b/core/rgexecutor/query_capacity.go
@@ -28,7 +28,7 @@
 func maxTimeLeft(sta *State, now time.Time, los lossCause, run *Run) time.Duration {
 	left := leaseLeft(sta, now)
 	switch los.(type) {
-	case lossDeregistered, lossRestarted, lossIdentified:
+	case lossRestarted, lossIdentified:
 		if mayStartLate(run) {
 			return max(left, maxUnrenewedRunTime(sta))
 		}
--- a/core/rgexecutor/return_test.go
+++ b/core/rgexecutor/return_test.go
@@ -31,7 +31,7 @@
 		har.efs = append(har.efs, Tick(&har.sta, har.now)...)
 	},
 	"executor has left": func(_ *testing.T, har *harness) {
-		har.efs = append(har.efs, DeregisterExecutor(&har.sta, har.now, "i-1")...)
+		har.efs = append(har.efs, DeregisterExecutor(&har.sta, "i-1")...)
 	},
 	"executor has restarted": func(t *testing.T, har *harness) {
 		har.announce(newExecutor(2))
--- a/core/rgsimulation/sidecar_test.go
+++ b/core/rgsimulation/sidecar_test.go
@@ -176,12 +176,11 @@
 }
 
 func (sc *sidecar) deregisterExecutor(id string) {
-	sc.perform(rgexecutor.DeregisterExecutor(&sc.sta, sc.sim.now, id))
-	sc.sim.note(sc.name, "executor %s has left", id)
-	if sc.sta.Deregistered.ID == id {
-		sc.save()
-	}
-	rgexecutor.MarkLoadChanged(&sc.sta)
+	before := rgexecutor.Description(&sc.sta)
+	efs := rgexecutor.DeregisterExecutor(&sc.sta, id)
+	sc.sim.note(sc.name, "executor %s has deregistered", id)
+	sc.recordExecutor(before)
+	sc.perform(efs)
 }
 
 // save saves the executor in the store, without its clock.
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -73,13 +73,13 @@
 			pro.updateExecutor(workCtx, sta, now, evt.Executor)
 		}
 	case ExecutorDeregistered:
-		pro.perform(workCtx, sta, rgexecutor.DeregisterExecutor(&sta.ExecutorState, now, evt.ID))
-		pro.log.Info("executor has left", zap.String("id", evt.ID))
-		if sta.ExecutorState.Deregistered.ID == evt.ID {
-			// The next process of this sidecar must not use an executor that has left.
-			pro.queueSave(sta.ExecutorState.Executor)
-		}
-		rgexecutor.MarkLoadChanged(&sta.ExecutorState)
+		// The next process of this sidecar must not use an executor that has left, so its drain is saved.
+		before := rgexecutor.Description(&sta.ExecutorState)
+		efs := rgexecutor.DeregisterExecutor(&sta.ExecutorState, evt.ID)
+		pro.log.Info("executor has deregistered", zap.String("id", evt.ID),
+			zap.String("knownID", sta.ExecutorState.Executor.Incarnation.ID), zap.Int("runs", len(sta.ExecutorState.Runs)))
+		pro.recordExecutor(sta, before)
+		pro.perform(workCtx, sta, efs)
 		evt.Reply <- struct{}{}
 	case OrderReplied:
 		pro.handleOrderReply(workCtx, sta, now, evt)
