--- a/core/rgmembership/query_select.go
+++ b/core/rgmembership/query_select.go
@@ -24,8 +24,9 @@
 	var same, others []candidate
 	connected := 0
 	sel := map[string]bool{}
+	held := connectedNames(sta)
 	for adr, kno := range sta.Entries {
-		if kno.Entry.Name == "" {
+		if cur, found := held[kno.Entry.Name]; kno.Entry.Name == "" || found && cur != adr {
 			continue
 		}
 		cnd := candidate{address: adr, known: kno, rank: Rank(sta.Name, kno.Entry.Name)}
@@ -51,7 +52,33 @@
 	return sel
 }
 
-// choose returns the candidates of the lowest rank until the limit of those that can be reached is met.
+// connectedNames maps the names of the connected entries to the address of each. Another address of the same name is that of the same
+// entry, of one that has moved, or of a record of another writer; a second connection could count runs of the first one as ended.
+func connectedNames(sta *State) map[string]string {
+	held := map[string]string{}
+	for adr, kno := range sta.Entries {
+		if len(kno.Conns) == 0 || kno.Entry.Name == "" {
+			continue
+		}
+		cur, found := held[kno.Entry.Name]
+		if !found || isPreferred(kno, sta.Entries[cur]) {
+			held[kno.Entry.Name] = adr
+		}
+	}
+	return held
+}
+
+// isPreferred reports whether the first of two connected addresses of an entry is kept.
+func isPreferred(one, two *KnownEntry) bool {
+	if described := one.DescribedBy != 0; described != (two.DescribedBy != 0) {
+		return described
+	}
+	return one.Entry.Address < two.Entry.Address
+}
+
+// choose returns the candidates of the lowest rank until the limit of those that can be reached is met. Entries that cannot be reached
+// may be any number, if they do not exist: only a few of them are chosen, and connected entries beyond the limit are kept until
+// others are connected in their place.
 func choose(cnds []candidate, limit int, now time.Time) []candidate {
 	if limit <= 0 || len(cnds) <= limit {
 		return cnds
@@ -59,21 +86,36 @@
 	slices.SortFunc(cnds, func(one, two candidate) int {
 		return cmp.Or(cmp.Compare(one.rank, two.rank), cmp.Compare(one.address, two.address))
 	})
-	reachable := 0
-	for i, cnd := range cnds {
-		if isReachable(cnd.known, now) {
+	var chosen []candidate
+	reachable, passedOver, connected := 0, 0, 0
+	for _, cnd := range cnds {
+		isConnected := len(cnd.known.Conns) > 0
+		switch {
+		case reachable < limit && isReachable(cnd.known, now), isConnected && connected < limit:
 			reachable++
+		case reachable < limit && passedOver < maxPassedOver*limit:
+			passedOver++
+		default:
+			continue
 		}
-		if reachable == limit || i+1 == (1+maxPassedOver)*limit {
-			return cnds[:i+1]
+		if isConnected {
+			connected++
 		}
+		chosen = append(chosen, cnd)
 	}
-	return cnds
+	return chosen
 }
 
 // isReachable reports whether the process is connected to the entry or may soon be.
 func isReachable(kno *KnownEntry, now time.Time) bool {
-	return len(kno.Conns) > 0 || !kno.Dialed || now.Sub(kno.UnreachableSince) < dialPatience
+	switch {
+	case len(kno.Conns) > 0:
+		return true
+	case kno.Dialed:
+		return now.Sub(kno.UnreachableSince) < dialPatience
+	default:
+		return !now.Before(kno.RetryAt)
+	}
 }
 
 // isSeen reports whether the entry exists by what the store or the entry itself has shown.
