--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -133,6 +133,11 @@
 			zap.Int("runs", len(sta.ExecutorState.Runs)), zap.Duration("leaseLeft", rgexecutor.LeaseLeft(&sta.ExecutorState, now)))
 		return
 	}
+	if des := rgexecutor.Description(&sta.ExecutorState); des.Service != "" && exe.Service != des.Service {
+		pro.log.Warn("heartbeat of another service", zap.String("id", exe.Incarnation.ID), zap.String("service", exe.Service),
+			zap.Uint64("sequence", exe.Sequence))
+		return
+	}
 	if ahead := rgexecutor.ClockLead(&sta.ExecutorState, now, exe.Clock); ahead > tolerableClockLead {
 		pro.log.Warn("heartbeat with a clock that is ahead of the executor's replies", zap.String("id", exe.Incarnation.ID),
 			zap.Duration("ahead", ahead), zap.Uint64("sequence", exe.Sequence))
