core/rgexecutor: the lease that an earlier clock has granted counts after a restart

What callers saw: two runs of a task at the same time, when an executor restarts under its id and is replaced within a second.

Cause: a poll that was sent to the last incarnation, with the end of a lease on its clock, is carried out by the next one with the same id. That one grants the longest lease (1 s), which holds for all runs and never shortens, while the sidecar counted 0.7 s from its own orders.

Change: when the executor first accepts the raised token, the lease counts as if the longest one had just been granted. The poll after a heartbeat of another incarnation renews no lease.

Tests that read State.LeaseEnd for the lease of one order read it from the order (TestClockOfHeartbeat, TestLeaseAfterIdleTime); TestSilentEntry begins after the first lease.

--- a/core/rgexecutor/command_heartbeat.go
+++ b/core/rgexecutor/command_heartbeat.go
@@ -107,12 +107,13 @@
 	return exe, true
 }
 
-// askExecutor sends a poll without a wait, because those in flight may wait or may have been sent before a restart. Heartbeats in quick
-// succession send only one more than the other polls.
+// askExecutor sends a poll without a wait, because those in flight may wait or may have been sent before a restart. It renews no lease,
+// because another incarnation with a clock of its own may carry it out. Heartbeats in quick succession send only one more than the other
+// polls.
 func askExecutor(sta *State, now time.Time) []Effect {
 	if len(sta.Polls) > desiredPolls(sta, now) {
 		return nil
 	}
 	sta.Polls = append(sta.Polls, now)
-	return []Effect{SendOrder{Order: newPoll(sta, now)}}
+	return []Effect{SendOrder{Order: newPollWithoutLease(sta, now)}}
 }
--- a/core/rgexecutor/command_poll.go
+++ b/core/rgexecutor/command_poll.go
@@ -73,13 +73,17 @@
 }
 
 func newPoll(sta *State, now time.Time) rgmodel.PollOrder {
-	ord := rgmodel.PollOrder{Incarnation: sta.Executor.Incarnation, FenceToken: sta.FenceToken, AckedSequence: sta.AckedSequence, Sent: now}
+	ord := newPollWithoutLease(sta, now)
 	if pollRenewsLease(sta, now) {
 		ord.LeaseEnd = extendLease(sta, now)
 	}
 	return ord
 }
 
+func newPollWithoutLease(sta *State, now time.Time) rgmodel.PollOrder {
+	return rgmodel.PollOrder{Incarnation: sta.Executor.Incarnation, FenceToken: sta.FenceToken, AckedSequence: sta.AckedSequence, Sent: now}
+}
+
 // pollRenewsLease reports whether a poll renews the lease. Without a run of this process, the executor can only have runs that must end.
 // While it refuses connections, the lease is left to expire.
 func pollRenewsLease(sta *State, now time.Time) bool {
@@ -153,6 +157,9 @@
 	}
 	if sta.FencedAt.IsZero() {
 		sta.FencedAt = now
+		// Orders that were carried out before may have extended the lease, up to the longest one: those of an earlier process, or
+		// those to the last incarnation, with its clock. The lease holds for all runs and never shortens.
+		sta.LeaseEnd = max(sta.LeaseEnd, addMillis(sta.Executor.Clock, longestLease(sta)))
 	}
 	if len(sta.UntrackedRuns) == 0 && (!lis.incomplete || now.Sub(sta.FencedAt) > maxUnrenewedRunTime(sta)) {
 		sta.Phase = PhaseServing
--- a/core/rgexecutor/heartbeat_test.go
+++ b/core/rgexecutor/heartbeat_test.go
@@ -44,6 +44,9 @@
 				if !poll || ord.Incarnation != known.Incarnation {
 					t.Fatalf("order after a heartbeat: %+v", snd.Order)
 				}
+				if ord.LeaseEnd != 0 {
+					t.Error("the poll, which another incarnation may carry out, renews the lease by the clock of the known one")
+				}
 				asked = true
 			}
 			if !asked {
--- a/core/rgexecutor/heartbeatclock_test.go
+++ b/core/rgexecutor/heartbeatclock_test.go
@@ -15,6 +15,20 @@
 	"just ahead":      5400,
 }
 
+// startLease takes the effects and returns the end of the lease of the start order among them.
+func (har *harness) startLease(t *testing.T) rgmodel.ExecutorTime {
+	t.Helper()
+	for _, eff := range har.takeEffects() {
+		if snd, ok := eff.(SendOrder); ok {
+			if ord, start := snd.Order.(rgmodel.StartOrder); start {
+				return ord.LeaseEnd
+			}
+		}
+	}
+	t.Fatal("no start order")
+	return 0
+}
+
 // TestClockOfHeartbeat guards against two runs of a task at the same time: a heartbeat of another writer has set the clock ahead, and the
 // leases last for longer than the bounds that rest on them, because late orders are no longer rejected for their own lease.
 func TestClockOfHeartbeat(t *testing.T) {
@@ -27,7 +41,7 @@
 			har.announce(exe)
 			har.place("job", 1)
 			latest := har.executorClock() + rgmodel.ExecutorTime(LeaseTime(&har.sta).Milliseconds())
-			if got := har.sta.LeaseEnd; got > latest || got <= 0 {
+			if got := har.startLease(t); got > latest || got <= 0 {
 				t.Errorf("lease until %d, want at most %d", got, latest)
 			}
 			if got := har.sta.Executor.Clock; got != before {
@@ -48,7 +62,7 @@
 			har.now = har.now.Add(idle)
 			RecordHeartbeat(&har.sta, testConn, har.now)
 			har.place("job", 1)
-			if got := har.sta.LeaseEnd - slowest; got > rgmodel.ExecutorTime(LeaseTime(&har.sta).Milliseconds()) {
+			if got := har.startLease(t) - slowest; got > rgmodel.ExecutorTime(LeaseTime(&har.sta).Milliseconds()) {
 				t.Errorf("lease of %d ms on the slowest clock, want at most %v", got, LeaseTime(&har.sta))
 			}
 		})
--- a/core/rgexecutor/lease_test.go
+++ b/core/rgexecutor/lease_test.go
@@ -62,6 +62,8 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			har := newHarness(t)
+			// The longest lease that an earlier process may have requested has run out.
+			har.sta.LeaseEnd = 0
 			har.place("running", 1)
 			har.replyToStarts(har.acceptedReply())
 			har.sta.Queue = append(har.sta.Queue, AcceptedTask{
@@ -82,3 +84,29 @@
 		})
 	}
 }
+
+// TestLeaseAfterRestart guards against two runs of a task at the same time: an order that was sent to the last incarnation, with the end of
+// a lease on its clock, was carried out by the next one, which granted the longest lease. It holds for later runs there, and the sidecar
+// reports one as lost before it has expired.
+func TestLeaseAfterRestart(t *testing.T) {
+	har := newHarness(t)
+	har.announce(newExecutor(2))
+	har.replyFromNewIncarnation(true)
+	har.takeOver(t)
+	granted := maxUnrenewedRunTime(&har.sta)
+	ends := har.now.Add(granted)
+	har.place("job", 1)
+	har.replyToStarts(har.acceptedReply())
+	har.takeEffects()
+	har.replyFromNewIncarnation(false)
+	for har.now.Add(TickInterval).Before(ends) {
+		har.advance(TickInterval)
+		if har.takeLossReports() {
+			t.Fatalf("task is reported as lost %v before the lease of its run expires", ends.Sub(har.now))
+		}
+	}
+	har.advance(2 * TickInterval)
+	if !har.takeLossReports() {
+		t.Error("task is not reported as lost although it can no longer run")
+	}
+}
--- a/core/rgexecutor/query_capacity.go
+++ b/core/rgexecutor/query_capacity.go
@@ -14,13 +14,17 @@
 	DefaultResendDelay = 1300 * time.Millisecond
 )
 
+// longestLease returns the longest lease that an executor grants.
+func longestLease(sta *State) time.Duration {
+	if sta.Limits.MaxLease <= 0 {
+		return DefaultMaxLease
+	}
+	return sta.Limits.MaxLease
+}
+
 // LeaseTime returns the duration of the leases that are requested.
 func LeaseTime(sta *State) time.Duration {
-	dur := sta.Limits.MaxLease
-	if dur <= 0 {
-		dur = DefaultMaxLease
-	}
-	return time.Duration(leaseFraction * float64(dur))
+	return time.Duration(leaseFraction * float64(longestLease(sta)))
 }
 
 // maxTimeLeft returns how long a run may go on at most after control of its executor was lost. A next incarnation may carry out a
@@ -38,11 +42,7 @@
 
 // maxUnrenewedRunTime returns how long a run may last after the last renewal of its lease.
 func maxUnrenewedRunTime(sta *State) time.Duration {
-	dur := sta.Limits.MaxLease
-	if dur <= 0 {
-		dur = DefaultMaxLease
-	}
-	return time.Duration(float64(dur)/minClockRate) + sta.Limits.TaskStopTime
+	return time.Duration(float64(longestLease(sta))/minClockRate) + sta.Limits.TaskStopTime
 }
 
 // MaxSilence returns how long an entry may be silent before its tasks are stopped. Even if the stop is lost and the tasks
