core/rgexecutor: log no lease where none was granted

What operators saw: "control lost" with a leaseLeft of -3312 s, because the end of a lease that does not exist was compared with the executor's clock.

Change: the log lines use LeaseLeft, which is zero without a lease and never negative. No decision is changed.

--- a/core/rgexecutor/clock_test.go
+++ b/core/rgexecutor/clock_test.go
@@ -32,3 +32,27 @@
 		})
 	}
 }
+
+// TestLoggedLease guards against log lines that name a lease of minus an hour after control of an executor without runs is lost.
+func TestLoggedLease(t *testing.T) {
+	tests := map[string]struct {
+		runs int
+		want bool
+	}{
+		"without a run": {},
+		"with a run":    {runs: 1, want: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			har := newHarness(t)
+			har.sta.LeaseEnd = 0
+			har.place("job", tc.runs)
+			har.replyToStarts(har.acceptedReply())
+			efs := loseReplaced(&har.sta, har.now)
+			los, ok := efs[len(efs)-1].(LogLoss)
+			if !ok || los.LeaseLeft < 0 || los.LeaseLeft > 0 != tc.want {
+				t.Errorf("logged %+v, want a lease: %v", efs, tc.want)
+			}
+		})
+	}
+}
--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -104,7 +104,7 @@
 // abandonIncarnation drops all runs and queued tasks of an incarnation. Runs that may still go on become orphans, whose end
 // is reported later.
 func abandonIncarnation(sta *State, now time.Time, rsn rgmodel.Reason, los lossCause) []Effect {
-	log := LogLoss{Cause: lossName(los), Incarnation: sta.Executor.Incarnation, Queued: len(sta.Queue), LeaseLeft: leaseLeft(sta, now)}
+	log := LogLoss{Cause: lossName(los), Incarnation: sta.Executor.Incarnation, Queued: len(sta.Queue), LeaseLeft: LeaseLeft(sta, now)}
 	controlled := sta.Phase != PhaseNoExecutor
 	efs := abandonQueue(sta, now, rsn, los)
 	for _, run := range sta.Runs {
--- a/core/rgexecutor/command_poll.go
+++ b/core/rgexecutor/command_poll.go
@@ -184,7 +184,7 @@
 	var efs []Effect
 	if !sta.Unreachable {
 		sta.Unreachable = true
-		efs = append(efs, LogUnreachable{Runs: len(sta.Runs), Queued: len(sta.Queue), LeaseLeft: leaseLeft(sta, now)})
+		efs = append(efs, LogUnreachable{Runs: len(sta.Runs), Queued: len(sta.Queue), LeaseLeft: LeaseLeft(sta, now)})
 	}
 	return append(efs, returnQueue(sta, rgmodel.ReasonUpstreamUnreachable)...), true
 }
