core/rgexecutor, platform: fewer new connections to executors that do not reply

Cause: each order without a reply closed all idle connections, and a silent executor got a poll every 8 ms, each of which costs a connection when it times out.

The interval of 2 ms while connections are refused stays.

--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -26,11 +26,12 @@
 	// does not leave the state of all runs unknown.
 	sparePollDuration = 3 * time.Second
 	// silentPollInterval and refusedPollInterval are the intervals of the polls of an executor that does not reply, or refuses connections,
-	// while a start order may be on its way. The next incarnation carries out that order until it has got a poll.
-	silentPollInterval  = 8 * time.Millisecond
+	// while a start order may be on its way. The next incarnation carries out that order until it has got a poll. Each poll without a reply
+	// costs a connection.
+	silentPollInterval  = 20 * time.Millisecond
 	refusedPollInterval = 2 * time.Millisecond
 	// maxSilentPolls is the number of polls in flight to such an executor, as many as are sent until the first one has timed out.
-	maxSilentPolls = 5
+	maxSilentPolls = 2
 	// connectionRefusedTimeout is how long nothing listens at the executor's address before it is considered unreachable and gets no
 	// more tasks.
 	connectionRefusedTimeout = 50 * time.Millisecond
