core/rgexecutor: an executor that refused connections is unreachable until it replies

While an executor restarts, a poll that got no reply after refused ones cleared the refusal: the executor took placements again, and only one poll was in flight until that one had timed out, 40 ms in which the next incarnation may carry out a late start order.

Evidence: TestSilenceAfterRefusal failed with "usable without a reply since connections were refused".

Change: only a reply ends the refusal, and polls at short intervals go on while connections are refused.

--- a/core/rgexecutor/command_poll.go
+++ b/core/rgexecutor/command_poll.go
@@ -46,10 +46,10 @@
 // desiredPolls returns the number of polls to keep in flight.
 func desiredPolls(sta *State, now time.Time) int {
 	switch {
-	case !sta.ConnectionRefusedSince.IsZero():
-		return 1
 	case pollsUrgently(sta, now):
 		return maxSilentPolls
+	case !sta.ConnectionRefusedSince.IsZero():
+		return 1
 	case sta.Phase == PhaseServing && now.Sub(sta.LastMissingReply) < sparePollDuration:
 		return 2
 	default:
@@ -171,8 +171,10 @@
 // and reports that the executor is unreachable. Its runs are kept until their lease expires or the next incarnation replies, because
 // they may go on.
 func checkReachable(sta *State, now time.Time, rep rgmodel.OrderReply) ([]Effect, bool) {
-	if !rep.ConnectionRefused {
+	if rep.Replied {
 		sta.ConnectionRefusedSince, sta.Unreachable = time.Time{}, false
+	}
+	if !rep.ConnectionRefused {
 		return nil, false
 	}
 	if sta.ConnectionRefusedSince.IsZero() {
--- a/core/rgexecutor/late_start_test.go
+++ b/core/rgexecutor/late_start_test.go
@@ -53,3 +53,22 @@
 		})
 	}
 }
+
+// TestSilenceAfterRefusal guards against placements on an executor that has refused connections, because a poll gets no reply while it
+// restarts, and against a pause of the polls until that one has timed out.
+func TestSilenceAfterRefusal(t *testing.T) {
+	har := newHarness(t)
+	har.place("job", 1)
+	har.replyToStarts(rgmodel.OrderReply{})
+	refused := rgmodel.OrderReply{ConnectionRefused: true}
+	for _, rep := range []rgmodel.OrderReply{refused, refused, {}} {
+		har.efs = append(har.efs, HandlePollReply(&har.sta, har.now, har.pollOrder(), rep)...)
+		har.now = har.now.Add(connectionRefusedTimeout)
+	}
+	if Usable(&har.sta, har.now) {
+		t.Error("usable without a reply since connections were refused")
+	}
+	if got := len(har.sta.Polls); got < 2 {
+		t.Errorf("%d polls in flight, want more than the one without a reply", got)
+	}
+}
