core/rgexecutor: refused connections do not end a task whose earlier start got no reply

What callers saw: possibly two runs of a task at the same time; found by the review. An executor that restarts refuses connections first. The sidecar then reported its queued tasks, and one whose next start found nothing listening, as lost at once, also if an earlier start order had got no reply. The next incarnation may carry that out while the task runs elsewhere. The protection of such tasks after a restart came too late.

Evidence: two new rows of TestLateStartAcrossRestart failed: "unreachable: true, want that and no report of a lost task" and "task is reported as lost although nothing listens".

Change: such tasks become orphans until the executor replies and is under control, or until the longest lease has passed. The same holds for queued ones when a start time becomes known. Tasks without an unanswered start go back at once as before.

--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -138,20 +138,27 @@
 // abandonQueue returns the queued tasks of an incarnation that is abandoned. After a restart, tasks become orphans if a start order of
 // them got no reply, because the new incarnation may carry it out until it is under control.
 func abandonQueue(sta *State, now time.Time, rsn rgmodel.Reason, los lossCause) []Effect {
-	if _, restarted := los.(lossRestarted); restarted {
-		kept := sta.Queue[:0]
-		for _, act := range sta.Queue {
-			if act.UnrefusedStarts > 0 {
-				addOrphan(sta, act, rsn, now.Add(maxUnrenewedRunTime(sta)))
-				continue
-			}
-			kept = append(kept, act)
-		}
-		sta.Queue = kept
+	switch los.(type) {
+	case lossRestarted, lossIdentified:
+		orphanUnansweredStarts(sta, now, rsn)
 	}
 	return returnQueue(sta, rsn)
 }
 
+// orphanUnansweredStarts makes orphans of the queued tasks of which a start order got no reply, because the next incarnation may carry
+// it out.
+func orphanUnansweredStarts(sta *State, now time.Time, rsn rgmodel.Reason) {
+	kept := sta.Queue[:0]
+	for _, act := range sta.Queue {
+		if act.UnrefusedStarts > 0 {
+			addOrphan(sta, act, rsn, now.Add(maxUnrenewedRunTime(sta)))
+			continue
+		}
+		kept = append(kept, act)
+	}
+	sta.Queue = kept
+}
+
 // addOrphan keeps a task that may run on an abandoned incarnation, or the next one with its id, until the time at the latest.
 func addOrphan(sta *State, act AcceptedTask, rsn rgmodel.Reason, endedBy time.Time) {
 	sta.Orphans = append(sta.Orphans, OrphanedTask{
@@ -176,10 +183,10 @@
 }
 
 // reportEndedOrphans reports the orphaned tasks that have certainly ended. These are all tasks of an executor once the sidecar controls
-// an incarnation with its id and no untracked run is left there.
+// an incarnation with its id that replies, and no untracked run is left there.
 func reportEndedOrphans(sta *State, now time.Time) []Effect {
 	var efs []Effect
-	controlled := sta.Phase == PhaseServing && len(sta.UntrackedRuns) == 0
+	controlled := sta.Phase == PhaseServing && len(sta.UntrackedRuns) == 0 && sta.ConnectionRefusedSince.IsZero()
 	kept := sta.Orphans[:0]
 	for _, orp := range sta.Orphans {
 		if now.Before(orp.EndedBy) && (!controlled || orp.ExecutorID != sta.Executor.Incarnation.ID) {
--- a/core/rgexecutor/command_poll.go
+++ b/core/rgexecutor/command_poll.go
@@ -188,6 +188,7 @@
 		sta.Unreachable = true
 		efs = append(efs, LogUnreachable{Runs: len(sta.Runs), Queued: len(sta.Queue), LeaseLeft: LeaseLeft(sta, now)})
 	}
+	orphanUnansweredStarts(sta, now, rgmodel.ReasonUpstreamUnreachable)
 	return append(efs, returnQueue(sta, rgmodel.ReasonUpstreamUnreachable)...), true
 }
 
--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -114,7 +114,7 @@
 		run.AcceptedTask.UnrefusedStarts--
 	}
 	if rep.ConnectionRefused {
-		return append(endRefusedStart(sta, run), startQueued(sta, now)...)
+		return append(endUnreachableStart(sta, now, run), startQueued(sta, now)...)
 	}
 	if !rep.Replied {
 		// The order may still be carried out. Once a stop is confirmed, it cannot be, and the task may be started again.
@@ -158,6 +158,20 @@
 	return []Effect{returnTask(sta, run.AcceptedTask, rgmodel.ReasonUpstreamRefused)}
 }
 
+// endUnreachableStart ends a run whose last start order found nothing listening. The executor may be restarting, so the task becomes an
+// orphan if an earlier start order of it got no reply.
+func endUnreachableStart(sta *State, now time.Time, run *Run) []Effect {
+	if run.AcceptedTask.UnrefusedStarts == 0 {
+		return endRefusedStart(sta, run)
+	}
+	delete(sta.Runs, run.AcceptedTask.Task.Key)
+	if sta.ConnectionRefusedSince.IsZero() {
+		sta.ConnectionRefusedSince = now
+	}
+	addOrphan(sta, run.AcceptedTask, rgmodel.ReasonUpstreamRefused, now.Add(maxUnrenewedRunTime(sta)))
+	return nil
+}
+
 func stopRun(sta *State, now time.Time, run *Run, rsn rgmodel.Reason) []Effect {
 	if run.State == RunStopping {
 		if rsn == rgmodel.ReasonConnectionLost {
--- a/core/rgexecutor/late_start_test.go
+++ b/core/rgexecutor/late_start_test.go
@@ -22,6 +22,29 @@
 			t.Fatalf("%d tasks queued, want 1", len(har.sta.Queue))
 		}
 	},
+	"queued again, connections refused": func(t *testing.T, har *harness) {
+		har.sta.Health.EjectedUntil = har.now.Add(refusalEjectionTime)
+		har.replyToPoll(t, nil, nil)
+		har.takeEffects()
+		for range 2 {
+			refused := rgmodel.OrderReply{ConnectionRefused: true}
+			har.efs = append(har.efs, HandlePollReply(&har.sta, har.now, har.pollOrder(), refused)...)
+			har.advance(connectionRefusedTimeout)
+		}
+		if !har.sta.Unreachable || har.takeLossReports() {
+			t.Fatalf("unreachable: %v, want that and no report of a lost task", har.sta.Unreachable)
+		}
+	},
+	"next start refused by the connection": func(t *testing.T, har *harness) {
+		har.replyToPoll(t, nil, nil)
+		if starts := har.replyToStarts(rgmodel.OrderReply{ConnectionRefused: true}); starts != 1 {
+			t.Fatalf("%d starts after the first one was excluded, want 1", starts)
+		}
+		har.advance(TickInterval)
+		if har.takeLossReports() {
+			t.Fatal("task is reported as lost although nothing listens")
+		}
+	},
 }
 
 // TestLateStartAcrossRestart guards against two runs of a task at the same time: the executor restarts under its id, the sidecar reports
