core/rgexecutor: a task is not lost while the executor lists its run

What callers saw: possibly two runs of a task at the same time; found by the review. A start order without a reply that the next incarnation carries out late may begin long after the restart. Its task was reported as lost 1.1 s after the restart, also while the executor listed the run.

Evidence: TestListedOrphan failed with "reported as lost while 1 untracked runs are listed".

Change: while a run of the task is listed, the report waits for one longest lease more, in which the run is stopped or lapses, as its lease is not renewed. What remains: a start that is carried out after the time is over and before the first order with a higher token.

--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -189,7 +189,12 @@
 	controlled := sta.Phase == PhaseServing && len(sta.UntrackedRuns) == 0 && sta.ConnectionRefusedSince.IsZero()
 	kept := sta.Orphans[:0]
 	for _, orp := range sta.Orphans {
-		if now.Before(orp.EndedBy) && (!controlled || orp.ExecutorID != sta.Executor.Incarnation.ID) {
+		endedBy := orp.EndedBy
+		if isListed(sta, orp.AcceptedTask.Task.Key) {
+			// The executor has carried out a late start, which is being stopped without a renewal of its lease.
+			endedBy = endedBy.Add(maxUnrenewedRunTime(sta))
+		}
+		if now.Before(endedBy) && (!controlled || orp.ExecutorID != sta.Executor.Incarnation.ID) {
 			kept = append(kept, orp)
 			continue
 		}
@@ -199,6 +204,16 @@
 	return efs
 }
 
+// isListed reports whether the executor lists a run of the task that this process does not track.
+func isListed(sta *State, tsk rgmodel.TaskKey) bool {
+	for key := range sta.UntrackedRuns {
+		if key.Task == tsk {
+			return true
+		}
+	}
+	return false
+}
+
 func returnQueue(sta *State, rsn rgmodel.Reason) []Effect {
 	efs := make([]Effect, 0, len(sta.Queue))
 	for _, act := range sta.Queue {
