core/rgexecutor: a start in flight at a restart counts as possibly late

What callers saw: possibly two runs of a task at the same time; found by the review. A start order that is in flight when a restart is noticed belongs to an orphan, and its missing reply was ignored. The executor then counted as idle and was not polled, so that a further restart was noticed by a heartbeat only, while that incarnation may carry the order out.

Evidence: TestStartInFlightAtRestart failed with "the executor is not polled although a start order may be on its way".

Change: each start order to the known id without a reply is recorded, whatever has become of its run.

--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -106,6 +106,10 @@
 	if rep.Replied && rep.Refusal != rgmodel.RefusalWrongIncarnation && !recordClock(sta, now, ord.Incarnation, rep) {
 		return nil
 	}
+	if !rep.Replied && !rep.ConnectionRefused && ord.Incarnation.ID == sta.Executor.Incarnation.ID {
+		// The order may still be carried out, also by a later incarnation and if the run is an orphan by now.
+		sta.LastMissingReply, sta.LateStartPossibleAt = now, now
+	}
 	run := sta.Runs[ord.Task]
 	if run == nil || run.Number != ord.Run || ord.Incarnation != sta.Executor.Incarnation {
 		return nil
@@ -117,8 +121,7 @@
 		return append(endUnreachableStart(sta, now, run), startQueued(sta, now)...)
 	}
 	if !rep.Replied {
-		// The order may still be carried out. Once a stop is confirmed, it cannot be, and the task may be started again.
-		sta.LastMissingReply, sta.LateStartPossibleAt = now, now
+		// Once a stop is confirmed, this incarnation cannot carry the order out any more, and the task may be started again.
 		run.Requeue = run.State != RunStopping
 		return append(stopRun(sta, now, run, rgmodel.ReasonUpstreamTimeout), sendUrgentPolls(sta, now)...)
 	}
--- a/core/rgexecutor/late_start_test.go
+++ b/core/rgexecutor/late_start_test.go
@@ -95,3 +95,33 @@
 		t.Errorf("%d polls in flight, want more than the one without a reply", got)
 	}
 }
+
+// TestStartInFlightAtRestart guards against a start order whose late reply is missed because its run has become an orphan: nothing then
+// shows that a further incarnation may carry the order out, and an idle executor is not polled.
+func TestStartInFlightAtRestart(t *testing.T) {
+	har := newHarness(t)
+	har.excludeLateStarts()
+	har.place("job", 1)
+	starts := startOrders(har.takeEffects())
+	har.replyFromNewIncarnation(true)
+	har.now = har.now.Add(TickInterval)
+	for _, ord := range starts {
+		har.efs = append(har.efs, HandleStartReply(&har.sta, har.now, ord, rgmodel.OrderReply{})...)
+	}
+	har.replyToPoll(t, nil, nil)
+	if isIdle(&har.sta, har.now) {
+		t.Error("the executor is not polled although a start order may be on its way")
+	}
+}
+
+func startOrders(efs []Effect) []rgmodel.StartOrder {
+	var ords []rgmodel.StartOrder
+	for _, eff := range efs {
+		if snd, ok := eff.(SendOrder); ok {
+			if ord, ok := snd.Order.(rgmodel.StartOrder); ok {
+				ords = append(ords, ord)
+			}
+		}
+	}
+	return ords
+}
