core/rgdispatch: a held request does not take the job from a later one

What callers saw: possibly 502 for a caller that waits; found by the review of the hold of requests. A request that was held is handled after the same job sent again over a new connection. It took the job over, and when the end of its own connection arrived, the job was cancelled.

Evidence: TestLaterCaller failed with 'answers "2:mayHaveRun:connectionLost ", want "1:mayHaveRun:connectionLost 2:ranOK: "'.

Change: the job belongs to the request that arrived last, which has the higher caller id. The other one gets the answer.

--- a/core/rgdispatch/command_job.go
+++ b/core/rgdispatch/command_job.go
@@ -29,13 +29,13 @@
 		return []Effect{newAnswer(now, newJob(now, cid, req), rgmodel.NotRun, rgmodel.ReasonCallerLeft)}
 	}
 	if jb := sta.Jobs[req.ID]; jb != nil {
-		// The caller has lost its first connection and sent the job again. The job continues, and its answer goes to the new
-		// connection.
-		efs := []Effect{
-			SendAnswer{Caller: jb.Caller, Job: req.ID, Verdict: rgmodel.MayHaveRun, Reason: rgmodel.ReasonConnectionLost},
+		// The caller has lost its first connection and sent the job again. The job continues, and its answer goes to the connection
+		// of the later request, which may be handled first if the earlier one was held.
+		earlier := min(jb.Caller, cid)
+		jb.Caller = max(jb.Caller, cid)
+		return []Effect{
+			SendAnswer{Caller: earlier, Job: req.ID, Verdict: rgmodel.MayHaveRun, Reason: rgmodel.ReasonConnectionLost},
 		}
-		jb.Caller = cid
-		return efs
 	}
 	jb := newJob(now, cid, req)
 	if rsn := refusalReason(sta, now, jb); rsn != "" {
--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -83,7 +83,7 @@
 	// SidecarConnID identifies a connection to a sidecar.
 	SidecarConnID uint64
 
-	// CallerID identifies a caller that waits for the answer to a job.
+	// CallerID identifies a caller that waits for the answer to a job. Later requests have higher ones.
 	CallerID uint64
 
 	// TaskState is the state of a task.
--- a/core/rgdispatch/resubmission_test.go
+++ b/core/rgdispatch/resubmission_test.go
@@ -77,3 +77,26 @@
 		})
 	}
 }
+
+// TestLaterCaller guards against a job that is taken away from a caller that waits: the first request was held, is handled after the second
+// one, and its caller leaves.
+func TestLaterCaller(t *testing.T) {
+	tests := map[string]struct {
+		handled [2]CallerID
+	}{
+		"in order":               {handled: [2]CallerID{1, 2}},
+		"first request was held": {handled: [2]CallerID{2, 1}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			har := newHarness()
+			har.connectSidecar("one", 1)
+			for _, cid := range tc.handled {
+				har.submit(cid, newRequest("job", 1, 100*time.Millisecond))
+			}
+			har.efs = append(har.efs, HandleCallerDisconnect(&har.sta, 1, "job")...)
+			har.endAll(har.takePlaced(), rgmodel.EndSucceeded)
+			checkAnswers(t, har, "1:mayHaveRun:connectionLost 2:ranOK: ")
+		})
+	}
+}
