core/rgexecutor: the first heartbeat replaces a saved description

What callers saw: nothing known; found by the review. Within an incarnation only the drain may change, so a false description, once saved, outlived each restart of the sidecar, and the executor's true heartbeats were ignored for its whole life.

Change: a restored description holds until the first heartbeat of its incarnation. A saved drain stays in force for heartbeats that are not later than it, so that an executor that has left is not used again.

--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -49,7 +49,7 @@
 		exe.Clock = 0
 	}
 	sta.Executor = exe
-	sta.Undescribed = false
+	sta.Undescribed, sta.Restored = false, false
 	sta.ClockReadAt = readAt
 	sta.Slowdown = 0
 	sta.Health = Health{}
--- a/core/rgexecutor/command_heartbeat.go
+++ b/core/rgexecutor/command_heartbeat.go
@@ -16,7 +16,7 @@
 	maxReadingAge = time.Second
 )
 
-// UpdateExecutor handles a heartbeat, or the description that an earlier process has saved. It describes the known incarnation. One of
+// UpdateExecutor handles a heartbeat. It describes the known incarnation. One of
 // another incarnation may be delayed or come from another writer, so it changes nothing and makes the sidecar ask: only the reply to an
 // order shows which incarnation is there.
 func UpdateExecutor(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
@@ -33,6 +33,17 @@
 	}
 }
 
+// RestoreExecutor takes the description that an earlier process has saved, until the first heartbeat of its incarnation. It has no effect
+// once an incarnation is known.
+func RestoreExecutor(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
+	if sta.Phase != PhaseNoExecutor {
+		return nil
+	}
+	efs := UpdateExecutor(sta, now, exe)
+	sta.Restored = sta.Phase != PhaseNoExecutor
+	return efs
+}
+
 // DeregisterExecutor handles the announcement that an executor leaves, which counts like a drain: no work is sent there, and its runs stay
 // tracked until a reply or the expiry of their lease shows their end. It names no start time, so it may be a late one of the incarnation
 // before, and the next heartbeat ends the drain.
@@ -52,9 +63,11 @@
 // describeIncarnation handles a heartbeat of the known incarnation. It does not store the clock: a false one would make leases longer. If
 // the last reading is old, it asks for one.
 func describeIncarnation(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
-	if sta.Undescribed {
+	if sta.Undescribed || sta.Restored {
+		// A delayed heartbeat does not end the drain of the saved description.
+		exe.Draining = exe.Draining || sta.Restored && sta.Executor.Draining && exe.Sequence <= sta.Executor.Sequence
 		exe.Clock = sta.Executor.Clock
-		sta.Executor, sta.Undescribed = exe, false
+		sta.Executor, sta.Undescribed, sta.Restored = exe, false, false
 	}
 	if updateDescription(&sta.Executor, exe) {
 		return returnQueue(sta, rgmodel.ReasonDraining)
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -241,6 +241,8 @@
 		Phase    Phase
 		// Undescribed is set while Executor describes an earlier incarnation than Executor.Incarnation, until the next heartbeat.
 		Undescribed bool
+		// Restored is set while Executor is described by an earlier process, until the next heartbeat of its incarnation.
+		Restored bool
 		// Announced holds the descriptions of other incarnations by heartbeats, the latest last, at most maxAnnounced of them. No reply
 		// has shown that these incarnations exist.
 		Announced []rgmodel.Executor
--- a/core/rgexecutor/simulation_test.go
+++ b/core/rgexecutor/simulation_test.go
@@ -295,7 +295,7 @@
 		sc.process++
 		sc.sta = State{}
 		if sc.saved.Service != "" {
-			sim.applyEffects(sc, UpdateExecutor(&sc.sta, sim.now, sc.saved))
+			sim.applyEffects(sc, RestoreExecutor(&sc.sta, sim.now, sc.saved))
 		}
 	case 1:
 		sc.suspendedUntil = sim.now.Add(time.Duration(sim.rnd.Int64N(int64(4 * time.Second))))
--- a/core/rgsimulation/sidecar_test.go
+++ b/core/rgsimulation/sidecar_test.go
@@ -64,9 +64,7 @@
 	sim.after(sim.between(minLatency, maxRestoreTime), func() {
 		sc.post(nil, func() {
 			sc.handle(func() {
-				if sc.sta.Phase == rgexecutor.PhaseNoExecutor {
-					sc.updateExecutor(saved)
-				}
+				sc.perform(rgexecutor.RestoreExecutor(&sc.sta, sc.sim.now, saved))
 			})
 		})
 	})
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -71,7 +71,9 @@
 		// A heartbeat that has arrived in the meantime is newer.
 		if sta.ExecutorState.Phase == rgexecutor.PhaseNoExecutor {
 			pro.log.Info("executor restored from the store", zap.String("id", evt.Executor.Incarnation.ID))
-			pro.updateExecutor(workCtx, sta, now, evt.Executor)
+			efs := rgexecutor.RestoreExecutor(&sta.ExecutorState, now, evt.Executor)
+			rgexecutor.MarkLoadChanged(&sta.ExecutorState)
+			pro.perform(workCtx, sta, efs)
 		}
 	case ExecutorDeregistered:
 		// The next process of this sidecar must not use an executor that has left, so its drain is saved.
