--- a/core/rgexecutor/restore_test.go
+++ b/core/rgexecutor/restore_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// TestRestoredDescription guards against a false description of the executor that is saved, and so outlives the sidecar process, and against
-// a drain that is forgotten at a restart of the sidecar because of a delayed heartbeat.
+// TestRestoredDescription guards against a false description of the executor that is saved, and so outlives the sidecar process, and
+// against a drain that is forgotten at a restart of the sidecar because of a delayed heartbeat.
 func TestRestoredDescription(t *testing.T) {
 	tests := map[string]struct {
 		service      string
