--- a/core/rgdispatch/query_hold.go
+++ b/core/rgdispatch/query_hold.go
@@ -12,8 +12,8 @@
 )
 
 // HoldTime returns how long a request is held before its job is placed, so that the end of the connection can arrive if the caller has
-// left. A caller may be running the job elsewhere if it has given up the request for the resend delay. It has sent the request after the
-// bytes before, so that only a request after nearly that silence can be such a one. A job that is refused in any case is not held.
+// left. A caller waits for the resend delay before it sends a job again, so only a request after nearly that silence can be one that its
+// caller has given up. A job that is refused in any case is not held.
 func HoldTime(req Request, resendDelay time.Duration) time.Duration {
 	if resendDelay <= 0 || req.Silence < resendDelay-cancelTime || isNeverRunnable(req) {
 		return 0
--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -13,7 +13,7 @@
 	cur := sta.Executor.Incarnation
 	var los lossCause = lossRestarted{}
 	if cur.StartedMillis == 0 {
-		los = lossIdentified{}
+		los = lossStartTimeLearned{}
 	}
 	efs := abandonIncarnation(sta, now, rgmodel.ReasonSidecarLost, los)
 	next := rgmodel.ExecutorIncarnation{ID: cur.ID, StartedMillis: rep.StartedMillis}
@@ -71,7 +71,7 @@
 	sta.TokenRaised, sta.FencedAt = !sta.ClockReadAt.IsZero(), time.Time{}
 	sta.AckedSequence = 0
 	sta.UntrackedRuns = nil
-	sta.Polls, sta.LastUrgentPoll = nil, time.Time{}
+	sta.Polls, sta.LatestUrgentPoll = nil, time.Time{}
 	return sendPolls(sta, now)
 }
 
@@ -139,7 +139,7 @@
 // them got no reply, because the new incarnation may carry it out until it is under control.
 func abandonQueue(sta *State, now time.Time, rsn rgmodel.Reason, los lossCause) []Effect {
 	switch los.(type) {
-	case lossRestarted, lossIdentified:
+	case lossRestarted, lossStartTimeLearned:
 		orphanUnansweredStarts(sta, now, rsn)
 	}
 	return returnQueue(sta, rsn)
--- a/core/rgexecutor/command_heartbeat.go
+++ b/core/rgexecutor/command_heartbeat.go
@@ -74,7 +74,7 @@
 	}
 	efs := startQueued(sta, now)
 	if len(sta.Polls) == 0 && sinceReading(sta, now) > maxReadingAge {
-		efs = append(efs, askExecutor(sta, now)...)
+		efs = append(efs, pollWithoutLease(sta, now)...)
 	}
 	return efs
 }
@@ -106,7 +106,7 @@
 	}
 	sta.Announced = append(sta.Announced, exe)
 	sta.LateStartPossibleAt = now
-	return askExecutor(sta, now)
+	return pollWithoutLease(sta, now)
 }
 
 // takeAnnounced removes the announced incarnation and returns its description.
@@ -120,10 +120,10 @@
 	return exe, true
 }
 
-// askExecutor sends a poll without a wait, because those in flight may wait or may have been sent before a restart. It renews no lease,
+// pollWithoutLease sends a poll without a wait, because those in flight may wait or may have been sent before a restart. It renews no lease,
 // because another incarnation with a clock of its own may carry it out. Heartbeats in quick succession send only one more than the other
 // polls.
-func askExecutor(sta *State, now time.Time) []Effect {
+func pollWithoutLease(sta *State, now time.Time) []Effect {
 	if len(sta.Polls) > desiredPolls(sta, now) {
 		return nil
 	}
--- a/core/rgexecutor/command_poll.go
+++ b/core/rgexecutor/command_poll.go
@@ -24,7 +24,7 @@
 		switch {
 		case pollsUrgently(sta, now):
 			ord.Delay = urgentPollDelay(sta, now)
-			sta.LastUrgentPoll = now.Add(ord.Delay)
+			sta.LatestUrgentPoll = now.Add(ord.Delay)
 		case sta.Phase == PhaseServing:
 			ord.Wait = pollWait
 		}
@@ -34,9 +34,9 @@
 	return efs
 }
 
-// sendUrgentPolls polls again at once an executor that may restart with a start order on its way. Otherwise the next tick polls, because
+// sendPollsIfUrgent polls again at once an executor that may restart with a start order on its way. Otherwise the next tick polls, because
 // polling at once would keep both sides busy while polls fail immediately.
-func sendUrgentPolls(sta *State, now time.Time) []Effect {
+func sendPollsIfUrgent(sta *State, now time.Time) []Effect {
 	if !pollsUrgently(sta, now) {
 		return nil
 	}
@@ -47,7 +47,7 @@
 func desiredPolls(sta *State, now time.Time) int {
 	switch {
 	case pollsUrgently(sta, now):
-		return maxSilentPolls
+		return maxUrgentPolls
 	case !sta.ConnectionRefusedSince.IsZero():
 		return 1
 	case sta.Phase == PhaseServing && now.Sub(sta.LastMissingReply) < sparePollDuration:
@@ -69,7 +69,7 @@
 	if !sta.ConnectionRefusedSince.IsZero() {
 		every = refusedPollInterval
 	}
-	return max(0, sta.LastUrgentPoll.Add(every).Sub(now))
+	return max(0, sta.LatestUrgentPoll.Add(every).Sub(now))
 }
 
 func newPoll(sta *State, now time.Time) rgmodel.PollOrder {
@@ -99,12 +99,12 @@
 		sta.Polls = slices.Delete(sta.Polls, at, at+1)
 	}
 	if efs, unreachable := checkReachable(sta, now, rep); unreachable {
-		return append(efs, sendUrgentPolls(sta, now)...)
+		return append(efs, sendPollsIfUrgent(sta, now)...)
 	}
 	if !rep.Replied {
 		sta.LastMissingReply, sta.PollUnanswered = now, true
 		if sta.Phase == PhaseFencing || now.Sub(ord.Sent) < pollWait {
-			return sendUrgentPolls(sta, now)
+			return sendPollsIfUrgent(sta, now)
 		}
 		return sendPolls(sta, now)
 	}
--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -123,7 +123,7 @@
 	if !rep.Replied {
 		// Once a stop is confirmed, this incarnation cannot carry the order out any more, and the task may be started again.
 		run.Requeue = run.State != RunStopping
-		return append(stopRun(sta, now, run, rgmodel.ReasonUpstreamTimeout), sendUrgentPolls(sta, now)...)
+		return append(stopRun(sta, now, run, rgmodel.ReasonUpstreamTimeout), sendPollsIfUrgent(sta, now)...)
 	}
 	switch rep.Refusal {
 	case rgmodel.RefusalNone:
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -26,12 +26,12 @@
 	// does not leave the state of all runs unknown.
 	sparePollDuration = 3 * time.Second
 	// silentPollInterval and refusedPollInterval are the intervals of the polls of an executor that does not reply, or refuses connections,
-	// while a start order may be on its way. The next incarnation carries out that order until it has got a poll. Each poll without a reply
-	// costs a connection.
+	// while a start order may be on its way, for maxOrderDelay at most. The next incarnation carries out that order until it has got a
+	// poll. Each poll without a reply costs a connection.
 	silentPollInterval  = 20 * time.Millisecond
 	refusedPollInterval = 2 * time.Millisecond
-	// maxSilentPolls is the number of polls in flight to such an executor, as many as are sent until the first one has timed out.
-	maxSilentPolls = 2
+	// maxUrgentPolls is the number of polls in flight to such an executor, as many as are sent until the first one has timed out.
+	maxUrgentPolls = 2
 	// connectionRefusedTimeout is how long nothing listens at the executor's address before it is considered unreachable and gets no
 	// more tasks.
 	connectionRefusedTimeout = 50 * time.Millisecond
@@ -239,7 +239,7 @@
 		Limits   Limits
 		Executor rgmodel.Executor
 		Phase    Phase
-		// Undescribed is set while Executor describes an earlier incarnation than Executor.Incarnation, until the next heartbeat.
+		// Undescribed is set until the next heartbeat if the fields of Executor but Incarnation and Clock are those of an earlier incarnation.
 		Undescribed bool
 		// Restored is set while Executor is described by an earlier process, until the next heartbeat of its incarnation.
 		Restored bool
@@ -267,8 +267,8 @@
 		Polls []time.Time
 		// PollUnanswered is set until the current incarnation has replied to a poll, and again when it has not replied to one.
 		PollUnanswered bool
-		// LastUrgentPoll is when the last poll was or will be sent to an executor that may restart with a start order on its way.
-		LastUrgentPoll time.Time
+		// LatestUrgentPoll is when the latest poll was or will be sent to an executor that may restart with a start order on its way.
+		LatestUrgentPoll time.Time
 		// LastMissingReply is when an order last got no reply.
 		LastMissingReply time.Time
 		// LateStartPossibleAt is when a start order was last known or assumed to be on its way without a reply. An order of an earlier
--- a/core/rgexecutor/loss.go
+++ b/core/rgexecutor/loss.go
@@ -11,9 +11,9 @@
 	// were sent to the previous one.
 	lossRestarted struct{}
 
-	// lossIdentified means that a reply names a start time, and none was known before. It may be that of the same incarnation or of
+	// lossStartTimeLearned means that a reply names a start time, and none was known before. It may be that of the same incarnation or of
 	// the next one.
-	lossIdentified struct{}
+	lossStartTimeLearned struct{}
 
 	// lossLeaseExpired means that every lease has expired, so that all runs have ended.
 	lossLeaseExpired struct{}
@@ -22,11 +22,11 @@
 	lossFenced struct{}
 )
 
-func (lossReplaced) isLossCause()     {}
-func (lossRestarted) isLossCause()    {}
-func (lossIdentified) isLossCause()   {}
-func (lossLeaseExpired) isLossCause() {}
-func (lossFenced) isLossCause()       {}
+func (lossReplaced) isLossCause()         {}
+func (lossRestarted) isLossCause()        {}
+func (lossStartTimeLearned) isLossCause() {}
+func (lossLeaseExpired) isLossCause()     {}
+func (lossFenced) isLossCause()           {}
 
 // lossName returns the name of the cause for logs and metrics.
 func lossName(los lossCause) string {
@@ -35,7 +35,7 @@
 		return "replaced"
 	case lossRestarted:
 		return "restarted"
-	case lossIdentified:
+	case lossStartTimeLearned:
 		return "identified"
 	case lossLeaseExpired:
 		return "leaseExpired"
@@ -49,7 +49,7 @@
 // mayStillRun reports whether the run may go on after the loss.
 func mayStillRun(los lossCause, run *Run) bool {
 	switch los.(type) {
-	case lossReplaced, lossIdentified, lossFenced:
+	case lossReplaced, lossStartTimeLearned, lossFenced:
 		return true
 	case lossRestarted:
 		return mayStartLate(run)
--- a/core/rgexecutor/poll_test.go
+++ b/core/rgexecutor/poll_test.go
@@ -112,7 +112,7 @@
 				}
 				last = at
 			}
-			if most := int(observed/tc.least) + maxSilentPolls; len(sent) > most {
+			if most := int(observed/tc.least) + maxUrgentPolls; len(sent) > most {
 				t.Errorf("%d polls in %v, want at most %d", len(sent), observed, most)
 			}
 		})
--- a/core/rgexecutor/query_capacity.go
+++ b/core/rgexecutor/query_capacity.go
@@ -32,7 +32,7 @@
 func maxTimeLeft(sta *State, now time.Time, los lossCause, run *Run) time.Duration {
 	left := leaseLeft(sta, now)
 	switch los.(type) {
-	case lossRestarted, lossIdentified:
+	case lossRestarted, lossStartTimeLearned:
 		if mayStartLate(run) {
 			return max(left, maxUnrenewedRunTime(sta))
 		}
@@ -40,7 +40,8 @@
 	return left
 }
 
-// maxUnrenewedRunTime returns how long a run may last after the last renewal of its lease.
+// maxUnrenewedRunTime returns how long a run may last after the last renewal of its lease. It does not bound when a start order without a
+// reply is carried out.
 func maxUnrenewedRunTime(sta *State) time.Duration {
 	return time.Duration(float64(longestLease(sta))/minClockRate) + sta.Limits.TaskStopTime
 }
@@ -143,7 +144,7 @@
 	return clockDifference(clk, sta.Executor.Clock) - sinceReading(sta, now)
 }
 
-// clockDifference returns the difference between two readings, neither of which is negative, at most maxClockLead either way.
+// clockDifference returns the difference between two readings that are not negative, limited to maxClockLead either way.
 func clockDifference(one, two rgmodel.ExecutorTime) time.Duration {
 	limit := rgmodel.ExecutorTime(maxClockLead.Milliseconds())
 	return time.Duration(min(max(one-two, -limit), limit)) * time.Millisecond
--- a/core/rgmembership/query_select.go
+++ b/core/rgmembership/query_select.go
@@ -24,9 +24,9 @@
 	var same, others []candidate
 	connected := 0
 	sel := map[string]bool{}
-	held := connectedNames(sta)
+	addresses := connectedNames(sta)
 	for adr, kno := range sta.Entries {
-		if cur, found := held[kno.Entry.Name]; kno.Entry.Name == "" || found && cur != adr {
+		if cur, found := addresses[kno.Entry.Name]; kno.Entry.Name == "" || found && cur != adr {
 			continue
 		}
 		cnd := candidate{address: adr, known: kno, rank: Rank(sta.Name, kno.Entry.Name)}
@@ -55,17 +55,17 @@
 // connectedNames maps the names of the connected entries to the address of each. Another address of the same name is that of the same
 // entry, of one that has moved, or of a record of another writer; a second connection could count runs of the first one as ended.
 func connectedNames(sta *State) map[string]string {
-	held := map[string]string{}
+	addresses := map[string]string{}
 	for adr, kno := range sta.Entries {
 		if len(kno.Conns) == 0 || kno.Entry.Name == "" {
 			continue
 		}
-		cur, found := held[kno.Entry.Name]
+		cur, found := addresses[kno.Entry.Name]
 		if !found || isPreferred(kno, sta.Entries[cur]) {
-			held[kno.Entry.Name] = adr
+			addresses[kno.Entry.Name] = adr
 		}
 	}
-	return held
+	return addresses
 }
 
 // isPreferred reports whether the first of two connected addresses of an entry is kept.
--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -60,8 +60,8 @@
 		// EntriesSent is set once the list of entries was sent to the peer, and EntriesVersion is the version that the peer has.
 		EntriesSent    bool
 		EntriesVersion rgmembership.Version
-		// ConnectedTwice is set once a sidecar has had another connection to this entry beside this one. Its reports on earlier
-		// connections do not cover the other one, which it may still have open when this entry has lost it.
+		// ConnectedTwice is set for the rest of the connection once the sidecar has had another one to this entry beside it. Its reports on
+		// earlier connections do not cover the other one, which it may still have open when this entry has lost it.
 		ConnectedTwice bool
 		// RejectionLogged is set once the peer has sent an entry that is not valid.
 		RejectionLogged bool
--- a/io/rgserver/server.go
+++ b/io/rgserver/server.go
@@ -48,7 +48,7 @@
 func serve(lis measuredListener, hdl http.Handler, headerTimeout time.Duration) *Server {
 	srv := &Server{Done: make(chan struct{}), listener: lis, conns: map[net.Conn]connection{}}
 	srv.http = &http.Server{
-		Handler: recordAnswers(hdl), ReadHeaderTimeout: headerTimeout, ConnState: srv.trackState, ConnContext: WithConnection,
+		Handler: withAnswerRecording(hdl), ReadHeaderTimeout: headerTimeout, ConnState: srv.trackState, ConnContext: WithConnection,
 	}
 	go func() {
 		defer close(srv.Done)
--- a/io/rgserver/silence.go
+++ b/io/rgserver/silence.go
@@ -12,8 +12,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// pipelineTime is how soon after the first bytes of a request those of the next one may be read that the caller has sent together with
-// it.
+// pipelineTime is the time within which bytes that follow a request count as sent together with it.
 const pipelineTime = 20 * time.Millisecond
 
 type (
@@ -144,8 +143,8 @@
 	return cal.measured.silence()
 }
 
-// recordAnswers returns a handler that records the end of each request on its connection.
-func recordAnswers(hdl http.Handler) http.Handler {
+// withAnswerRecording returns a handler that records the end of each request on its connection.
+func withAnswerRecording(hdl http.Handler) http.Handler {
 	return http.HandlerFunc(func(wtr http.ResponseWriter, req *http.Request) {
 		hdl.ServeHTTP(wtr, req)
 		if cal, _ := req.Context().Value(connectionKey{}).(callerConn); cal.measured != nil {
