--- a/core/rgexecutor/command_heartbeat.go
+++ b/core/rgexecutor/command_heartbeat.go
@@ -120,9 +120,9 @@
 	return exe, true
 }
 
-// pollWithoutLease sends a poll without a wait, because those in flight may wait or may have been sent before a restart. It renews no lease,
-// because another incarnation with a clock of its own may carry it out. Heartbeats in quick succession send only one more than the other
-// polls.
+// pollWithoutLease sends a poll without a wait, because those in flight may wait or may have been sent before a restart. It renews no
+// lease, because another incarnation with a clock of its own may carry it out. Heartbeats in quick succession send only one more than
+// the other polls.
 func pollWithoutLease(sta *State, now time.Time) []Effect {
 	if len(sta.Polls) > desiredPolls(sta, now) {
 		return nil
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -239,7 +239,8 @@
 		Limits   Limits
 		Executor rgmodel.Executor
 		Phase    Phase
-		// Undescribed is set until the next heartbeat if the fields of Executor but Incarnation and Clock are those of an earlier incarnation.
+		// Undescribed is set until the next heartbeat if the fields of Executor but Incarnation and Clock are those of an earlier
+		// incarnation.
 		Undescribed bool
 		// Restored is set while Executor is described by an earlier process, until the next heartbeat of its incarnation.
 		Restored bool
