--- a/io/rgdispatcher/odd_entry_test.go
+++ b/io/rgdispatcher/invalid_entry_test.go
@@ -15,12 +15,12 @@
 	"ragwortgap/io/rgwire"
 )
 
-// TestOddEntryOfPeer guards against an entry with an address that cannot be dialed, or without a name, that a peer makes known, that
+// TestInvalidEntryOfPeer guards against an entry with an address that cannot be dialed, or without a name, that a peer makes known, that
 // is dialed, and that is passed on to the fleet.
-func TestOddEntryOfPeer(t *testing.T) {
+func TestInvalidEntryOfPeer(t *testing.T) {
 	sound := rgmodel.Entry{Name: "e1", Incarnation: "1", Address: "10.0.0.1:7720", AvailabilityZone: "a"}
 	other := rgmodel.Entry{Name: "e2", Incarnation: "1", Address: "10.0.0.2:7720", AvailabilityZone: "b"}
-	odd := map[string]rgmodel.Entry{
+	malformed := map[string]rgmodel.Entry{
 		"port too large": {Name: "odd", Address: "10.0.0.9:70000"},
 		"port negative":  {Name: "odd", Address: "10.0.0.9:-1"},
 		"port 0":         {Name: "odd", Address: "10.0.0.9:0"},
@@ -37,7 +37,7 @@
 			return rgwire.Gossip{From: sound, EntryChanges: rgwire.EntryChanges{Entries: []rgmodel.Entry{ent, other}, Full: true}}
 		},
 	}
-	for name, ent := range odd {
+	for name, ent := range malformed {
 		for kind, message := range messages {
 			t.Run(name+", "+kind, func(t *testing.T) {
 				cor, logs := observer.New(zap.WarnLevel)
--- a/io/rgdispatcher/store_test.go
+++ b/io/rgdispatcher/store_test.go
@@ -22,8 +22,8 @@
 	"ragwortgap/io/rgstore"
 )
 
-// oddEntries are values that describe no entry.
-var oddEntries = []string{
+// invalidEntries are values that describe no entry.
+var invalidEntries = []string{
 	``, `null`, `{}`, `[]`, `{`, "\xff\xfe", `"e"`, `1e999`, `{"name":7,"address":"10.0.0.9:7720"}`, `{"name":"odd","address":[]}`,
 	strings.Repeat(`{"address":`, 100_000), strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000),
 	`{"name":"odd"}`, `{"address":"10.0.0.9:7720"}`, `{"name":"odd","address":"10.0.0.9:70000"}`, `{"name":"odd","address":"10.0.0.9:-1"}`,
@@ -217,7 +217,7 @@
 		val := `{"name":"` + nam + `","incarnation":"1","address":"10.0.0.` + nam[1:] + `:7720","availabilityZone":"a"}`
 		return rgstore.Item{Key: EntryKeyPrefix + nam + "/1", Value: []byte(val), Version: ver}
 	}
-	odd := func(val string) rgstore.Item {
+	malformed := func(val string) rgstore.Item {
 		return rgstore.Item{Key: EntryKeyPrefix + "odd/", Value: []byte(val), Version: 9}
 	}
 	claim := entry("e1", 9)
@@ -230,15 +230,15 @@
 		"odd values": {
 			list: func(int) (rgstore.Listing, error) {
 				lis := rgstore.Listing{Items: []rgstore.Item{entry("e1", 1)}}
-				for i, val := range oddEntries {
-					itm := odd(val)
+				for i, val := range invalidEntries {
+					itm := malformed(val)
 					itm.Key += strconv.Itoa(i)
 					lis.Items = append(lis.Items, itm)
 				}
 				lis.Items = append(lis.Items, entry("e2", 1))
 				return lis, nil
 			},
-			want: []string{"10.0.0.1:7720", "10.0.0.2:7720"}, wantLines: len(oddEntries),
+			want: []string{"10.0.0.1:7720", "10.0.0.2:7720"}, wantLines: len(invalidEntries),
 		},
 		"key of another entry": {
 			list: func(int) (rgstore.Listing, error) {
--- a/io/rgentry/odd_record_test.go
+++ b/io/rgentry/malformed_record_test.go
@@ -11,9 +11,9 @@
 	"ragwortgap/io/rgstore"
 )
 
-// TestOddRecords guards against a record of another writer that takes the store out of use, that becomes part of the ring, or that keeps
-// the entries from the next configuration or ring.
-func TestOddRecords(t *testing.T) {
+// TestMalformedRecords guards against a record of another writer that takes the store out of use, that becomes part of the ring, or
+// that keeps the entries from the next configuration or ring.
+func TestMalformedRecords(t *testing.T) {
 	// The values are as deep as the store accepts them. A listing contains them a few levels deeper.
 	const depth = 9_998
 	nested := strings.Repeat("[", depth) + strings.Repeat("]", depth)
--- a/io/rgorders/odd_entry_test.go
+++ b/io/rgorders/invalid_entry_test.go
@@ -16,9 +16,9 @@
 	"ragwortgap/io/rgwire"
 )
 
-// TestOddEntryOfPeer guards against an entry with an address that cannot be dialed, or without a name, that an entry makes a sidecar
+// TestInvalidEntryOfPeer guards against an entry with an address that cannot be dialed, or without a name, that an entry makes a sidecar
 // dial.
-func TestOddEntryOfPeer(t *testing.T) {
+func TestInvalidEntryOfPeer(t *testing.T) {
 	sound := rgmodel.Entry{Name: "e2", Incarnation: "1", Address: "10.0.0.2:7720", AvailabilityZone: "b"}
 	tests := map[string]rgmodel.Entry{
 		"port too large": {Name: "odd", Address: "10.0.0.9:70000"},
--- a/io/rgstore/malformed_test.go
+++ b/io/rgstore/malformed_test.go
@@ -13,7 +13,7 @@
 // TestMalformedLog guards against an item that is logged at each read of the store, that is not logged after it has changed, or
 // whose key or reason fills the log.
 func TestMalformedLog(t *testing.T) {
-	odd := func(key string, ver uint64) MalformedItem {
+	item := func(key string, ver uint64) MalformedItem {
 		return MalformedItem{Key: key, Version: ver, Err: errors.New("x")}
 	}
 	long := strings.Repeat("k", 1<<20)
@@ -22,11 +22,11 @@
 		want     int
 	}{
 		"none":                  {listings: [][]MalformedItem{nil, nil}},
-		"same at each read":     {listings: [][]MalformedItem{{odd("a", 1)}, {odd("a", 1)}, {odd("a", 1)}}, want: 1},
-		"changed":               {listings: [][]MalformedItem{{odd("a", 1)}, {odd("a", 2)}}, want: 2},
-		"two keys":              {listings: [][]MalformedItem{{odd("a", 1), odd("b", 1)}, {odd("b", 1), odd("a", 1)}}, want: 2},
-		"many without keys":     {listings: [][]MalformedItem{{odd("", 0), odd("", 0)}, {odd("", 0)}}, want: 1},
-		"gone and there again":  {listings: [][]MalformedItem{{odd("a", 1)}, nil, {odd("a", 1)}}, want: 2},
+		"same at each read":     {listings: [][]MalformedItem{{item("a", 1)}, {item("a", 1)}, {item("a", 1)}}, want: 1},
+		"changed":               {listings: [][]MalformedItem{{item("a", 1)}, {item("a", 2)}}, want: 2},
+		"two keys":              {listings: [][]MalformedItem{{item("a", 1), item("b", 1)}, {item("b", 1), item("a", 1)}}, want: 2},
+		"many without keys":     {listings: [][]MalformedItem{{item("", 0), item("", 0)}, {item("", 0)}}, want: 1},
+		"gone and there again":  {listings: [][]MalformedItem{{item("a", 1)}, nil, {item("a", 1)}}, want: 2},
 		"long key, long reason": {listings: [][]MalformedItem{{{Key: long, Err: errors.New(long)}}}, want: 1},
 	}
 	for name, tc := range tests {
