--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -16,6 +17,9 @@
 	"time"
 )
 
+// bornInListsOnly is whether only lists of runs and heartbeats name the start of the lifetime, and no replies to starts and stops.
+var bornInListsOnly = os.Getenv("BORN_IN_LISTS_ONLY") != ""
+
 const (
 	maxLease          = time.Second
 	taskStopTime      = 50 * time.Millisecond
@@ -248,7 +252,10 @@
 	exe.mutex.Lock()
 	defer exe.mutex.Unlock()
 	exe.expire()
-	body := map[string]any{"clock_ms": exe.clock(), "born": exe.born}
+	body := map[string]any{"clock_ms": exe.clock()}
+	if path == "/hold" || !bornInListsOnly {
+		body["born"] = exe.born
+	}
 	if id != exe.id {
 		return http.StatusMisdirectedRequest, body
 	}
--- a/review/standin/explore.go
+++ b/review/standin/explore.go
@@ -58,6 +58,9 @@
 				spec := ""
 				for i := range n {
 					ms := 50 + crd.IntN(1500)
+					if os.Getenv("LONG") != "" && crd.IntN(2) == 0 {
+						ms += 2500
+					}
 					s := step{Count: 1 + crd.IntN(4), CPU: 1000, MemMB: 64, Estimate: ms}
 					if i > 0 {
 						s.After = []int{i - 1}
@@ -71,7 +74,7 @@
 					spec += fmt.Sprintf("%d,%d", ms, s.CPU)
 					stps = append(stps, s)
 				}
-				wait := time.Duration([]int{1500, 6000, 10000}[crd.IntN(3)]) * time.Millisecond
+				wait := time.Duration([]int{1500, 6000, 15000}[crd.IntN(3)]) * time.Millisecond
 				for range 3 {
 					ent := fle.entries[crd.IntN(len(fle.entries))]
 					out := fle.submit(fle.addr(ent.host, "front"), routePrefix, id, spec, stps, wait)
@@ -84,10 +87,10 @@
 			}
 		})
 	}
-	endAt := time.Now().Add(60 * time.Second)
+	endAt := time.Now().Add(55 * time.Second)
 	for trouble && time.Now().Before(endAt) {
 		time.Sleep(time.Duration(200+rnd.IntN(1200)) * time.Millisecond)
-		switch rnd.IntN(9) {
+		switch rnd.IntN(11) {
 		case 0:
 			pro := fle.entries[rnd.IntN(len(fle.entries))]
 			pro.signal(fle, syscall.SIGKILL)
@@ -101,9 +104,14 @@
 			}
 			pro.signal(fle, syscall.SIGSTOP)
 			time.AfterFunc(time.Duration(100+rnd.IntN(2000))*time.Millisecond, func() { pro.signal(fle, syscall.SIGCONT) })
-		case 4:
+		case 4, 9, 10:
 			exe := fle.exes[rnd.IntN(len(fle.exes))]
-			id, cpu, labels := exe.id, exe.cpu, exe.labels
+			exe.mutex.Lock()
+			id, cpu, labels, down := exe.id, exe.cpu, exe.labels, exe.down
+			exe.mutex.Unlock()
+			if down {
+				continue
+			}
 			exe.crash()
 			time.AfterFunc(time.Duration(5+rnd.IntN(800))*time.Millisecond, func() {
 				exe.begin(id, cpu, labels...)
@@ -127,5 +135,15 @@
 	}
 	close(stop)
 	wg.Wait()
+	time.Sleep(6 * time.Second)
+	// A job with one task for each executor shows whether all of them are in use again.
+	for _, ent := range fle.entries {
+		out := fle.submit(fle.addr(ent.host, "front"), routePrefix, newID(), "100,1000",
+			[]step{{Count: len(fle.exes), CPU: 1000, MemMB: 64, Estimate: 100, AntiAffinity: 1}}, 3*time.Second)
+		jud.note("after the troubles: %s", out.text)
+		if out.status != 200 {
+			jud.broken("STUCK", "%s: %s", ent.name, out.text)
+		}
+	}
 	return nil
 }
