--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -24,6 +24,8 @@
 	maxLease          = time.Second
 	taskStopTime      = 50 * time.Millisecond
 	heartbeatInterval = 1500 * time.Millisecond
+	// resendDelay is the time after which a caller sends its job again if it got no answer.
+	resendDelay = 1300 * time.Millisecond
 )
 
 type (
@@ -61,6 +63,8 @@
 		service    string
 		// intercept decides what happens to a call before it is carried out; nil means that it is carried out and answered.
 		intercept func(exe *executor, path string, ord orderBody) callFate
+		// stopTime returns how long a stop takes; nil means nearly taskStopTime.
+		stopTime func() time.Duration
 
 		mutex    sync.Mutex
 		server   *http.Server
@@ -150,6 +154,30 @@
 	}
 }
 
+// crashSilently ends the lifetime with all its runs. Connections stay open and nothing answers, as when the machine is without power.
+func (exe *executor) crashSilently() {
+	exe.mutex.Lock()
+	defer exe.mutex.Unlock()
+	exe.down = true
+	for tsk := range exe.runs {
+		exe.judge.ended(exe, tsk, "crash")
+	}
+	exe.runs = map[string]*run{}
+	exe.judge.note("executor %s: lifetime %d ends silently", exe.id, exe.born)
+}
+
+// restartSilent begins the next lifetime, which knows no connection of the one before, and listens at once.
+func (exe *executor) restartSilent(id string, cpu int, labels ...string) {
+	exe.mutex.Lock()
+	srv := exe.server
+	exe.server = nil
+	exe.mutex.Unlock()
+	_ = srv.Close()
+	exe.begin(id, cpu, labels...)
+	exe.listen()
+	go exe.heartbeat()
+}
+
 func (exe *executor) clock() int64 { return time.Since(exe.startAt).Milliseconds() + 1000 }
 
 // heartbeats sends heartbeats until the channel is closed.
@@ -204,6 +232,13 @@
 		wtr.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	exe.mutex.Lock()
+	down := exe.down
+	exe.mutex.Unlock()
+	if down {
+		<-req.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	id := req.Header.Get("X-Target-Instance")
 	if exe.intercept != nil {
 		if fat := exe.intercept(exe, req.URL.Path, ord); fat.silent {
@@ -239,9 +274,9 @@
 // carryOutLate carries out a call that has got no reply.
 func (exe *executor) carryOutLate(cal lateCall) {
 	exe.mutex.Lock()
-	down := exe.down
+	listens := exe.server != nil && !exe.down
 	exe.mutex.Unlock()
-	if down {
+	if !listens {
 		return
 	}
 	status, body := exe.carryOut(cal.path, cal.id, cal.ord)
@@ -273,7 +308,11 @@
 	case "/run-stop":
 		exe.highest[ord.Task] = max(exe.highest[ord.Task], ord.Run)
 		if cur := exe.runs[ord.Task]; cur != nil && cur.number <= ord.Run {
-			time.AfterFunc(taskStopTime-5*time.Millisecond, func() { exe.finish(cur, "stopped") })
+			dur := taskStopTime - 5*time.Millisecond
+			if exe.stopTime != nil {
+				dur = exe.stopTime()
+			}
+			time.AfterFunc(dur, func() { exe.finish(cur, "stopped") })
 		}
 	case "/hold":
 		exe.extendLease(ord.LeaseEnd)
--- a/review/standin/explore.go
+++ b/review/standin/explore.go
@@ -24,11 +24,16 @@
 	}
 	defer fle.end()
 	var late, lost, lostStop int
+	cutUntil := map[*executor]time.Time{}
+	oneWay := map[*executor]bool{}
 	var fmu sync.Mutex
 	for _, exe := range fle.exes {
 		exe.intercept = func(exe *executor, path string, ord orderBody) callFate {
 			fmu.Lock()
 			defer fmu.Unlock()
+			if time.Now().Before(cutUntil[exe]) {
+				return callFate{silent: true, execute: oneWay[exe]}
+			}
 			r := rand.IntN(100)
 			switch {
 			case r < late:
@@ -90,6 +95,33 @@
 	endAt := time.Now().Add(55 * time.Second)
 	for trouble && time.Now().Before(endAt) {
 		time.Sleep(time.Duration(200+rnd.IntN(1200)) * time.Millisecond)
+		if len(fle.proxies) > 0 && rnd.IntN(2) == 0 {
+			dur := time.Duration(80+rnd.IntN(1500)) * time.Millisecond
+			if rnd.IntN(4) == 0 {
+				dur = time.Duration(1500+rnd.IntN(3000)) * time.Millisecond
+			}
+			prx, share := rnd.IntN(len(fle.proxies)), []float64{.3, .6, 1}[rnd.IntN(3)]
+			what := rnd.IntN(5)
+			jud.note("proxy of edge-%d: fault %d, share %v, %v", prx+1, what, share, dur)
+			switch what {
+			case 0:
+				fle.proxies[prx].resetSome(share)
+			case 1, 2:
+				fle.proxies[prx].cut(share, true, true, dur)
+			case 3:
+				fle.proxies[prx].cut(share, true, false, dur)
+			case 4:
+				fle.proxies[prx].cut(share, false, true, dur)
+			}
+			if rnd.IntN(2) == 0 {
+				fmu.Lock()
+				exe := fle.exes[rnd.IntN(len(fle.exes))]
+				cutUntil[exe], oneWay[exe] = time.Now().Add(dur), rnd.IntN(2) == 0
+				jud.note("executor %s: cut, one way %v", exe.id, oneWay[exe])
+				fmu.Unlock()
+			}
+			continue
+		}
 		switch rnd.IntN(11) {
 		case 0:
 			pro := fle.entries[rnd.IntN(len(fle.entries))]
@@ -114,6 +146,10 @@
 			}
 			exe.crash()
 			time.AfterFunc(time.Duration(5+rnd.IntN(800))*time.Millisecond, func() {
+				if os.Getenv("KINDS") != "" {
+					cpu = []int{4000, 8000, 12000}[rand.IntN(3)]
+					labels = []string{[]string{"a", "b"}[rand.IntN(2)], "r1-1"}
+				}
 				exe.begin(id, cpu, labels...)
 				exe.listen()
 				exe.heartbeat()
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -55,11 +55,15 @@
 		version  int
 		routes   []map[string]any
 		ended    chan struct{}
-		// proxied maps the host of a sidecar to the peer addresses that it gets as seeds.
-		seeds []string
+		seeds    []string
+		// proxies are those between the sidecars and the entries, one for each entry.
+		proxies []*proxy
 	}
 )
 
+// useProxies is whether the entries are reached through proxies by the sidecars.
+var useProxies = os.Getenv("PROXIES") != ""
+
 const (
 	routeHost   = "review.example"
 	routePrefix = "/jobs/"
@@ -71,16 +75,29 @@
 		return nil, err
 	}
 	for i := range min(entries, 3) {
-		fle.seeds = append(fle.seeds, fle.addr(fle.entryHost(i), "peer"))
+		host := fle.entryHost(i)
+		if useProxies {
+			host = fle.proxyHost(i)
+		}
+		fle.seeds = append(fle.seeds, fle.addr(host, "peer"))
 	}
 	fle.routes = []map[string]any{fle.route("r-jobs", routePrefix)}
 	fle.putConfig()
 	for i := range entries {
 		host := fle.entryHost(i)
-		pro, err := fle.newProcess("entry", fmt.Sprintf("edge-%d", i+1), host, map[string]any{
+		own := map[string]any{
 			"callerAddress": fle.addr(host, "front"), "readyAddress": fle.addr(host, "ready"), "remoteFactor": 1.5, "cores": 0.4,
 			"memoryMegabytes": 284,
-		})
+		}
+		if useProxies {
+			prx, err := newProxy(fle.addr(fle.proxyHost(i), "peer"), fle.addr(host, "peer"))
+			if err != nil {
+				return nil, err
+			}
+			fle.proxies = append(fle.proxies, prx)
+			own["advertisedAddress"] = fle.addr(fle.proxyHost(i), "peer")
+		}
+		pro, err := fle.newProcess("entry", fmt.Sprintf("edge-%d", i+1), host, own)
 		if err != nil {
 			return nil, err
 		}
@@ -110,6 +127,7 @@
 }
 
 func (fle *fleet) entryHost(i int) string   { return fmt.Sprintf("%s.%d", fle.base, 10+i) }
+func (fle *fleet) proxyHost(i int) string   { return fmt.Sprintf("%s.%d", fle.base, 50+i) }
 func (fle *fleet) sidecarHost(i int) string { return fmt.Sprintf("%s.%d", fle.base, 100+i) }
 
 func (fle *fleet) addr(host, what string) string {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,6 +17,9 @@
 	rule string
 	play func(jud *judge, dir, binary string, trouble bool) error
 }{
+	"antiAffinity":   {"ROUTE", playAntiAffinity},
+	"lateStart":      {"TWICE", playLateStart},
+	"planned":        {"LOST", playPlanned},
 	"explore":        {"TWICE", explore},
 	"hupDuringDrain": {"LOST", playHupDuringDrain},
 }
