--- a/review/standin/antiaffinity.go
+++ b/review/standin/antiaffinity.go
@@ -14,7 +14,7 @@
 // tasks have to run on different executors. Without the trouble, nothing is reset.
 func playAntiAffinity(jud *judge, dir, binary string, trouble bool) error {
 	const (
-		callers    = 4
+		callers    = 14
 		executors  = 6
 		callerWait = 10 * time.Second
 		resets     = 32
--- a/review/standin/crowd.go
+++ b/review/standin/crowd.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -24,6 +25,8 @@
 	burstPause  = 7 * time.Second
 	// crowdTime is how long new callers come.
 	crowdTime = 62 * time.Second
+	// minCallers is the number of connections of callers to an entry that leave it about no descriptor.
+	minCallers = maxDescriptors - 200
 	// recoveryTime is recovery_s.
 	recoveryTime = 12 * time.Second
 )
@@ -52,8 +55,11 @@
 	}
 	coming.Wait()
 	jud.note("%d connections of callers are open; %d jobs served, %d not", len(crd.conns), crd.served, crd.failed)
-	if crd.served*4 < crd.served+crd.failed {
-		jud.fatal("less than a quarter was served before the fault")
+	switch {
+	case crd.served*4 < crd.served+crd.failed:
+		return errors.New("less than a quarter was served before the fault")
+	case trouble && len(crd.conns) < len(fle.entries)*minCallers:
+		return errors.New("too few connections of callers could be opened")
 	}
 	fle.killSidecars()
 	time.Sleep(3 * time.Second)
--- a/review/standin/latestart.go
+++ b/review/standin/latestart.go
@@ -16,13 +16,14 @@
 func playLateStart(jud *judge, dir, binary string, trouble bool) error {
 	const (
 		executors  = 7
-		callers    = 60
+		callers    = 90
 		tasks      = 8
 		taskMillis = 2500
 		callerWait = 10 * time.Second
 		lateShare  = 0.5
 		silentTime = 1200 * time.Millisecond
-		crashes    = 32
+		crashes    = 40
+		pause      = 400 * time.Millisecond
 	)
 	fle, err := newFleet(jud, dir, binary, 2, executors, func(int) int { return 32000 }, func(int) []string { return []string{"a", "r1-1"} })
 	if err != nil {
@@ -67,7 +68,7 @@
 	time.Sleep(2 * time.Second)
 	for i := range crashes {
 		if !trouble {
-			time.Sleep(silentTime + 800*time.Millisecond)
+			time.Sleep(silentTime + pause)
 			continue
 		}
 		exe := fle.exes[i%executors]
@@ -75,7 +76,7 @@
 		exe.crashSilently()
 		time.Sleep(silentTime)
 		exe.restartSilent(id, cpu, labels...)
-		time.Sleep(800 * time.Millisecond)
+		time.Sleep(pause)
 	}
 	late.Store(false)
 	close(end)
