platform: SIGHUP is handled before the settings are read

What operators see: a process that gets a SIGHUP while it starts, because settings change at that moment, ends and has to be started again.

The handler was registered as the last step of the start, after the settings were read and the listeners opened. Whatever signal.Notify has not covered yet ends the process.

Change: the commands of the platform register the handler as their first step and pass its channel on. A SIGHUP that arrives during the start is handled when the process serves: the settings are read again, as the ones read at the start may be older than the change.

Not covered: a SIGHUP in the first milliseconds of a process, before main runs. Nothing listens then.

--- a/io/rgcli/command_platform.go
+++ b/io/rgcli/command_platform.go
@@ -33,9 +33,10 @@
 }
 
 func runOnPlatform(ctx context.Context, run platform.RunFunc) error {
+	hup := receiveHangups()
 	met := rgmetrics.New()
 	defer func() { _ = met.Closer.Close() }()
 	aw := rgmetrics.NewAsyncWriter(os.Stdout, met.Scope)
 	defer aw.Close()
-	return errors.Trace(run(ctx, rgmetrics.NewRateLimitedLogger(aw), met))
+	return errors.Trace(run(ctx, hup, rgmetrics.NewRateLimitedLogger(aw), met))
 }
