rgcli: SIGHUP does not end a process of the product's own interface

What operators see: `ragwortgap entry` and `ragwortgap sidecar` end at the first SIGHUP, in service as in a graceful shutdown, and cut all requests in progress.

These programs never had a handler of SIGHUP, so its default action ends them.

Change: both commands register the handler as their first step. The commands that a person starts in a terminal (demo, apply and others) keep the default action, so that a closed terminal ends them.

Evidence: TestScenarios/hangups sends SIGHUP to all processes under load and to an entry and a sidecar that shut down.

--- a/io/rgcli/command_run.go
+++ b/io/rgcli/command_run.go
@@ -37,6 +37,7 @@
 )
 
 func (cmd *EntryCommand) run(ctx context.Context) error {
+	hup := receiveHangups()
 	set, err := rgsettings.ReadEntry(cmd.Settings)
 	if err != nil {
 		return err
@@ -60,6 +61,7 @@
 	if err != nil {
 		return err
 	}
+	go logHangups(pro.Done, hup, entryLog)
 	rtr := httprouter.New()
 	rgcommandapi.Routes{Entry: pro, Keys: keys}.Register(rtr)
 	rgqueryapi.Routes{Entry: pro, Keys: keys, Metrics: met.Handler}.Register(rtr)
@@ -129,6 +131,7 @@
 }
 
 func (cmd *SidecarCommand) run(ctx context.Context) error {
+	hup := receiveHangups()
 	set, err := rgsettings.ReadSidecar(cmd.Settings)
 	if err != nil {
 		return err
@@ -148,6 +151,7 @@
 	if err != nil {
 		return err
 	}
+	go logHangups(pro.Done, hup, log.With(zap.String("sidecar", set.Name)))
 	if lis == nil {
 		<-pro.Done
 		return nil
--- a/io/rgcli/signal.go
+++ b/io/rgcli/signal.go
@@ -4,6 +4,8 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"go.uber.org/zap"
 )
 
 // receiveHangups returns a channel that receives the SIGHUPs of the process until it exits. Several that arrive before one is received
@@ -14,3 +16,16 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	return hup
 }
+
+// logHangups logs each SIGHUP until done is closed. A process of the product's own interface has nothing else to do: its settings are
+// in force until it exits, and the files that may change are read periodically.
+func logHangups(done <-chan struct{}, hup <-chan os.Signal, log *zap.Logger) {
+	for {
+		select {
+		case <-hup:
+			log.Info("SIGHUP received, settings stay in force, certificates and keys are read periodically")
+		case <-done:
+			return
+		}
+	}
+}
--- a/io/rgproof/scenario_shutdown_test.go
+++ b/io/rgproof/scenario_shutdown_test.go
@@ -1,6 +1,9 @@
 package rgproof
 
 import (
+	"os"
+	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -72,6 +75,42 @@
 	sys.checkGracefulShutdown()
 }
 
+// hangups guards against a SIGHUP that ends a process and cuts the requests in progress, in service and during a graceful shutdown.
+func hangups(sys *system) {
+	sys.setRunTime(200 * time.Millisecond)
+	end := sys.startLoad()
+	for _, prc := range append(append([]*process(nil), sys.entries...), sys.sidecars...) {
+		prc.signal(syscall.SIGHUP)
+		sys.waitHangup(prc, 1)
+	}
+	for num, prc := range []*process{sys.entries[1], sys.sidecars[1]} {
+		job := sys.submitInBackground(1-num, sys.newIDHomedAt(0), 8)
+		prc.signal(syscall.SIGTERM)
+		prc.signal(syscall.SIGHUP)
+		sys.waitHangup(prc, 2)
+		<-job
+		sys.waitExit(prc)
+	}
+	end()
+	sys.checkGracefulShutdown()
+}
+
+// waitHangup waits until the process has logged as many SIGHUPs, and fails the test if it exits first.
+func (sys *system) waitHangup(prc *process, count int) {
+	sys.waitUntil("SIGHUP in the log", readyTimeout, func() bool {
+		raw, err := os.ReadFile(prc.log)
+		if err == nil && strings.Count(string(raw), "SIGHUP received") >= count {
+			return true
+		}
+		select {
+		case <-prc.done:
+			sys.t.Fatalf("%s ended (%v) instead of logging SIGHUP", filepath.Base(prc.log), prc.cmd.ProcessState)
+		default:
+		}
+		return false
+	})
+}
+
 // waitExit waits until the process has exited and fails the test if the exit code is not 0.
 func (sys *system) waitExit(prc *process) {
 	sys.waitUntil("exit of a process", 2*readyTimeout, func() bool {
--- a/io/rgproof/scenario_test.go
+++ b/io/rgproof/scenario_test.go
@@ -32,6 +32,7 @@
 		"graceful shutdown of idle sidecars":   {entries: 2, sidecars: 4, run: gracefulShutdownSequential},
 		"graceful shutdown, late reports":      {entries: 2, sidecars: 4, run: gracefulShutdownLateReports},
 		"graceful shutdown of an entry":        {entries: 3, sidecars: 2, run: gracefulShutdownEntry},
+		"hangups":                              {entries: 2, sidecars: 2, run: hangups},
 		"start during a store outage":          {entries: 2, sidecars: 2, run: startDuringOutage},
 		"configuration":                        {entries: 3, sidecars: 2, run: configuration},
 	}
