rgcli: a process goes on when the reader of its log has gone

What operators see: an entry or a sidecar ends by SIGPIPE at its next log line once the process that reads its log has ended, for example when a log collector is restarted. All requests in progress are cut without an answer.

Cause: of the same class as the SIGHUP in a drain, a signal with the default action. A failed write to standard output or standard error raises SIGPIPE in a Go program that has not called signal.Notify or signal.Ignore for it.

Change: the commands that serve ignore SIGPIPE, so that the write fails and the process goes on. logLinesDropped counts such lines. Commands that a person starts in a terminal keep the default action.

TestAsyncWriter/reader_of_the_log_has_gone before: "0 of 5 lines written, logLinesDropped is 0".

--- a/io/rgcli/command_platform.go
+++ b/io/rgcli/command_platform.go
@@ -33,7 +33,7 @@
 }
 
 func runOnPlatform(ctx context.Context, run platform.RunFunc) error {
-	hup := receiveHangups()
+	hup := handleServiceSignals()
 	met := rgmetrics.New()
 	defer func() { _ = met.Closer.Close() }()
 	aw := rgmetrics.NewAsyncWriter(os.Stdout, met.Scope)
--- a/io/rgcli/command_run.go
+++ b/io/rgcli/command_run.go
@@ -37,7 +37,7 @@
 )
 
 func (cmd *EntryCommand) run(ctx context.Context) error {
-	hup := receiveHangups()
+	hup := handleServiceSignals()
 	set, err := rgsettings.ReadEntry(cmd.Settings)
 	if err != nil {
 		return err
@@ -131,7 +131,7 @@
 }
 
 func (cmd *SidecarCommand) run(ctx context.Context) error {
-	hup := receiveHangups()
+	hup := handleServiceSignals()
 	set, err := rgsettings.ReadSidecar(cmd.Settings)
 	if err != nil {
 		return err
--- a/io/rgcli/signal.go
+++ b/io/rgcli/signal.go
@@ -8,10 +8,14 @@
 	"go.uber.org/zap"
 )
 
-// receiveHangups returns a channel that receives the SIGHUPs of the process until it exits. Several that arrive before one is received
-// count as one. The default action is never restored, because it ends the process at once and cuts the requests in progress. A
-// process calls it before it reads its settings, so that no change of them is missed.
-func receiveHangups() <-chan os.Signal {
+// handleServiceSignals takes the default action from the signals that would end a process at once and cut the requests in progress. A
+// process that serves calls it before it reads its settings, so that no change of them is missed, and nothing restores the default
+// actions until the process exits.
+//
+// The channel receives the SIGHUPs. Several that arrive before one is received count as one. SIGPIPE, which a write to the log raises
+// when the reader of the log has gone, is ignored.
+func handleServiceSignals() <-chan os.Signal {
+	signal.Ignore(syscall.SIGPIPE)
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	return hup
--- a/io/rgmetrics/async_writer.go
+++ b/io/rgmetrics/async_writer.go
@@ -27,7 +27,7 @@
 }
 
 // NewAsyncWriter starts a goroutine that writes buffered lines to the writer. The metric logLinesDropped counts the lines that
-// do not fit into the buffer.
+// do not fit into the buffer, and those that cannot be written.
 func NewAsyncWriter(wtr io.Writer, sco tally.Scope) *AsyncWriter {
 	aw := &AsyncWriter{
 		Done: make(chan struct{}), dropped: sco.Counter("logLinesDropped"), lines: make(chan []byte, bufferedLines),
@@ -35,8 +35,10 @@
 	go func() {
 		defer close(aw.Done)
 		for lin := range aw.lines {
-			// A write error cannot be reported, because the log itself is the place to report it.
-			_, _ = wtr.Write(lin)
+			// A write error can only be counted, because the log itself is the place to report it.
+			if _, err := wtr.Write(lin); err != nil {
+				aw.dropped.Inc(1)
+			}
 		}
 	}()
 	return aw
--- a/io/rgmetrics/async_writer_test.go
+++ b/io/rgmetrics/async_writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/uber-go/tally/v4"
@@ -9,15 +10,19 @@
 )
 
 type (
-	// blockedWriter blocks writes until release is closed.
+	// blockedWriter blocks writes until release is closed. With an error, it writes nothing.
 	blockedWriter struct {
 		release chan struct{}
+		err     error
 		text    strings.Builder
 	}
 )
 
 func (bw *blockedWriter) Write(lin []byte) (int, error) {
 	<-bw.release
+	if bw.err != nil {
+		return 0, bw.err
+	}
 	return bw.text.Write(lin)
 }
 
@@ -28,14 +33,16 @@
 		messages  int
 		wantLines int
 		wantDrop  bool
+		err       error
 	}{
 		"few lines":                     {messages: 5, wantLines: 5},
 		"one message many times":        {messages: 500, wantLines: maxLinesPerSecond},
 		"more than the buffer can hold": {messages: 3 * bufferedLines, wantLines: bufferedLines + 1, wantDrop: true},
+		"reader of the log has gone":    {messages: 5, err: syscall.EPIPE},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			wtr := &blockedWriter{release: make(chan struct{})}
+			wtr := &blockedWriter{release: make(chan struct{}), err: tc.err}
 			sco := tally.NewTestScope("", nil)
 			aw := NewAsyncWriter(wtr, sco)
 			log := NewRateLimitedLogger(aw)
