--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -25,8 +25,10 @@
 	job struct {
 		id, spec string
 		tasks    int
-		work     time.Duration
-		sent     time.Time
+		// label is the label that the tasks require, or empty.
+		label string
+		work  time.Duration
+		sent  time.Time
 		// status is the status of the last answer, or 0 without one. state is its state.
 		status int
 		state  string
@@ -36,6 +38,8 @@
 
 	// load is the traffic of the clients.
 	load struct {
+		// make returns a new job; nil means two tasks of 200 ms.
+		make  func() *job
 		mutex sync.Mutex
 		jobs  []*job
 	}
@@ -50,7 +54,7 @@
 
 // send sends a job and sends it again resendDelay after a lost answer, until the client's time limit has passed.
 func (flt *fleet) send(jb *job) {
-	flt.rec.jobSent(jb.id, jb.spec, jb.work)
+	flt.rec.jobSent(jb)
 	jb.sent = time.Now()
 	ctx, stop := context.WithDeadline(context.Background(), jb.sent.Add(timeLimit))
 	defer stop()
@@ -77,8 +81,12 @@
 }
 
 func (flt *fleet) post(ctx context.Context, ent *process, jb *job) (int, string) {
-	body := fmt.Sprintf(`{"spec":%q,"best_effort":true,"steps":[{"count":%d,"cpu":3100,"mem_mb":64,"estimate_ms":%d}]}`,
-		jb.spec, jb.tasks, jb.work.Milliseconds())
+	required := ""
+	if jb.label != "" {
+		required = fmt.Sprintf(`,"requirements":%q`, jb.label)
+	}
+	body := fmt.Sprintf(`{"spec":%q,"best_effort":true,"steps":[{"count":%d,"cpu":3100,"mem_mb":64,"estimate_ms":%d%s}]}`,
+		jb.spec, jb.tasks, jb.work.Milliseconds(), required)
 	url := fmt.Sprintf("http://%s:%d%s%s", ent.ip, frontPort, routePrefix, jb.id)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(body)))
 	if err != nil {
@@ -114,6 +122,9 @@
 		case <-tick.C:
 		}
 		jb := newJob(2, 200*time.Millisecond)
+		if lod.make != nil {
+			jb = lod.make()
+		}
 		wgr.Go(func() {
 			flt.send(jb)
 			lod.mutex.Lock()
--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -55,6 +55,8 @@
 		state      string
 		drainAcked time.Time
 		lateStarts int
+		// kind is the first label.
+		kind string
 		// gone is set once the executor has ended for good.
 		gone bool
 	}
@@ -72,15 +74,41 @@
 
 // newExecutor starts an executor that serves on the address and reports to the control address until the process ends.
 func newExecutor(rec *record, id, service, address, control string) (*executor, error) {
-	exe := &executor{rec: rec, id: id, service: service, address: address, control: control, changed: make(chan struct{})}
+	exe := &executor{rec: rec, id: id, service: service, address: address, control: control, kind: "a", changed: make(chan struct{})}
 	exe.begin()
-	lis, err := net.Listen("tcp", address)
+	return exe, exe.listen()
+}
+
+func (exe *executor) listen() error {
+	lis, err := net.Listen("tcp", exe.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	exe.server = &http.Server{Handler: exe}
 	go func() { _ = exe.server.Serve(lis) }()
-	return exe, nil
+	return nil
+}
+
+// restart crashes the executor and starts it again under its id after the time, as one of the kind, and reports it at once.
+func (exe *executor) restart(after time.Duration, kind string) error {
+	exe.rec.write("%s crashes", exe.id)
+	_ = exe.server.Close()
+	exe.mutex.Lock()
+	for task := range exe.runs {
+		exe.finish(task, "broken")
+	}
+	exe.mutex.Unlock()
+	time.Sleep(after)
+	exe.mutex.Lock()
+	exe.kind = kind
+	exe.mutex.Unlock()
+	exe.begin()
+	if err := exe.listen(); err != nil {
+		return err
+	}
+	status := sendReport(exe.control, exe.id, exe.description())
+	exe.rec.write("%s reports itself with kind %s: answer %d", exe.id, kind, status)
+	return nil
 }
 
 // begin begins a lifetime, which knows nothing of the one before.
@@ -108,7 +136,7 @@
 	exe.sequence++
 	return map[string]any{
 		"backend": exe.service, "address": exe.address, "zone": "zone-a", "version": "v1", "slots": 8, "state": exe.state, "cold_ms": 0,
-		"capacity": map[string]any{"cpu": executorCPU, "mem_mb": executorMemMB, "gpu": 0}, "labels": []string{"a", "r1-1"},
+		"capacity": map[string]any{"cpu": executorCPU, "mem_mb": executorMemMB, "gpu": 0}, "labels": []string{exe.kind, "r1-1"},
 		"clock_ms": exe.clock(), "seq": exe.sequence, "born": exe.born,
 	}
 }
@@ -259,7 +287,7 @@
 	exe.highest[ord.Task] = ord.Run
 	run = &executorRun{number: ord.Run}
 	exe.runs[ord.Task] = run
-	work := exe.rec.runStarted(exe.id, ord.Task, ord.Run, ord.Spec)
+	work := exe.rec.runStarted(exe.id, exe.kind, ord.Task, ord.Run, ord.Spec)
 	run.timer = time.AfterFunc(work, func() { exe.endRun(ord.Task, run, "done") })
 	return ""
 }
--- a/review/standin-2/foreignreport.go
+++ b/review/standin-2/foreignreport.go
@@ -25,7 +25,7 @@
 // foreignReport plays a final fault in which all processes are killed, on machines on which another writer reports the executor under a
 // service that the configuration does not name. The rule is RECOVER.
 func foreignReport(rec *record, trouble bool) error {
-	flt, err := newFleet(rec, 3, 3)
+	flt, err := newFleet(rec, 3, 3, false)
 	if flt != nil {
 		defer flt.stop()
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(rec *record, trouble bool) error{
 	"foreign-report": foreignReport,
 	"foreign-drain":  foreignDrain,
+	"stale-label":    staleLabel,
 }
 
 func main() {
--- a/review/standin-2/record.go
+++ b/review/standin-2/record.go
@@ -25,8 +25,10 @@
 		out   *bufio.Writer
 		began time.Time
 		// work is how long each task of a job runs, specs are the specs that were sent.
-		work  map[string]time.Duration
-		specs map[string]string
+		work map[string]time.Duration
+		// labels are the labels that the tasks of a job require.
+		labels map[string]string
+		specs  map[string]string
 		// running are the runs in progress of each task.
 		running map[string][]runPlace
 		starts  map[string]int
@@ -41,7 +43,7 @@
 		return nil, err
 	}
 	return &record{
-		file: file, out: bufio.NewWriter(file), began: time.Now(), work: map[string]time.Duration{}, specs: map[string]string{},
+		file: file, out: bufio.NewWriter(file), began: time.Now(), work: map[string]time.Duration{}, labels: map[string]string{}, specs: map[string]string{},
 		running: map[string][]runPlace{}, starts: map[string]int{},
 	}, nil
 }
@@ -65,18 +67,22 @@
 }
 
 // jobSent records a job before its first attempt.
-func (rec *record) jobSent(id, spec string, work time.Duration) {
+func (rec *record) jobSent(jb *job) {
 	rec.mutex.Lock()
 	defer rec.mutex.Unlock()
-	rec.work[id], rec.specs[id] = work, spec
+	rec.work[jb.id], rec.specs[jb.id], rec.labels[jb.id] = jb.work, jb.spec, jb.label
 }
 
 // runStarted records the start of a run and returns how long it works.
-func (rec *record) runStarted(exe, task string, run uint64, spec string) time.Duration {
+func (rec *record) runStarted(exe, kind, task string, run uint64, spec string) time.Duration {
 	rec.mutex.Lock()
 	defer rec.mutex.Unlock()
 	job, _, _ := strings.Cut(task, ".")
-	rec.writeLocked("%s starts run %d of %s", exe, run, task)
+	rec.writeLocked("%s of kind %s starts run %d of %s", exe, kind, run, task)
+	if label := rec.labels[job]; label != "" && label != kind {
+		rec.broken = append(rec.broken, fmt.Sprintf("ROUTE: %s of kind %s starts %s, which requires %s", exe, kind, task, label))
+		rec.writeLocked("%s requires %s", task, label)
+	}
 	if sent, found := rec.specs[job]; !found || sent != spec {
 		rec.broken = append(rec.broken, fmt.Sprintf("UNASKED: %s starts %s with spec %q", exe, task, spec))
 	}
@@ -89,6 +95,19 @@
 	return rec.work[job]
 }
 
+// violations returns the violations of the rule seen in runs.
+func (rec *record) violations(rule string) []string {
+	rec.mutex.Lock()
+	defer rec.mutex.Unlock()
+	var found []string
+	for _, vio := range rec.broken {
+		if strings.HasPrefix(vio, rule+":") {
+			found = append(found, vio)
+		}
+	}
+	return found
+}
+
 // runEnded records the end of a run.
 func (rec *record) runEnded(exe, task, how string) {
 	rec.mutex.Lock()
