--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -77,11 +77,7 @@
 		rec: rec, dir: dir, prefix: fmt.Sprintf("127.%d.%d.", 100+os.Getpid()%100, os.Getpid()/100%200+20), store: newStore(),
 		done: make(chan struct{}),
 	}
-	flt.store.put("op/config", []byte(fmt.Sprintf(`{"version":7,"routes":[{"name":"r-3hwrr6x","host":%q,"prefix":%q,`+
-		`"route_type":"non_idempotent","timeout_ms":1500,"slo_ms":60,"priority":0,"backend":%q,"max_attempts":3,"slack_factor":1.6}],`+
-		`"backends":[{"name":%q,"health_path":"/health","max_conns":64,"protocol":"h1","tls":false,"enforces_capacity":false,`+
-		`"standby":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
-		routeHost, routePrefix, serviceName, serviceName)))
+	flt.changeConfig(7)
 	flt.server = &http.Server{Addr: flt.address(storeNumber, 8169), Handler: flt.store}
 	go func() { _ = flt.server.ListenAndServe() }()
 	for i := range entries {
@@ -114,6 +110,16 @@
 	return flt, nil
 }
 
+// changeConfig writes a version of the configuration as the operator does. All versions have the same route.
+func (flt *fleet) changeConfig(version int) {
+	flt.store.put("op/config", []byte(fmt.Sprintf(`{"version":%d,"routes":[{"name":"r-3hwrr6x","host":%q,"prefix":%q,`+
+		`"route_type":"non_idempotent","timeout_ms":1500,"slo_ms":60,"priority":0,"backend":%q,"max_attempts":3,"slack_factor":1.6}],`+
+		`"backends":[{"name":%q,"health_path":"/health","max_conns":64,"protocol":"h1","tls":false,"enforces_capacity":false,`+
+		`"standby":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`,
+		version, routeHost, routePrefix, serviceName, serviceName)))
+	flt.rec.write("the operator writes version %d of the configuration", version)
+}
+
 func (flt *fleet) ip(num int) string            { return fmt.Sprintf("%s%d", flt.prefix, num) }
 func (flt *fleet) address(num, port int) string { return fmt.Sprintf("%s:%d", flt.ip(num), port) }
 
--- a/review/standin-2/foreignreport.go
+++ b/review/standin-2/foreignreport.go
@@ -47,6 +47,7 @@
 	time.Sleep(foreignAfter)
 	foreign.Store(trouble)
 	time.Sleep(6 * time.Second)
+	flt.changeConfig(9)
 	killed := time.Now()
 	flt.restartAll()
 	back := time.Now()
