--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -57,6 +57,8 @@
 		lateStarts int
 		// kind is the first label.
 		kind string
+		// down is set while the executor has crashed and not started again. It reports nothing then.
+		down bool
 		// gone is set once the executor has ended for good.
 		gone bool
 	}
@@ -94,13 +96,14 @@
 	exe.rec.write("%s crashes", exe.id)
 	_ = exe.server.Close()
 	exe.mutex.Lock()
+	exe.down = true
 	for task := range exe.runs {
 		exe.finish(task, "broken")
 	}
 	exe.mutex.Unlock()
 	time.Sleep(after)
 	exe.mutex.Lock()
-	exe.kind = kind
+	exe.kind, exe.down = kind, false
 	exe.mutex.Unlock()
 	exe.begin()
 	if err := exe.listen(); err != nil {
@@ -292,6 +295,13 @@
 	return ""
 }
 
+// isDown reports whether the executor has crashed and not started again.
+func (exe *executor) isDown() bool {
+	exe.mutex.Lock()
+	defer exe.mutex.Unlock()
+	return exe.down
+}
+
 // isGone reports whether the executor has ended for good.
 func (exe *executor) isGone() bool {
 	exe.mutex.Lock()
--- a/review/standin-2/foreigndrain.go
+++ b/review/standin-2/foreigndrain.go
@@ -23,7 +23,7 @@
 // foreignDrain plays an executor that drains before it is taken away, while another writer sends reports of it with fields missing. The
 // rule is DRAIN.
 func foreignDrain(rec *record, trouble bool) error {
-	flt, err := newFleet(rec, 3, 3, false)
+	flt, err := newFleet(rec, 3, 3)
 	if flt != nil {
 		defer flt.stop()
 	}
--- a/review/standin-2/foreignreport.go
+++ b/review/standin-2/foreignreport.go
@@ -25,7 +25,7 @@
 // foreignReport plays a final fault in which all processes are killed, on machines on which another writer reports the executor under a
 // service that the configuration does not name. The rule is RECOVER.
 func foreignReport(rec *record, trouble bool) error {
-	flt, err := newFleet(rec, 3, 3, false)
+	flt, err := newFleet(rec, 3, 3)
 	if flt != nil {
 		defer flt.stop()
 	}
@@ -97,9 +97,11 @@
 		if !flt.wait(foreignLead) {
 			return
 		}
-		body := exe.description()
-		status := sendReport(exe.control, exe.id, body)
-		flt.rec.write("%s reports itself with service %s, seq %d: answer %d", exe.id, exe.service, body["seq"], status)
+		if !exe.isDown() {
+			body := exe.description()
+			status := sendReport(exe.control, exe.id, body)
+			flt.rec.write("%s reports itself with service %s, seq %d: answer %d", exe.id, exe.service, body["seq"], status)
+		}
 		if !flt.wait(heartbeatInterval - foreignLead) {
 			return
 		}
