rgdispatch: the caller's wait decides the deadline of a job

Cause: a job's deadline was the smaller of the caller's wait and the route's timeout. Callers of long jobs wait up to 31 s and the routes have 1.5 s, so every job with a longer task was refused, or ended after 1.5 s with its work thrown away.

Change: timeLimit decides the deadline in one place. The caller's wait takes precedence; the timeout holds for callers that name none.

Ruled out: the timeout as a bound for each run, which long tasks exceed too; the larger of the two, by which jobs outlast their callers.

--- a/core/rgdispatch/command_job.go
+++ b/core/rgdispatch/command_job.go
@@ -84,15 +84,11 @@
 	if req.Route.MaxAttempts <= 0 {
 		req.Route.MaxAttempts = rgroute.DefaultMaxAttempts
 	}
-	wait := req.CallerWait
-	if req.Route.Timeout > 0 {
-		wait = min(wait, req.Route.Timeout)
-	}
 	arrived := now
 	if receivedBefore(req, now) {
 		arrived = req.Received
 	}
-	jb := &Job{Request: req, Caller: cid, Arrived: arrived, Deadline: arrived.Add(wait), Tasks: make([][]Task, len(req.Steps))}
+	jb := &Job{Request: req, Caller: cid, Arrived: arrived, Deadline: arrived.Add(timeLimit(req)), Tasks: make([][]Task, len(req.Steps))}
 	jb.SoftDeadline = arrived.Add(timeToSoftDeadline(req))
 	createReadyTasks(jb)
 	return jb
--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -127,7 +127,7 @@
 		Steps []Step
 		// Received is when the process received the request; zero if unknown.
 		Received time.Time
-		// CallerWait is how long the caller waits for the answer.
+		// CallerWait is how long the caller waits for the answer; zero if it does not say.
 		CallerWait time.Duration
 		// Unsupported names a property of the job that is not supported; empty if there is none.
 		Unsupported string
--- a/core/rgroute/route.go
+++ b/core/rgroute/route.go
@@ -12,7 +12,7 @@
 		Service string
 		// Priority orders the tasks of different routes; 0 is the highest priority.
 		Priority int
-		// Timeout is the longest time until the deadline of a job; zero means no limit.
+		// Timeout is the time until the deadline of a job whose caller does not say how long it waits; zero means the default.
 		Timeout time.Duration
 		// LatencyAllowance is the time by which a job may exceed SlackFactor times its estimated run time and still be on time.
 		LatencyAllowance time.Duration
