rgdispatcher: end the jobs of callers whose connections are dead

Cause: if a cut swallows the end of a caller's connection, the entry runs the job until its deadline, while the caller sends it to another entry after the resend delay. With deadlines of up to 31 s, the tasks run twice for as long.

Change: rgdispatch.DeadCallerBound is the resend delay less the time that cancelled tasks need to end (1.1 s with the default settings). rgdispatch.CheckContact decides from the silence of the socket and the unanswered probes when to probe and when the connection is dead. A dead caller counts as one that has left: its tasks are cancelled.

The kernel accepts one second as the shortest keep-alive time, and probes by itself once a second. Setting the time again after a second of silence makes it probe at once, which gives four probes in the last 100 ms before the bound.

Ruled out: TCP_USER_TIMEOUT, which with keep-alive takes effect at the second probe (2 s), and which also ends connections with an answer on its way after a cut that is shorter than the bound, because the last retransmission before it comes too early. Probes on all connections: most are idle between requests. Interim responses (1xx) as application-level probes: HTTP clients limit their number.

--- a/io/rgdispatcher/command_peer.go
+++ b/io/rgdispatcher/command_peer.go
@@ -256,6 +256,7 @@
 func (pro *Process) applySettings(sta *State) {
 	set := pro.settings
 	pro.resendDelay.Store(int64(set.ResendDelay.Duration))
+	pro.deadCallerBound.Store(int64(rgdispatch.DeadCallerBound(set.ResendDelay.Duration, set.TaskStopTime.Duration)))
 	sta.Dispatch.RemoteFactor = set.RemoteFactor
 	sta.Dispatch.Name = set.Name
 	sta.Dispatch.AvailabilityZone = set.AvailabilityZone
--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -100,6 +100,8 @@
 		lastCallerID atomic.Uint64
 		// resendDelay is that of the settings in force.
 		resendDelay atomic.Int64
+		// deadCallerBound is the silence after which the connection of a waiting caller is considered dead, or zero.
+		deadCallerBound atomic.Int64
 		// sleep waits like rgclock.Sleep.
 		sleep   func(ctx context.Context, dur time.Duration) bool
 		stop    context.CancelFunc
@@ -175,14 +177,33 @@
 		}
 		return ans
 	}
-	select {
-	case ans := <-rpl:
-		return ans
-	case <-ctx.Done():
-		pro.mailbox.Send(context.WithoutCancel(ctx), CallerDisconnected{Caller: cid, Job: req.ID})
-	case <-pro.mailbox.Done:
+	return pro.awaitAnswer(ctx, cid, req.ID, rpl)
+}
+
+// awaitAnswer waits for the answer to a job that the control goroutine has. The job is stopped if its caller leaves, or if the connection
+// turns out to be dead: the caller may have left without a sign of it, and may send the job elsewhere.
+func (pro *Process) awaitAnswer(
+	ctx context.Context, cid rgdispatch.CallerID, job string, rpl <-chan rgdispatch.SendAnswer,
+) rgdispatch.SendAnswer {
+	lost := rgdispatch.SendAnswer{Caller: cid, Job: job, Verdict: rgmodel.MayHaveRun, Reason: rgmodel.ReasonConnectionLost}
+	wat := pro.watchContact()
+	defer wat.end(ctx)
+	for left := false; !left; {
+		select {
+		case ans := <-rpl:
+			return ans
+		case <-pro.mailbox.Done:
+			return lost
+		case <-ctx.Done():
+			left = true
+		case <-wat.timer.C:
+			if left = wat.isDead(ctx); left {
+				pro.recordDeadCaller(job, wat.silence)
+			}
+		}
 	}
-	return rgdispatch.SendAnswer{Caller: cid, Job: req.ID, Verdict: rgmodel.MayHaveRun, Reason: rgmodel.ReasonConnectionLost}
+	pro.mailbox.Send(context.WithoutCancel(ctx), CallerDisconnected{Caller: cid, Job: job})
+	return lost
 }
 
 // hold waits for the end of the caller's connection if the caller may have left before its request arrived.
