rgsimulation: callers whose ends of the connection never reach the entry

Cause: the simulation had callers that leave, but their entries always got the end of the connection, 200 ms late at most. It could not show that a job whose caller was cut off goes on beside the one that the caller sends elsewhere.

Change: cutCallers cuts callers off for good while they wait; their connections break on their side only, and they send the job to another entry after the resend delay. cutCallersBriefly cuts connections for up to 60 ms again and again, and a caller that counts as dead although it is not cut off is a violation. Entries watch their callers by rgdispatch.CheckContact.

--- a/core/rgsimulation/caller_test.go
+++ b/core/rgsimulation/caller_test.go
@@ -60,8 +60,9 @@
 		// endReceived is set once the socket of the entry has received the end of the connection. The process learns of it later.
 		endReceived bool
 		// over is set once the caller has an answer or no longer waits. left is when it has left without a final answer.
-		over bool
-		left time.Time
+		over    bool
+		left    time.Time
+		contact contact
 	}
 )
 
@@ -122,6 +123,7 @@
 		ent.handlers[att] = true
 		con.read(att)
 	})
+	sim.disturbContact(att)
 	sim.after(sim.callerWait, func() { sim.leave(att) })
 }
 
@@ -132,6 +134,9 @@
 		return
 	}
 	sim.breakOff(att, "caller leaves")
+	if att.contact.lost {
+		return
+	}
 	gen := att.ent.generation
 	var end func()
 	end = func() {
@@ -163,7 +168,7 @@
 		return
 	}
 	var avoided *entry
-	if sim.now.Before(att.arrives) {
+	if sim.now.Before(att.arrives) || att.contact.lost {
 		avoided = att.ent
 	}
 	sim.after(resendDelay, func() { sim.submit(att.job, avoided) })
@@ -172,7 +177,11 @@
 // answer delivers an answer. The caller sends a job that may have run again later.
 func (sim *simulation) answer(att *attempt, vdt rgmodel.Verdict) {
 	delete(att.ent.handlers, att)
+	att.contact.over = true
 	sim.after(sim.between(minLatency, maxLatency), func() {
+		if att.contact.lost {
+			return
+		}
 		if !att.over {
 			att.ent.idleConns = append(att.ent.idleConns, att.con)
 		}
@@ -226,5 +235,6 @@
 	ent.detectSuspension()
 	ent.sim.note(att.job.id, "%s sees that caller %d has left", ent.name, att.caller)
 	delete(ent.callers, att.caller)
+	att.contact.over = true
 	ent.perform(rgdispatch.HandleCallerDisconnect(&ent.sta, att.caller, att.job.id))
 }
--- a/core/rgsimulation/callerconn_test.go
+++ b/core/rgsimulation/callerconn_test.go
@@ -64,6 +64,7 @@
 	sim.after(hold, func() {
 		if con.generation == ent.generation {
 			ent.post(att, func() { ent.submit(att) })
+			ent.watchContact(att)
 		}
 	})
 }
--- a/core/rgsimulation/entry_test.go
+++ b/core/rgsimulation/entry_test.go
@@ -66,7 +66,9 @@
 	}
 	atts := slices.SortedFunc(maps.Keys(ent.handlers), func(one, two *attempt) int { return cmp.Compare(one.label, two.label) })
 	for _, att := range atts {
-		ent.sim.after(ent.sim.between(minLatency, maxLatency), func() { ent.sim.breakOff(att, "broken connection") })
+		if !att.contact.lost {
+			ent.sim.after(ent.sim.between(minLatency, maxLatency), func() { ent.sim.breakOff(att, "broken connection") })
+		}
 	}
 }
 
--- a/core/rgsimulation/fault_test.go
+++ b/core/rgsimulation/fault_test.go
@@ -142,6 +142,10 @@
 		sim.overloaded = true
 	case leaveEarly:
 		sim.leavingPercent = flt.percent
+	case cutCallers:
+		sim.cutCallerPercent = flt.percent
+	case cutCallersBriefly:
+		sim.briefCallerCuts = true
 	case holdRequests:
 		sim.heldPercent = flt.percent
 		if flt.endDelay > 0 {
@@ -313,7 +317,8 @@
 // isPermanent reports whether the fault begins once and holds until the end.
 func isPermanent(flt fault) bool {
 	switch flt.(type) {
-	case loseOrders, loseReplies, delayOrders, delayHeartbeats, malformRows, leaveEarly, longWaits, longTasks, overload, holdRequests:
+	case loseOrders, loseReplies, delayOrders, delayHeartbeats, malformRows, leaveEarly, longWaits, longTasks, overload, holdRequests,
+		cutCallers, cutCallersBriefly:
 		return true
 	default:
 		return false
--- a/core/rgsimulation/simulation_test.go
+++ b/core/rgsimulation/simulation_test.go
@@ -66,6 +66,8 @@
 	"caller leaves early":          {leaveEarly{percent: 30}},
 	"request held back":            {holdRequests{percent: 10}},
 	"request held back, ends late": {holdRequests{percent: 10, endDelay: 200 * time.Millisecond}},
+	"caller cut off":               {cutCallers{percent: 30}},
+	"caller cut briefly":           {cutCallersBriefly{}},
 }
 
 // combinations contains faults that are more likely to show a violation together. In each, entries or callers are lost while a sidecar
@@ -118,15 +120,18 @@
 	"late across a restart, suspended": {
 		delayOrders{percent: 8, minDelay: lateOrder, crossRestart: true}, restartExecutor{}, suspendSidecar{}, killSidecar{},
 	},
-	"requests held back, entry suspended":   {holdRequests{percent: 10}, suspendEntry{}},
-	"requests held back, entry slow":        {holdRequests{percent: 10}, slowEntry{}, killEntry{}},
-	"requests held back, orders lost":       {holdRequests{percent: 10}, loseOrders{percent: 20}, leaveEarly{percent: 30}},
-	"requests held back, sidecar suspended": {holdRequests{percent: 10}, suspendSidecar{}, cutLink{}},
-	"long waits, sidecar killed":            {longWaits{}, killSidecar{}, killEntry{}, loseOrders{percent: 20}},
-	"long waits, sidecar slow":              {longWaits{}, slowSidecar{}, killEntry{}, cutLink{}},
-	"long waits, links cut":                 {longWaits{}, cutLink{}, cutDirection{}, resetConnection{}},
-	"long waits, entry suspended":           {longWaits{}, suspendEntry{}, leaveEarly{percent: 30}},
-	"long waits, executor restarted":        {longWaits{}, restartExecutor{}, delayOrders{percent: 4, minDelay: lateOrder}},
+	"requests held back, entry suspended":     {holdRequests{percent: 10}, suspendEntry{}},
+	"requests held back, entry slow":          {holdRequests{percent: 10}, slowEntry{}, killEntry{}},
+	"requests held back, orders lost":         {holdRequests{percent: 10}, loseOrders{percent: 20}, leaveEarly{percent: 30}},
+	"requests held back, sidecar suspended":   {holdRequests{percent: 10}, suspendSidecar{}, cutLink{}},
+	"long tasks, callers cut off":             {longTasks{}, cutCallers{percent: 40}},
+	"long tasks, callers cut, sidecar killed": {longTasks{}, cutCallers{percent: 30}, killSidecar{}, cutLink{}},
+	"long tasks, callers cut briefly":         {longTasks{}, cutCallersBriefly{}, cutCallers{percent: 10}},
+	"long waits, sidecar killed":              {longWaits{}, killSidecar{}, killEntry{}, loseOrders{percent: 20}},
+	"long waits, sidecar slow":                {longWaits{}, slowSidecar{}, killEntry{}, cutLink{}},
+	"long waits, links cut":                   {longWaits{}, cutLink{}, cutDirection{}, resetConnection{}},
+	"long waits, entry suspended":             {longWaits{}, suspendEntry{}, leaveEarly{percent: 30}},
+	"long waits, executor restarted":          {longWaits{}, restartExecutor{}, delayOrders{percent: 4, minDelay: lateOrder}},
 }
 
 // regressions contains seeds that have failed before or had a risk, by the name of their row in the tables.
@@ -140,6 +145,8 @@
 	"all faults":                          {4, 6},
 	"long tasks, sidecar killed":          {24, 123},
 	"long waits, entry suspended":         {22},
+	"caller cut off":                      {12, 83},
+	"long tasks, callers cut off":         {3, 4},
 	"requests held back, entry suspended": {4, 48},
 }
 
@@ -167,6 +174,11 @@
 	overloaded    bool
 	// heldPercent and leavingPercent are the shares of requests that are held back and of callers that leave early.
 	heldPercent, leavingPercent int
+	// cutCallerPercent is the share of callers that are cut off, and briefCallerCuts is set if connections of callers are cut briefly.
+	cutCallerPercent int
+	briefCallerCuts  bool
+	// deadCallers counts the callers whose connections were found dead.
+	deadCallers int
 	// malformedPercent is the share of rows that cannot be decoded.
 	malformedPercent int
 	// lateHeartbeats is the share of heartbeats that are late.
