rgdispatch, platform: truthful answers when the drain of an entry ends before its jobs

Cause: an entry whose drain time ended first stopped at once: it closed its connections to sidecars and callers, and exited with an error. Whether a caller got 502 or a broken connection depended on which goroutine was first, and a job of 8 s was taken although the entry had 5 s left.

Requests that arrive later are refused. BeginDrain makes an entry refuse jobs that are not expected to end within the drain, even on the fastest executor, so that their callers turn to another entry at once.

Ruled out: 503 for queued tasks. The sidecar may have started them in the meantime, and the answer cannot wait for its word.

--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -295,6 +295,9 @@
 		ResumedAt time.Time
 		// LastLoss is when a connection with placed tasks was last lost.
 		LastLoss time.Time
+		// DrainEndsBy is when a graceful shutdown must have ended, or zero. Drained is set once it has given up all jobs.
+		DrainEndsBy time.Time
+		Drained     bool
 	}
 )
 
--- a/core/rgdispatch/query_job.go
+++ b/core/rgdispatch/query_job.go
@@ -15,6 +15,8 @@
 		return rgmodel.ReasonNeverRunnable
 	case !sta.ResumedAt.IsZero() && (now.Sub(sta.ResumedAt) < suspensionRefusalTime || receivedBefore(req, sta.ResumedAt)):
 		return rgmodel.ReasonNotReady
+	case outlastsDrain(sta, now, req):
+		return rgmodel.ReasonDraining
 	case !now.Before(jb.Deadline):
 		return rgmodel.ReasonExpired
 	default:
@@ -22,6 +24,15 @@
 	}
 }
 
+// outlastsDrain reports whether the entry shuts down before the job is expected to end, even on the fastest executor.
+func outlastsDrain(sta *State, now time.Time, req Request) bool {
+	if sta.Drained || sta.DrainEndsBy.IsZero() {
+		return sta.Drained
+	}
+	run := time.Duration(fastestSlowdown(sta) * float64(criticalPath(req.Steps)))
+	return now.Add(run).After(sta.DrainEndsBy)
+}
+
 // isNeverRunnable reports whether no entry could ever run the job.
 func isNeverRunnable(req Request) bool { return req.Unsupported != "" || req.Route.ExternallyPlaced }
 
@@ -188,12 +199,7 @@
 	// minFraction is the fraction of the run time on the fastest executor that must fit before the deadline. It allows for
 	// estimates that are too long.
 	const minFraction = 0.5
-	fastest := 1.0
-	for _, sc := range sta.Sidecars {
-		if sc.Report.Slowdown > 0 {
-			fastest = min(fastest, sc.Report.Slowdown)
-		}
-	}
+	fastest := fastestSlowdown(sta)
 	for i, tsks := range jb.Tasks {
 		need := time.Duration(minFraction * fastest * float64(jb.Request.Steps[i].Estimate))
 		for _, tsk := range tsks {
@@ -213,6 +219,17 @@
 	return false
 }
 
+// fastestSlowdown returns the slowdown of the fastest executor, at most 1.
+func fastestSlowdown(sta *State) float64 {
+	fastest := 1.0
+	for _, sc := range sta.Sidecars {
+		if sc.Report.Slowdown > 0 {
+			fastest = min(fastest, sc.Report.Slowdown)
+		}
+	}
+	return fastest
+}
+
 // LookupJob reports whether a job is in progress and whether a task of it may have run.
 func LookupJob(sta *State, id string) (mayHaveRun, known bool) {
 	jb := sta.Jobs[id]
--- a/io/rgdispatcher/control.go
+++ b/io/rgdispatcher/control.go
@@ -85,6 +85,12 @@
 		} else {
 			rgmembership.RecordListed(&sta.Members, now, evt.Entries)
 		}
+	case DrainBegun:
+		rgdispatch.BeginDrain(&sta.Dispatch, evt.EndsBy)
+	case DrainEnded:
+		left := len(sta.Dispatch.Jobs)
+		pro.perform(sta, now, rgdispatch.EndDrain(&sta.Dispatch, now))
+		evt.Reply <- left
 	case SettingsReloaded:
 		pro.log.Info("settings read again")
 		pro.settings = evt.Settings
@@ -116,6 +122,8 @@
 		evt.Reply <- JobState{}
 	case PendingRequested:
 		evt.Reply <- 0
+	case DrainEnded:
+		evt.Reply <- 0
 	}
 }
 
--- a/io/rgdispatcher/event.go
+++ b/io/rgdispatcher/event.go
@@ -1,6 +1,8 @@
 package rgdispatcher
 
 import (
+	"time"
+
 	"ragwortgap/core/rgdispatch"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgroute"
@@ -75,6 +77,12 @@
 		Incomplete bool
 	}
 
+	// DrainBegun means that the entry shuts down, and that its jobs must have ended by a time.
+	DrainBegun struct{ EndsBy time.Time }
+
+	// DrainEnded asks to give up all jobs that are left. Their number is the reply.
+	DrainEnded struct{ Reply chan<- int }
+
 	// SettingsReloaded contains settings that were read again.
 	SettingsReloaded struct{ Settings rgsettings.PlatformProcess }
 )
@@ -89,4 +97,6 @@
 func (MessageReceived) isEvent()    {}
 func (ConfigReceived) isEvent()     {}
 func (EntriesListed) isEvent()      {}
+func (DrainBegun) isEvent()         {}
+func (DrainEnded) isEvent()         {}
 func (SettingsReloaded) isEvent()   {}
--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -238,6 +238,18 @@
 	return val
 }
 
+// BeginDrain announces that the entry shuts down and that its jobs must have ended after the duration. Jobs that cannot are refused.
+func (pro *Process) BeginDrain(ctx context.Context, left time.Duration) {
+	pro.mailbox.Send(ctx, DrainBegun{EndsBy: rgclock.Now().Add(left)})
+}
+
+// EndDrain gives up all jobs that are left, cancels their tasks and answers their callers. It returns the number of these jobs.
+func (pro *Process) EndDrain(ctx context.Context) int {
+	rpl := make(chan int, 1)
+	left, _ := rgmailbox.Call[Event](ctx, pro.mailbox, DrainEnded{Reply: rpl}, rpl)
+	return left
+}
+
 // Reload applies the remote factor, the name and the availability zone of the entry as rgdispatch uses them, the cores, the
 // resend delay and additional seeds of settings that were read again. The other settings stay as they are.
 func (pro *Process) Reload(ctx context.Context, set rgsettings.PlatformProcess) {
--- a/io/rgserver/server.go
+++ b/io/rgserver/server.go
@@ -81,6 +81,11 @@
 	if err := srv.listener.Close(); err != nil {
 		return errors.Trace(err)
 	}
+	return srv.AwaitAnswers(ctx)
+}
+
+// AwaitAnswers returns when all requests of a draining server that have arrived are answered, or with an error if ctx ends first.
+func (srv *Server) AwaitAnswers(ctx context.Context) error {
 	tick := time.NewTicker(drainInterval)
 	defer tick.Stop()
 	for srv.closeIdle() > 0 {
