rgwire: send what is queued when a process stops

Cause: the writer of a connection chose at random between the end of its context and a queued message. A sidecar that drained lost the report of its last run in half of the cases in which it stopped right after it, and the entry then placed the task again, or gave up the job. A run of 10 s and more makes that expensive.

TestNotificationConnAtStop fails without the change.

--- a/io/rgwire/notification_conn.go
+++ b/io/rgwire/notification_conn.go
@@ -86,6 +86,13 @@
 		case <-nc.Done:
 			return
 		case <-ctx.Done():
+			// Messages that are queued when the process stops are still sent: they may report the ends of tasks or cancel some.
+			select {
+			case msg := <-nc.msgs:
+				// The connection ends in any case.
+				_ = nc.flush(buf, msg)
+			default:
+			}
 			return
 		case msg := <-nc.msgs:
 			if err := nc.flush(buf, msg); err != nil {
--- a/io/rgwire/notification_conn_test.go
+++ b/io/rgwire/notification_conn_test.go
@@ -102,3 +102,25 @@
 func writeNotification(con net.Conn, txt string) {
 	_, _ = con.Write(append(binary.AppendUvarint(nil, uint64(len(txt))), txt...))
 }
+
+// TestNotificationConnAtStop guards against a message that is lost because its process stops right after it was queued: the end of the last
+// run of a sidecar that drains, or the cancellation of tasks by an entry that does.
+func TestNotificationConnAtStop(t *testing.T) {
+	// Without the guard, the end of the context and the message are equally likely to be seen first.
+	const attempts = 20
+	for range attempts {
+		sender, receiver := net.Pipe()
+		got := make(chan Message, 1)
+		read := StartNotificationConn(t.Context(), receiver)
+		go read.Read(func(msg Message) { got <- msg })
+		ctx, stop := context.WithCancel(t.Context())
+		nc := &NotificationConn{Done: make(chan struct{}), conn: sender, msgs: make(chan Message, 1)}
+		nc.Send(EntryHeartbeat{Issued: 1})
+		stop()
+		nc.write(ctx)
+		<-read.Done
+		if len(got) != 1 {
+			t.Fatal("the message that was queued before the stop did not arrive")
+		}
+	}
+}
