rgexecutor: keep the run number of a run that goes on

Cause: a sidecar forgets the run number of a task 30 s after it was used. A run may go on for 31 s now. Once its number was forgotten, the task could be started again under the number 1, for which a late start order of the earlier run may still be on its way.

Change: the number of a run that goes on counts as in use; the 30 s begin with its end.

--- a/core/rgexecutor/command_tick.go
+++ b/core/rgexecutor/command_tick.go
@@ -21,14 +21,22 @@
 	for _, run := range sta.Runs {
 		efs = append(efs, checkRun(sta, now, run)...)
 	}
+	expireRunNumbers(sta, now)
+	decaySlowdown(sta)
+	efs = append(efs, reportEndedOrphans(sta, now)...)
+	return append(efs, startQueued(sta, now)...)
+}
+
+// expireRunNumbers forgets the run numbers that were not used for a while. Those of runs that go on are in use.
+func expireRunNumbers(sta *State, now time.Time) {
 	for tsk, num := range sta.RunNumbers {
-		if now.Sub(num.LastUsed) > runNumberTTL {
+		switch {
+		case sta.Runs[tsk] != nil:
+			sta.RunNumbers[tsk] = RunNumber{Highest: num.Highest, LastUsed: now}
+		case now.Sub(num.LastUsed) > runNumberTTL:
 			delete(sta.RunNumbers, tsk)
 		}
 	}
-	decaySlowdown(sta)
-	efs = append(efs, reportEndedOrphans(sta, now)...)
-	return append(efs, startQueued(sta, now)...)
 }
 
 // returnSilent returns the queued tasks of silent entries.
