rgexecutor: do not renew the lease of an executor that does not reply

Cause: each poll renews the lease, also while the executor does not reply. A task was reported as lost only once it counted as hung, after four times its estimate, or at its deadline. For tasks of 200 ms that was 1.1 s; for a task of 8 s whose caller waits 31 s it is 31 s, and no time is left to place it again.

Change: an executor with a run that has not replied for 2 s gets no further renewal. Its runs end with the lease, are reported as lost and placed elsewhere. 2 s are more than twice the longest lease, so an executor that stood still for as long has lost its runs in any case.

Ruled out: a limit on the run time from the estimate, because 3 % of the tasks take seven times as long as estimated.

TestLongRunOnSilentExecutor fails without the change: nothing is reported within 4 s.

--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -45,6 +45,9 @@
 	// stopConfirmTimeout is how long a stop may stay unconfirmed before the lease is no longer renewed. The run then ends when
 	// the lease expires.
 	stopConfirmTimeout = 250 * time.Millisecond
+	// maxExecutorSilence is how long an executor with a run may go without a reply before its lease is no longer renewed. It is above
+	// twice the longest lease, so that an executor that was suspended for that long has lost its runs anyway.
+	maxExecutorSilence = 2 * time.Second
 	// MaxPlacementAge is the age above which placements are returned. It allows for a round trip between zones and a busy entry.
 	MaxPlacementAge = 300 * time.Millisecond
 	// maxLateQueueTime is how long a late task is queued before it is returned, so that its entry can place it elsewhere. It
--- a/core/rgexecutor/longrun_test.go
+++ b/core/rgexecutor/longrun_test.go
@@ -67,6 +67,36 @@
 	}
 }
 
+// TestLongRunOnSilentExecutor guards against a long run on an executor that does not reply any more, which is reported only at its
+// deadline because each poll renews the lease. It also guards against a run that is given up because a few replies were lost.
+func TestLongRunOnSilentExecutor(t *testing.T) {
+	tests := map[string]struct {
+		silence time.Duration
+		want    bool
+	}{
+		"few replies lost": {silence: 500 * time.Millisecond},
+		"silent":           {silence: 4 * time.Second, want: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			har := newHarness(t)
+			har.startLong(8*time.Second, longDeadline)
+			har.goOn(t, 2*time.Second)
+			reported := false
+			for end := har.now.Add(tc.silence); har.now.Before(end); {
+				har.advance(TickInterval)
+				for len(har.sta.Polls) > 0 && har.sta.Polls[0].Before(har.now) {
+					har.efs = append(har.efs, HandlePollReply(&har.sta, har.now, har.pollOrder(), rgmodel.OrderReply{})...)
+				}
+				reported = har.takeLossReports() || reported
+			}
+			if reported != tc.want {
+				t.Errorf("reported as lost: %v, want %v", reported, tc.want)
+			}
+		})
+	}
+}
+
 // TestRunNumberOfLongRun guards against a run number that is used again because the number of a run that goes on for longer than unused
 // numbers are kept was forgotten. A late order with that number would then start the task a second time.
 func TestRunNumberOfLongRun(t *testing.T) {
--- a/core/rgexecutor/query_capacity.go
+++ b/core/rgexecutor/query_capacity.go
@@ -102,7 +102,8 @@
 
 // canRenewLease reports whether the lease may be renewed. It returns false while a stop has been unconfirmed for longer than
 // stopConfirmTimeout. If the entry of a run is silent, or is lost and the stop is unconfirmed, it returns false at once, because
-// the caller may send the job again soon.
+// the caller may send the job again soon. If the executor of a run is silent, the lease has to expire before the task can be placed
+// elsewhere, and orders without a reply would go on renewing it.
 func canRenewLease(sta *State, now time.Time) bool {
 	for _, unt := range sta.UntrackedRuns {
 		if now.Sub(unt.StopRequested) > stopConfirmTimeout {
@@ -115,6 +116,8 @@
 		case stopping && !run.StopConfirmed.IsZero():
 		case isSilent(sta, now, run.AcceptedTask.Conn):
 			return false
+		case run.State == RunRunning && sinceReading(sta, now) > maxExecutorSilence:
+			return false
 		case stopping && (run.Reason == rgmodel.ReasonConnectionLost || now.Sub(run.StopRequested) > stopConfirmTimeout):
 			return false
 		}
