rgorders: stop the runs that are left at the end of a sidecar's drain

Cause: a sidecar whose drain time ended before its runs closed its connections and exited. The runs went on until their lease expired, and their entries placed the tasks again only 1.55 s after the loss of the connection.

Change: 1.5 s before the drain time ends, the sidecar stops the runs that go on, and reports their ends before it exits, at the latest 0.5 s before the end. Without a confirmation the lease ends them as before; their entries wait for that.

Ruled out: stops at the beginning of the drain for runs that are expected to outlast it.

--- a/core/rgexecutor/command_conn.go
+++ b/core/rgexecutor/command_conn.go
@@ -100,3 +100,9 @@
 	sta.Draining = true
 	return returnQueue(sta, rgmodel.ReasonDraining)
 }
+
+// EndDrain stops the runs that are left when the graceful shutdown must end soon, so that their entries learn of their ends and can place
+// the tasks elsewhere, without waiting for the leases to expire.
+func EndDrain(sta *State, now time.Time) []Effect {
+	return stopMatching(sta, now, rgmodel.ReasonDraining, func(AcceptedTask) bool { return true })
+}
--- a/core/rgexecutor/longrun_test.go
+++ b/core/rgexecutor/longrun_test.go
@@ -112,3 +112,27 @@
 		t.Errorf("highest run number %d, want 1", got)
 	}
 }
+
+// TestEndDrain guards against a long run that ends with the process of its sidecar without a report, so that its entry has to wait until
+// the lease has expired before it can place the task again.
+func TestEndDrain(t *testing.T) {
+	har := newHarness(t)
+	har.startLong(12*time.Second, longDeadline)
+	har.goOn(t, 2*time.Second)
+	har.efs = append(har.efs, Drain(&har.sta)...)
+	har.goOn(t, time.Second)
+	if run := har.sta.Runs[rgmodel.TaskKey{Job: "job"}]; run == nil || run.State != RunRunning {
+		t.Fatalf("run %+v, want one that goes on", run)
+	}
+	har.takeEffects()
+	har.efs = append(har.efs, EndDrain(&har.sta, har.now)...)
+	har.replyToStops(har.acceptedReply())
+	har.takeEffects()
+	har.advance(TickInterval)
+	for len(har.sta.Polls) > 0 && HasRuns(&har.sta) {
+		har.replyToPoll(t, nil, nil)
+	}
+	if HasRuns(&har.sta) || !har.takeLossReports() {
+		t.Error("the run was not reported as lost once its stop was confirmed")
+	}
+}
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -16,7 +16,7 @@
 )
 
 // control runs the control goroutine. After ctx ends, it drains, and returns once no run is left or all of the drain timeout but
-// drainMargin has passed.
+// drainMargin has passed. When stopMargin is left, it stops the runs that go on.
 func (pro *Process) control(ctx, workCtx context.Context) {
 	sta := &State{
 		Conns: map[rgexecutor.EntryConnID]*EntryConn{}, StopDial: map[string]context.CancelFunc{}, Dropped: map[string]bool{},
@@ -53,6 +53,7 @@
 		if sta.Members.Changed {
 			pro.updateConnections(workCtx, sta, now)
 		}
+		pro.endDrain(workCtx, sta, now)
 		pro.sendUpdates(sta, now)
 		if !sta.DrainStarted.IsZero() &&
 			(!rgexecutor.HasRuns(&sta.ExecutorState) || now.Sub(sta.DrainStarted) > pro.settings.DrainTimeout.Duration-drainMargin) {
@@ -62,6 +63,16 @@
 	}
 }
 
+// endDrain stops the runs that go on when the drain has to end soon.
+func (pro *Process) endDrain(workCtx context.Context, sta *State, now time.Time) {
+	if sta.DrainStarted.IsZero() || sta.DrainEnding || now.Sub(sta.DrainStarted) <= pro.settings.DrainTimeout.Duration-stopMargin {
+		return
+	}
+	sta.DrainEnding = true
+	pro.log.Info("runs stopped at the end of the drain", zap.Int("runs", len(sta.ExecutorState.Runs)))
+	pro.perform(workCtx, sta, rgexecutor.EndDrain(&sta.ExecutorState, now))
+}
+
 func (pro *Process) handle(workCtx context.Context, sta *State, now time.Time, evt Event) {
 	switch evt := evt.(type) {
 	case ExecutorUpdated:
--- a/io/rgorders/process.go
+++ b/io/rgorders/process.go
@@ -20,8 +20,11 @@
 )
 
 const (
-	// drainMargin is the part of the drain timeout that is left when the drain no longer waits for runs.
-	drainMargin = 1500 * time.Millisecond
+	// stopMargin is the part of the drain timeout that is left when the runs that go on are stopped, and drainMargin the part that is
+	// left when the drain no longer waits for their ends. The difference is more than a lease, by which they end even if the executor
+	// does not reply.
+	stopMargin  = 1500 * time.Millisecond
+	drainMargin = 500 * time.Millisecond
 	// tolerableClockLead is how far the clock of a heartbeat may be ahead of the one estimated from the replies without being logged. A
 	// reply may take some tens of milliseconds, and an executor's clock does not gain on real time.
 	tolerableClockLead = 250 * time.Millisecond
@@ -61,8 +64,9 @@
 		// Dropped holds the addresses of entries whose connections are drained before they are ended.
 		Dropped    map[string]bool
 		LastListed time.Time
-		// DrainStarted is when the drain began, or zero.
+		// DrainStarted is when the drain began, or zero. DrainEnding is set once the runs that go on are stopped.
 		DrainStarted time.Time
+		DrainEnding  bool
 		// ReportedCounts are the counts that are already included in the metrics.
 		ReportedCounts rgexecutor.Counts
 	}
