--- a/core/rgdispatch/deadline_test.go
+++ b/core/rgdispatch/deadline_test.go
@@ -12,6 +12,8 @@
 }{
 	"caller waits longer than the timeout":    {callerWait: 20 * time.Second, timeout: 1500 * time.Millisecond, want: 20 * time.Second},
 	"caller waits less long than the timeout": {callerWait: time.Second, timeout: 1500 * time.Millisecond, want: time.Second},
+	"caller waits for days":                   {callerWait: 240 * time.Hour, want: maxTimeLimit},
+	"timeout of days":                         {timeout: 240 * time.Hour, want: maxTimeLimit},
 	"caller names no wait":                    {timeout: 1500 * time.Millisecond, want: 1500 * time.Millisecond},
 	"neither sets a limit":                    {want: defaultTimeLimit},
 }
