--- a/io/rgdispatcher/contact_test.go
+++ b/io/rgdispatcher/contact_test.go
@@ -2,35 +2,16 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"ragwortgap/core/rgdispatch"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgserver"
 	"ragwortgap/io/rgsettings"
+	"ragwortgap/io/rgstandin"
 )
 
-// cutConnection makes the kernel drop all segments that arrive at the socket.
-func cutConnection(t *testing.T, con *net.TCPConn) {
-	t.Helper()
-	raw, err := con.SyscallConn()
-	if err != nil {
-		t.Fatal(err)
-	}
-	var optErr error
-	err = raw.Control(func(fd uintptr) {
-		code := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
-		optErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &code[0]})
-	})
-	if err != nil || optErr != nil {
-		t.Fatalf("socket filter: %v, %v", err, optErr)
-	}
-}
-
 // awaitAnsweredProbes waits until the caller has answered probes, each of which ends a silence.
 func awaitAnsweredProbes(ctx context.Context, t *testing.T, probes int) {
 	t.Helper()
@@ -57,11 +38,10 @@
 func TestDeadCaller(t *testing.T) {
 	const resend, taskStop = 1300 * time.Millisecond, 50 * time.Millisecond
 	tests := map[string]struct {
-		lose func(t *testing.T, caller *net.TCPConn)
 		dead bool
 	}{
-		"cut off": {lose: cutConnection, dead: true},
-		"slow":    {lose: func(*testing.T, *net.TCPConn) {}},
+		"cut off": {dead: true},
+		"slow":    {},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -77,8 +57,10 @@
 			answered := make(chan rgdispatch.SendAnswer, 1)
 			go func() { answered <- har.pro.Submit(ctx, newJobRequest("job")) }()
 			har.pro.handleOrDrop(har.sta, har.now, <-har.pro.mailbox.Events)
-			tc.lose(t, caller)
 			if tc.dead {
+				if err := rgstandin.CutSocket(caller, true); err != nil {
+					t.Fatal(err)
+				}
 				har.pro.handleOrDrop(har.sta, har.now, <-har.pro.mailbox.Events)
 			} else {
 				awaitAnsweredProbes(ctx, t, 2)
--- a/io/rgserver/contact_test.go
+++ b/io/rgserver/contact_test.go
@@ -7,31 +7,19 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"ragwortgap/io/rgstandin"
 )
 
 // contactTimeout bounds the waits of these tests. The kernel probes after a second.
 const contactTimeout = 20 * time.Second
 
-// dropIncoming makes the kernel drop all segments that arrive at a socket, like a cut, or ends that.
-func dropIncoming(t *testing.T, con *net.TCPConn, drop bool) {
+// cutSocket cuts a connection at one of its sockets, or ends the cut.
+func cutSocket(t *testing.T, con *net.TCPConn, cut bool) {
 	t.Helper()
-	raw, err := con.SyscallConn()
-	if err != nil {
+	if err := rgstandin.CutSocket(con, cut); err != nil {
 		t.Fatal(err)
 	}
-	var optErr error
-	err = raw.Control(func(fd uintptr) {
-		if !drop {
-			optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
-			return
-		}
-		// The program returns the length to which a segment is cut: none.
-		code := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
-		optErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &code[0]})
-	})
-	if err != nil || optErr != nil {
-		t.Fatalf("socket filter: %v, %v", err, optErr)
-	}
 }
 
 // connect returns both ends of a connection over loopback.
@@ -92,12 +80,12 @@
 		left    bool
 	}{
 		"cut that ends": {
-			lose:    func(t *testing.T, caller, _ *net.TCPConn) { dropIncoming(t, caller, true) },
-			restore: func(t *testing.T, caller, _ *net.TCPConn) { dropIncoming(t, caller, false) },
+			lose:    func(t *testing.T, caller, _ *net.TCPConn) { cutSocket(t, caller, true) },
+			restore: func(t *testing.T, caller, _ *net.TCPConn) { cutSocket(t, caller, false) },
 		},
 		"end of the connection is lost in a cut": {
 			lose: func(t *testing.T, caller, own *net.TCPConn) {
-				dropIncoming(t, own, true)
+				cutSocket(t, own, true)
 				// A reset is not sent again.
 				if err := caller.SetLinger(0); err != nil {
 					t.Fatal(err)
@@ -106,7 +94,7 @@
 					t.Fatal(err)
 				}
 			},
-			restore: func(t *testing.T, _, own *net.TCPConn) { dropIncoming(t, own, false) },
+			restore: func(t *testing.T, _, own *net.TCPConn) { cutSocket(t, own, false) },
 			left:    true,
 		},
 	}
