evacuation: core keeps the set of evacuated zones; entries and sidecars decide by it

Change: core/rgevacuation adopts the newest set as a whole. An entry leaves sidecars of evacuated zones out of the candidates; a sidecar there returns its queue, refuses placements and does not send a refused start order again. Not yet: the watch, the messages, and tests.

--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"ragwortgap/core/rgevacuation"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgroute"
 )
@@ -281,7 +282,9 @@
 		// Name and AvailabilityZone are those of the entry. Without a zone, all sidecars are treated as in the same zone.
 		Name             string
 		AvailabilityZone string
-		Sidecars         map[SidecarConnID]*SidecarConn
+		// Evacuation is the newest known set of evacuated zones.
+		Evacuation rgevacuation.Set
+		Sidecars   map[SidecarConnID]*SidecarConn
 		// Order holds the connections to sidecars in the order of their rank.
 		Order []SidecarConnID
 		Jobs  map[string]*Job
--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -99,7 +99,7 @@
 	for i := range sta.Order {
 		con := sta.Order[(first+i)%len(sta.Order)]
 		sc := sta.Sidecars[con]
-		if sc.Report.Usable && !now.After(sc.LostAt) && canRun(sc, jb, stp) {
+		if sc.Report.Usable && !now.After(sc.LostAt) && !isEvacuated(sta, sc) && canRun(sc, jb, stp) {
 			cnds = append(cnds, &candidate{conn: con, sidecar: sc, runTime: runTime(sta, stp, sc), sameZone: inSameZone(sta, sc)})
 		}
 		if len(cnds) == size {
@@ -116,15 +116,21 @@
 		(stp.RequiredLabel == "" || slices.Contains(sc.Executor.Labels, stp.RequiredLabel))
 }
 
-// unplaceableReason distinguishes a step that no executor can ever run from one that no executor can run now.
+// unplaceableReason distinguishes a step that no executor can ever run from one that no executor can run now, and from one that only
+// executors in evacuated zones can run.
 func unplaceableReason(sta *State, jb *Job, stp Step) rgmodel.Reason {
+	rsn := rgmodel.ReasonNeverRunnable
 	for _, sc := range sta.Sidecars {
 		// A sidecar that has just started may not know its executor yet.
-		if sc.Executor.Service == "" || canRun(sc, jb, stp) {
+		if sc.Executor.Service != "" && !canRun(sc, jb, stp) {
+			continue
+		}
+		if !isEvacuated(sta, sc) {
 			return rgmodel.ReasonNoUpstream
 		}
+		rsn = rgmodel.ReasonZoneEvacuated
 	}
-	return rgmodel.ReasonNeverRunnable
+	return rsn
 }
 
 // bestCandidate prefers executors that start the task at once and are fast enough, and among these the slowest ones, so that
--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -226,6 +226,9 @@
 // returnTask reports that a task leaves the sidecar without a result. It counts as lost if a start order of it was confirmed or
 // got no reply, because an order without a reply may have been carried out.
 func returnTask(sta *State, act AcceptedTask, rsn rgmodel.Reason) Effect {
+	if rsn == rgmodel.ReasonZoneEvacuated {
+		sta.Counts.Evacuated++
+	}
 	sts := rgmodel.EndReturned
 	if act.UnrefusedStarts > 0 {
 		sts = rgmodel.EndLost
--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -50,9 +50,9 @@
 }
 
 // startQueued starts queued tasks while resources are free, and keeps polling the executor while anything runs. It returns the tasks
-// of silent entries, because a process that was suspended may get here before its next tick.
+// of silent entries, because a process that was suspended may get here before its next tick, and all tasks of an evacuated zone.
 func startQueued(sta *State, now time.Time) []Effect {
-	efs := returnSilent(sta, now)
+	efs := append(returnSilent(sta, now), returnEvacuated(sta)...)
 	reorder(sta, now)
 	for len(sta.Queue) > 0 && canStart(sta, now) {
 		act := sta.Queue[0]
@@ -135,8 +135,7 @@
 		}
 		return startQueued(sta, now)
 	case rgmodel.RefusalStaleRun, rgmodel.RefusalLeaseExpired:
-		// A start renews the lease of all runs.
-		if run.State == RunStarting && run.StartAttempts < maxStartAttempts && canRenewLease(sta, now) {
+		if mayStartAgain(sta, now, run) {
 			// Doubling reaches an unused number quickly, however often other processes have started the task.
 			return sendStart(sta, now, run, 2*run.Number+1)
 		}
@@ -155,10 +154,20 @@
 	return append(efs, startQueued(sta, now)...)
 }
 
+// mayStartAgain reports whether a start order that was refused for its run number or its lease is sent again. A start renews the lease of
+// all runs, and in an evacuated zone it would be a new one.
+func mayStartAgain(sta *State, now time.Time, run *Run) bool {
+	return run.State == RunStarting && run.StartAttempts < maxStartAttempts && canRenewLease(sta, now) && !Evacuated(sta)
+}
+
 // endRefusedStart returns a task whose last start order was certainly not carried out.
 func endRefusedStart(sta *State, run *Run) []Effect {
 	delete(sta.Runs, run.AcceptedTask.Task.Key)
-	return []Effect{returnTask(sta, run.AcceptedTask, rgmodel.ReasonUpstreamRefused)}
+	rsn := rgmodel.ReasonUpstreamRefused
+	if Evacuated(sta) {
+		rsn = rgmodel.ReasonZoneEvacuated
+	}
+	return []Effect{returnTask(sta, run.AcceptedTask, rsn)}
 }
 
 // endUnreachableStart ends a run whose last start order found nothing listening. The executor may be restarting, so the task becomes an
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"ragwortgap/core/rgevacuation"
 	"ragwortgap/core/rgmodel"
 )
 
@@ -236,9 +237,13 @@
 
 	// State is the control state of the sidecar.
 	State struct {
-		Limits   Limits
-		Executor rgmodel.Executor
-		Phase    Phase
+		Limits Limits
+		// AvailabilityZone is that of the sidecar. It counts for an executor that names none.
+		AvailabilityZone string
+		// Evacuation is the newest set of evacuated zones that an entry has sent.
+		Evacuation rgevacuation.Set
+		Executor   rgmodel.Executor
+		Phase      Phase
 		// Undescribed is set until the next heartbeat if the fields of Executor but Incarnation and Clock are those of an earlier
 		// incarnation.
 		Undescribed bool
@@ -297,6 +302,9 @@
 	// Counts are totals for the metrics.
 	Counts struct {
 		Started, Succeeded, Failed, Lost, Returned, Requeued, RunsExpired, MalformedRuns uint64
+		// Evacuated counts the tasks that were returned because the zone is evacuated, of which a start order may have been carried out or
+		// not.
+		Evacuated uint64
 	}
 )
 
--- a/core/rgexecutor/query_capacity.go
+++ b/core/rgexecutor/query_capacity.go
@@ -64,6 +64,8 @@
 		return rgmodel.ReasonExpired, false
 	case sta.Draining, sta.Executor.Draining:
 		return rgmodel.ReasonDraining, false
+	case Evacuated(sta):
+		return rgmodel.ReasonZoneEvacuated, false
 	case sta.Phase != PhaseServing, plc.Service != sta.Executor.Service:
 		return rgmodel.ReasonNoUpstream, false
 	case !Usable(sta, now):
@@ -86,7 +88,7 @@
 // the resources.
 func Usable(sta *State, now time.Time) bool {
 	return sta.Phase == PhaseServing && !sta.Undescribed && !sta.Unreachable && len(sta.UntrackedRuns) == 0 &&
-		!sta.Draining && !sta.Executor.Draining && !now.Before(sta.Health.EjectedUntil)
+		!sta.Draining && !sta.Executor.Draining && !now.Before(sta.Health.EjectedUntil) && !Evacuated(sta)
 }
 
 // canStart reports whether start orders may be sent now.
--- a/core/rgexecutor/query_report.go
+++ b/core/rgexecutor/query_report.go
@@ -22,6 +22,7 @@
 		Allocatable: allocatable(sta),
 		Usable:      Usable(sta, now),
 		Slowdown:    math.Round(slowdownScale*sta.Slowdown) / slowdownScale,
+		Evacuation:  evacuationProgress(sta),
 	}
 	if rep.Usable && (len(sta.Queue) > 0 || rep.Used.Cores > busyFraction*rep.Allocatable.Cores) {
 		rep.ExpectedWaits = expectedWaits(sta, now)
--- a/core/rgmodel/address.go
+++ b/core/rgmodel/address.go
@@ -85,6 +85,14 @@
 	return chr == '-' || chr == '_' || '0' <= chr && chr <= '9' || 'a' <= chr && chr <= 'z'
 }
 
+// CheckZone returns errors.NotValid unless the name is one that the settings accept for an availability zone.
+func CheckZone(nam string) error {
+	if !isName(nam) {
+		return errors.NotValidf("availability zone %s", shown(nam))
+	}
+	return nil
+}
+
 // isName accepts what the settings accept as the name of a process.
 func isName(nam string) bool {
 	return nam != "" && len(nam) <= maxNameBytes && !strings.ContainsFunc(nam, func(chr rune) bool {
--- a/core/rgmodel/placement.go
+++ b/core/rgmodel/placement.go
@@ -61,6 +61,14 @@
 		ExpectedWaits []time.Duration `json:"waits,omitempty"`
 		// Slowdown is the learned ratio of run times on this executor to their estimates.
 		Slowdown float64 `json:"stretch"`
+		// Evacuation is set while the executor's availability zone is evacuated as far as the sidecar knows.
+		Evacuation *EvacuationProgress `json:"evacuation,omitempty"`
+	}
+
+	// EvacuationProgress is what is left of the tasks on an executor in an evacuated zone.
+	EvacuationProgress struct {
+		Running int `json:"running"`
+		Queued  int `json:"queued"`
 	}
 )
 
--- a/core/rgmodel/verdict.go
+++ b/core/rgmodel/verdict.go
@@ -29,7 +29,10 @@
 	// job or its route uses an unsupported feature.
 	ReasonNeverRunnable Reason = "neverRunnable"
 	// ReasonNoUpstream is given if no upstream can take the task now; one may be able to later.
-	ReasonNoUpstream     Reason = "noUpstream"
+	ReasonNoUpstream Reason = "noUpstream"
+	// ReasonZoneEvacuated is given if only executors in evacuated availability zones could take the task, and by a sidecar for a task that
+	// it does not start because its executor's zone is evacuated.
+	ReasonZoneEvacuated  Reason = "zoneEvacuated"
 	ReasonConnectionLost Reason = "connectionLost"
 	// ReasonCallerLeft is given if the caller had left before a task of its job was placed.
 	ReasonCallerLeft Reason = "callerLeft"
