evacuation: entries watch op/, pass the set on to entries and sidecars

Cause: nothing reads op/evacuate/ZONE. Change: one watch of op/ replaces that of op/config; the keys are listed at the start and after each failure of the watch. Gossip and heartbeats carry a set that the peer has not got over this connection, at once if other zones are evacuated. A sidecar fills its own zone in for an executor that names none.

--- a/core/rgdispatch/command_interval.go
+++ b/core/rgdispatch/command_interval.go
@@ -30,7 +30,7 @@
 	}
 	local := 0
 	for _, sc := range sta.Sidecars {
-		if inSameZone(sta, sc) {
+		if reportsOften(sta, sc) {
 			local++
 		}
 	}
@@ -41,15 +41,20 @@
 		sc := sta.Sidecars[con]
 		sc.ReportInterval = maxReportInterval
 		switch {
-		case inSameZone(sta, sc):
+		case reportsOften(sta, sc):
 			sc.ReportInterval = min(interval, maxReportInterval)
-		case left > 0:
+		case left > 0 && !isEvacuated(sta, sc):
 			left--
 			sc.ReportInterval = min(interval, maxReportInterval)
 		}
 	}
 }
 
+// reportsOften reports whether the sidecar is prioritized whatever the budget: it is in the entry's zone and may get tasks.
+func reportsOften(sta *State, sc *SidecarConn) bool {
+	return inSameZone(sta, sc) && !isEvacuated(sta, sc)
+}
+
 // inSameZone reports whether the sidecar is in the zone of the entry.
 func inSameZone(sta *State, sc *SidecarConn) bool {
 	return sta.AvailabilityZone == "" || sc.Executor.AvailabilityZone == sta.AvailabilityZone
--- a/io/rgdispatcher/command_peer.go
+++ b/io/rgdispatcher/command_peer.go
@@ -107,7 +107,7 @@
 		}
 		if msg.Report != nil {
 			pro.perform(sta, now, rgdispatch.UpdateReport(&sta.Dispatch, now, con, *msg.Report, msg.LastTicket))
-			pro.sidecarSeen.Store(pro.sidecarSeen.Load() || msg.Report.Usable)
+			pro.sidecarSeen.Store(pro.sidecarSeen.Load() || msg.Report.Usable || msg.Report.Evacuation != nil)
 		}
 		pro.perform(sta, now, rgdispatch.RecordEnds(&sta.Dispatch, now, con, msg.Ends))
 	case rgwire.EntryHello:
@@ -118,6 +118,7 @@
 		ents, err := rgmodel.ValidEntries(msg.Entries)
 		pro.logRejection(per, err)
 		rgmembership.RecordMentions(&sta.Members, now, rgmembership.ConnID(evt.ID), ents, msg.Left, msg.Full)
+		pro.receiveEvacuation(sta, now, per, msg.Evacuation)
 		if rgroute.ObserveVersion(&sta.VersionLag, now, pro.Config(), msg.Version) {
 			pro.log.Info("configuration asked of an entry", zap.String("entry", msg.From.Name), zap.Uint64("version", msg.Version))
 			per.Conn.Send(rgwire.ConfigRequest{})
@@ -214,6 +215,7 @@
 	}
 	pro.scope.Gauge("jobs").Update(float64(len(sta.Dispatch.Jobs)))
 	pro.scope.Gauge("sidecars").Update(float64(len(sta.Dispatch.Sidecars)))
+	pro.observeZones(sta, now)
 }
 
 // heartbeatDue reports whether a sidecar is due a heartbeat, either by time or because its report interval has changed.
@@ -231,7 +233,7 @@
 		per.ReportInterval = sc.ReportInterval
 	}
 	msg := rgwire.EntryHeartbeat{Issued: pro.sidecarTime(sta, rgdispatch.SidecarConnID(id), now), ReportInterval: per.ReportInterval}
-	msg.EntryChanges = entryChanges(sta, per)
+	msg.EntryChanges, msg.Evacuation = entryChanges(sta, per), evacuationToSend(sta, per)
 	if msg.Full {
 		msg.Entries = append(msg.Entries, pro.self)
 	}
@@ -240,7 +242,9 @@
 
 func (pro *Process) sendGossip(sta *State, per *PeerConn, now time.Time) {
 	per.LastSent = now
-	per.Conn.Send(rgwire.Gossip{From: pro.self, Version: versionOf(pro.Config()), EntryChanges: entryChanges(sta, per)})
+	per.Conn.Send(rgwire.Gossip{
+		From: pro.self, Version: versionOf(pro.Config()), Evacuation: evacuationToSend(sta, per), EntryChanges: entryChanges(sta, per),
+	})
 }
 
 // entryChanges returns what has changed in the list of entries since it was last called for the peer.
--- a/io/rgdispatcher/command_store.go
+++ b/io/rgdispatcher/command_store.go
@@ -40,68 +40,6 @@
 	Incomplete bool
 }
 
-// watchConfig reads the configuration at the start, after each change and after each failure of the watch. A call that has made no
-// progress is repeated after a delay, because a malformed item or a faulty store may reply at once each time.
-func (pro *Process) watchConfig(workCtx context.Context) {
-	after, healthy, failedWatches := uint64(0), true, 0
-	for workCtx.Err() == nil {
-		began, before := rgclock.Now(), after
-		var err error
-		if before == 0 {
-			after, err = pro.readConfig(workCtx)
-		} else {
-			after, err = pro.awaitConfig(workCtx, before)
-		}
-		healthy = pro.logStoreState(err, healthy)
-		switch {
-		case err != nil && before > 0:
-			// A resumed watch may have missed changes, so the configuration is read again, the first time at once.
-			after = 0
-			if failedWatches++; failedWatches == 1 {
-				continue
-			}
-		case err == nil && before > 0:
-			failedWatches = 0
-		}
-		if err != nil || after <= before && rgclock.Now().Sub(began) < storeRetryDelay {
-			rgclock.Sleep(workCtx, storeRetryDelay)
-		}
-	}
-}
-
-// readConfig reads the configuration and returns the store version after which a watch does not miss a change.
-func (pro *Process) readConfig(workCtx context.Context) (uint64, error) {
-	itm, err := pro.source.Store.Get(workCtx, pro.source.ConfigKey)
-	if errors.Is(err, errors.NotValid) {
-		// The operator may write a sound configuration later.
-		pro.malformedConfigs.Record([]rgstore.MalformedItem{{Key: pro.source.ConfigKey, Version: itm.Version, Err: err}})
-		return itm.StoreVersion, nil
-	}
-	if err != nil {
-		return 0, err
-	}
-	pro.offerConfig(workCtx, itm)
-	// The store may have discarded the history between the last change of the configuration and now.
-	return max(itm.Version, itm.StoreVersion), nil
-}
-
-// awaitConfig waits for changes of the configuration after the given store version and returns the version for the next watch.
-func (pro *Process) awaitConfig(workCtx context.Context, after uint64) (uint64, error) {
-	lis, err := pro.source.Store.Watch(workCtx, pro.source.ConfigKey, after, watchTimeout)
-	if err != nil {
-		return after, err
-	}
-	if len(lis.Malformed) > 0 {
-		pro.malformedConfigs.Record(lis.Malformed)
-	}
-	for _, itm := range lis.Items {
-		if itm.Key == pro.source.ConfigKey && !itm.Deleted {
-			pro.offerConfig(workCtx, itm)
-		}
-	}
-	return max(after, lis.Version), nil
-}
-
 // offerConfig passes a configuration to the control goroutine. One that cannot be decoded is logged once.
 func (pro *Process) offerConfig(workCtx context.Context, itm rgstore.Item) {
 	cfg, err := pro.source.Decode(itm.Value)
@@ -142,7 +80,7 @@
 			continue
 		}
 		if err != nil {
-			// watchConfig logs that the store is unavailable.
+			// watchOperator logs that the store is unavailable.
 			rgclock.Sleep(workCtx, 4*storeRetryDelay)
 			continue
 		}
@@ -184,7 +122,7 @@
 // pollEntries reads the registered entries at regular intervals.
 func (pro *Process) pollEntries(workCtx context.Context) {
 	for workCtx.Err() == nil {
-		// watchConfig logs that the store is unavailable. Until it is back, gossip provides the list of entries.
+		// watchOperator logs that the store is unavailable. Until it is back, gossip provides the list of entries.
 		if lis, err := ListEntries(workCtx, pro.source.Store); err == nil {
 			pro.malformedEntries.Record(lis.Malformed)
 			pro.mailbox.Send(workCtx, EntriesListed{Entries: lis.Entries, Incomplete: lis.Incomplete})
--- a/io/rgdispatcher/control.go
+++ b/io/rgdispatcher/control.go
@@ -78,6 +78,10 @@
 		pro.receive(sta, now, evt)
 	case ConfigReceived:
 		pro.adoptConfig(sta, now, evt)
+	case EvacuationReceived:
+		pro.adoptEvacuation(sta, now, evt)
+	case ZonesRequested:
+		evt.Reply <- pro.zoneStates(sta)
 	case EntriesListed:
 		if evt.Incomplete {
 			// The entries that are missing may be registered all the same.
@@ -116,6 +120,8 @@
 		evt.Reply <- JobState{}
 	case PendingRequested:
 		evt.Reply <- 0
+	case ZonesRequested:
+		evt.Reply <- ZoneStates{}
 	}
 }
 
--- a/io/rgdispatcher/event.go
+++ b/io/rgdispatcher/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"ragwortgap/core/rgdispatch"
+	"ragwortgap/core/rgevacuation"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgroute"
 	"ragwortgap/io/rgsettings"
@@ -69,6 +70,23 @@
 		Origin string
 	}
 
+	// EvacuationReceived contains a set of evacuated zones, which may be older than the one in force. Origin is where it came from, for
+	// the log.
+	EvacuationReceived struct {
+		Set    rgevacuation.Set
+		Origin string
+	}
+
+	// ZonesRequested asks for the state of the evacuated zones.
+	ZonesRequested struct{ Reply chan<- ZoneStates }
+
+	// ZoneStates is what an entry knows of the evacuated zones. Version is the store version of its set, or zero if it has none.
+	ZoneStates struct {
+		Entry   string                 `json:"entry"`
+		Version uint64                 `json:"version"`
+		Zones   []rgdispatch.ZoneState `json:"zones"`
+	}
+
 	// EntriesListed contains the entries that are registered in the store. Incomplete is set if there may be more.
 	EntriesListed struct {
 		Entries    []rgmodel.Entry
@@ -88,5 +106,7 @@
 func (PeerDisconnected) isEvent()   {}
 func (MessageReceived) isEvent()    {}
 func (ConfigReceived) isEvent()     {}
+func (EvacuationReceived) isEvent() {}
+func (ZonesRequested) isEvent()     {}
 func (EntriesListed) isEvent()      {}
 func (SettingsReloaded) isEvent()   {}
--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"ragwortgap/core/rgdispatch"
+	"ragwortgap/core/rgevacuation"
 	"ragwortgap/core/rgmembership"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgroute"
@@ -39,11 +40,17 @@
 		Put(ctx context.Context, key string, wri rgstore.Write) rgstore.WriteResult
 	}
 
-	// Source locates and decodes the operator's configuration. Its Store also holds the registrations of the entries.
+	// Source locates and decodes the operator's configuration and evacuations. Its Store also holds the registrations of the entries.
 	Source struct {
 		Store     Store
 		ConfigKey string
 		Decode    func(raw []byte) (*rgroute.Config, error)
+		// WatchPrefix is the prefix of ConfigKey and EvacuationPrefix, which are watched with one call. Empty means ConfigKey.
+		WatchPrefix string
+		// EvacuationPrefix is the prefix of the keys of evacuated zones. If it is empty, there are none.
+		EvacuationPrefix string
+		// DecodeZone returns the zone that an item with EvacuationPrefix names. It fails with errors.NotValid if the item is malformed.
+		DecodeZone func(itm rgstore.Item) (string, error)
 	}
 
 	// PeerConn is a connection to a sidecar or to another entry.
@@ -60,6 +67,8 @@
 		// EntriesSent is set once the list of entries was sent to the peer, and EntriesVersion is the version that the peer has.
 		EntriesSent    bool
 		EntriesVersion rgmembership.Version
+		// EvacuationVersion is the version of the newest set of evacuated zones that the peer has from this connection.
+		EvacuationVersion uint64
 		// ConnectedTwice is set for the rest of the connection once the sidecar has had another one to this entry beside it. Its reports on
 		// earlier connections do not cover the other one, which it may still have open when this entry has lost it.
 		ConnectedTwice bool
@@ -82,6 +91,14 @@
 		// StopDial maps addresses of entries to the functions that end the connection to them.
 		StopDial   map[string]context.CancelFunc
 		VersionLag rgroute.VersionLag
+		// UnknownZones holds the evacuated zones in which no process was known and since when, and whether that was logged.
+		UnknownZones map[rgevacuation.Zone]UnknownZone
+	}
+
+	// UnknownZone is an evacuated zone in which no process is known.
+	UnknownZone struct {
+		Since  time.Time
+		Logged bool
 	}
 
 	// Process is a running entry.
@@ -89,15 +106,17 @@
 		// Done is closed when the process has stopped.
 		Done chan struct{}
 
-		settings     rgsettings.PlatformProcess
-		self         rgmodel.Entry
-		source       Source
-		log          *zap.Logger
-		scope        tally.Scope
-		mailbox      rgmailbox.Mailbox[Event]
-		config       atomic.Pointer[rgroute.Config]
-		sidecarSeen  atomic.Bool
-		lastCallerID atomic.Uint64
+		settings    rgsettings.PlatformProcess
+		self        rgmodel.Entry
+		source      Source
+		log         *zap.Logger
+		scope       tally.Scope
+		mailbox     rgmailbox.Mailbox[Event]
+		config      atomic.Pointer[rgroute.Config]
+		sidecarSeen atomic.Bool
+		// evacuationKnown is set once the entry has a set of evacuated zones, from the store or another entry.
+		evacuationKnown atomic.Bool
+		lastCallerID    atomic.Uint64
 		// resendDelay is that of the settings in force.
 		resendDelay atomic.Int64
 		// sleep waits like rgclock.Sleep.
@@ -105,8 +124,9 @@
 		stop    context.CancelFunc
 		traffic rgsupervisor.Supervisor
 
-		malformedConfigs rgstore.MalformedLog
-		malformedEntries rgstore.MalformedLog
+		malformedConfigs     rgstore.MalformedLog
+		malformedEntries     rgstore.MalformedLog
+		malformedEvacuations rgstore.MalformedLog
 	}
 )
 
@@ -130,8 +150,9 @@
 	pro.traffic.Log, pro.traffic.Scope = log, sco
 	pro.malformedConfigs.Log, pro.malformedConfigs.Scope = log, sco
 	pro.malformedEntries.Log, pro.malformedEntries.Scope = log, sco
+	pro.malformedEvacuations.Log, pro.malformedEvacuations.Scope = log, sco
 	pro.traffic.Maintain(workCtx, func() { pro.accept(workCtx, lis) })
-	pro.traffic.Maintain(workCtx, func() { pro.watchConfig(workCtx) })
+	pro.traffic.Maintain(workCtx, func() { pro.watchOperator(workCtx) })
 	pro.traffic.Maintain(workCtx, func() { pro.maintainLease(workCtx) })
 	pro.traffic.Maintain(workCtx, func() { pro.pollEntries(workCtx) })
 	go pro.run(workCtx, lis)
@@ -156,8 +177,12 @@
 // Config returns the configuration in force, or nil.
 func (pro *Process) Config() *rgroute.Config { return pro.config.Load() }
 
-// Ready reports whether a configuration is in force and a usable sidecar has been seen since the start.
-func (pro *Process) Ready() bool { return pro.config.Load() != nil && pro.sidecarSeen.Load() }
+// Ready reports whether a configuration is in force, the evacuated zones are known, and a sidecar has been seen since the start that is
+// usable, or would be if its zone were not evacuated.
+func (pro *Process) Ready() bool {
+	evacuationKnown := pro.evacuationKnown.Load() || pro.source.EvacuationPrefix == ""
+	return pro.config.Load() != nil && evacuationKnown && pro.sidecarSeen.Load()
+}
 
 // Submit runs a job and returns its final answer. If ctx ends first, the job is stopped. The tasks of a job are placed only if its
 // caller is still there when the control goroutine takes the job; rgserver.CallerLeft checks that.
--- a/io/rgorders/command_connection.go
+++ b/io/rgorders/command_connection.go
@@ -132,6 +132,7 @@
 		ents, err := rgmodel.ValidEntries(msg.Entries)
 		pro.logRejection(con, err)
 		rgmembership.RecordMentions(&sta.Members, now, rgmembership.ConnID(evt.Conn), ents, msg.Left, msg.Full)
+		pro.receiveEvacuation(workCtx, sta, now, con, msg.Evacuation)
 	case rgwire.Place:
 		for _, tsk := range msg.Tasks {
 			con.LastTicket = max(con.LastTicket, tsk.Ticket)
--- a/io/rgorders/command_report.go
+++ b/io/rgorders/command_report.go
@@ -23,7 +23,9 @@
 			Clock: rgmodel.SidecarTimeOf(now), NextWithin: upd.NextWithin, LastTicket: con.LastTicket, Report: upd.Report,
 			Ends: con.UnsentEnds,
 		}
-		if exe := sta.ExecutorState.Executor; !sameExecutor(exe, con.SentExecutor) {
+		exe := sta.ExecutorState.Executor
+		exe.AvailabilityZone = rgexecutor.Zone(&sta.ExecutorState)
+		if !sameExecutor(exe, con.SentExecutor) {
 			con.SentExecutor = exe
 			msg.Executor = &exe
 		}
--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -150,6 +150,7 @@
 	sta.ExecutorState.Limits = rgexecutor.Limits{
 		MaxLease: set.MaxLease.Duration, ResendDelay: set.ResendDelay.Duration, TaskStopTime: set.TaskStopTime.Duration,
 	}
+	sta.ExecutorState.AvailabilityZone = set.AvailabilityZone
 	sta.Members.Name, sta.Members.AvailabilityZone = set.Name, set.AvailabilityZone
 	sta.Members.Limits = rgmembership.Limits{SameZone: set.EntriesSameZone, OtherZones: set.EntriesOtherZones}
 	for _, adr := range rgwire.PeerAddresses(set.Seeds, set.PeerPort) {
@@ -265,7 +266,9 @@
 	add("tasksRequeued", cur.Requeued, old.Requeued)
 	add("leasesLapsed", cur.RunsExpired, old.RunsExpired)
 	add("rowsUnreadable", cur.MalformedRuns, old.MalformedRuns)
+	add("tasksReturnedEvacuated", cur.Evacuated, old.Evacuated)
 	sta.ReportedCounts = cur
 	pro.scope.Gauge("runs").Update(float64(len(sta.ExecutorState.Runs)))
 	pro.scope.Gauge("queued").Update(float64(len(sta.ExecutorState.Queue)))
+	pro.scope.Gauge("runsEvacuated").Update(float64(evacuatedRuns(sta)))
 }
--- a/io/rgwire/order_message.go
+++ b/io/rgwire/order_message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ragwortgap/core/rgevacuation"
 	"ragwortgap/core/rgmodel"
 )
 
@@ -28,19 +29,22 @@
 	}
 
 	// EntryHeartbeat tells a sidecar that the entry is alive. Issued is a lower bound of the time of sending on the sidecar's
-	// clock. ReportInterval is how often the entry wants reports of a changing load.
+	// clock. ReportInterval is how often the entry wants reports of a changing load. Evacuation is set if the entry has not sent its
+	// newest set of evacuated zones over the connection yet.
 	EntryHeartbeat struct {
 		Issued         rgmodel.SidecarTime `json:"issued"`
 		ReportInterval time.Duration       `json:"every"`
+		Evacuation     *rgevacuation.Set   `json:"evacuation,omitempty"`
 		EntryChanges
 	}
 
 	// Gossip tells an entry the configuration version of another one and the changes of its list of entries. Config is set in
-	// the reply to ConfigRequest.
+	// the reply to ConfigRequest. Evacuation is set if the sender has not sent its newest set of evacuated zones over the connection yet.
 	Gossip struct {
-		From    rgmodel.Entry `json:"from"`
-		Version uint64        `json:"version"`
-		Config  []byte        `json:"config,omitempty"`
+		From       rgmodel.Entry     `json:"from"`
+		Version    uint64            `json:"version"`
+		Config     []byte            `json:"config,omitempty"`
+		Evacuation *rgevacuation.Set `json:"evacuation,omitempty"`
 		EntryChanges
 	}
 
