--- a/core/rgdispatch/query_evacuation.go
+++ b/core/rgdispatch/query_evacuation.go
@@ -50,7 +50,9 @@
 		}
 		sds = append(sds, sid)
 	}
-	slices.SortFunc(sds, func(one, two ZoneSidecar) int { return cmp.Compare(one.Name, two.Name) })
+	slices.SortFunc(sds, func(one, two ZoneSidecar) int {
+		return cmp.Or(cmp.Compare(one.Name, two.Name), cmp.Compare(two.Running+two.Queued, one.Running+one.Queued))
+	})
 	return slices.CompactFunc(sds, func(one, two ZoneSidecar) bool { return one.Name == two.Name })
 }
 
