--- a/io/rgcli/cli.go
+++ b/io/rgcli/cli.go
@@ -38,6 +38,7 @@
 		Generate      *GenerateQuery        `arg:"subcommand:generate" help:"print the configuration that answers ask for"`
 		Explain       *ExplainQuery         `arg:"subcommand:explain" help:"print what a change of answers changes"`
 		Apply         *ApplyCommand         `arg:"subcommand:apply" help:"write a team's configuration to the store"`
+		Zones         *ZonesQuery           `arg:"subcommand:zones" help:"print the evacuated availability zones"`
 		Status        *StatusQuery          `arg:"subcommand:status" help:"print the configuration in force at entries and sidecars"`
 	}
 )
@@ -85,6 +86,8 @@
 		return cmd.run(ctx, out)
 	case *StatusQuery:
 		return cmd.run(ctx, out)
+	case *ZonesQuery:
+		return cmd.run(ctx, out)
 	case *BurnQuery:
 		return cmd.run(ctx, out)
 	case *ExplainRequestQuery:
--- a/io/rgdispatcher/command_evacuation.go
+++ b/io/rgdispatcher/command_evacuation.go
@@ -11,6 +11,9 @@
 	"ragwortgap/io/rgmailbox"
 )
 
+// ZonesPath is the path of the HTTP route that shows the state of the evacuated zones, beside the metrics.
+const ZonesPath = "/zones"
+
 // unknownZoneDelay is how long no process in an evacuated zone must be known before that is logged. A process that has just started does
 // not know the others yet, and dials them within a second.
 const unknownZoneDelay = 3 * time.Second
