--- a/core/rgdispatch/evacuation_test.go
+++ b/core/rgdispatch/evacuation_test.go
@@ -34,120 +34,121 @@
 	answers string
 }
 
-func evacuationTests() map[string]evacuationTest {
-	submit := func(har *harness) { har.submit(1, newRequest("job", 4, 100*time.Millisecond)) }
-	evacuateAndSubmit := func(zones ...string) func(har *harness) {
-		return func(har *harness) { har.evacuate(5, zones...); submit(har) }
-	}
-	return map[string]evacuationTest{
-		"idle, no set known":       {zones: []string{"a", "b"}, run: submit, placed: map[string]int{"a": 4}},
-		"idle, the entry's zone":   {zones: []string{"a", "b"}, run: evacuateAndSubmit("a"), placed: map[string]int{"b": 4}},
-		"idle, another zone":       {zones: []string{"b", "c"}, run: evacuateAndSubmit("b"), placed: map[string]int{"c": 4}},
-		"idle, two of three zones": {zones: []string{"a", "b", "c"}, run: evacuateAndSubmit("a", "b"), placed: map[string]int{"c": 4}},
-		"idle, the last zone":      {zones: []string{"a", "b"}, run: evacuateAndSubmit("a", "b"), answers: "1:notRun:zoneEvacuated "},
-		"idle, the last zone, an executor that nobody has described": {
-			zones: []string{"a"},
-			run: func(har *harness) {
-				har.evacuate(5, "a")
-				har.lastConn++
-				Connect(&har.sta, har.now, har.lastConn, "new", rgmodel.SidecarTimeOf(har.now))
-				submit(har)
-			},
-			answers: "1:notRun:noUpstream ",
-		},
-		"the other zone is full": {
-			zones: []string{"a", "b"},
-			run: func(har *harness) {
-				har.evacuate(5, "a")
-				har.report(2, busyReport(1, time.Second))
-				submit(har)
-			},
-			answers: "1:notRun:expectedWait ",
-		},
-		"the other zone has no executor that can run the job": {
-			zones: []string{"a", "b"},
-			run: func(har *harness) {
-				har.evacuate(5, "a")
-				req := newRequest("job", 1, 100*time.Millisecond)
-				req.Steps[0].RequiredLabel = "side-1"
-				har.submit(1, req)
-			},
-			answers: "1:notRun:zoneEvacuated ",
-		},
-		"idle, withdrawn": {
-			zones:  []string{"a", "b"},
-			run:    func(har *harness) { har.evacuate(5, "a"); har.evacuate(6); submit(har) },
-			placed: map[string]int{"a": 4},
+func submitFour(har *harness) { har.submit(1, newRequest("job", 4, 100*time.Millisecond)) }
+
+// evacuateAndSubmit evacuates the zones before a job arrives.
+func evacuateAndSubmit(zones ...string) func(har *harness) {
+	return func(har *harness) { har.evacuate(5, zones...); submitFour(har) }
+}
+
+var evacuationTests = map[string]evacuationTest{
+	"idle, no set known":       {zones: []string{"a", "b"}, run: submitFour, placed: map[string]int{"a": 4}},
+	"idle, the entry's zone":   {zones: []string{"a", "b"}, run: evacuateAndSubmit("a"), placed: map[string]int{"b": 4}},
+	"idle, another zone":       {zones: []string{"b", "c"}, run: evacuateAndSubmit("b"), placed: map[string]int{"c": 4}},
+	"idle, two of three zones": {zones: []string{"a", "b", "c"}, run: evacuateAndSubmit("a", "b"), placed: map[string]int{"c": 4}},
+	"idle, the last zone":      {zones: []string{"a", "b"}, run: evacuateAndSubmit("a", "b"), answers: "1:notRun:zoneEvacuated "},
+	"idle, the last zone, an executor that nobody has described": {
+		zones: []string{"a"},
+		run: func(har *harness) {
+			har.evacuate(5, "a")
+			har.lastConn++
+			Connect(&har.sta, har.now, har.lastConn, "new", rgmodel.SidecarTimeOf(har.now))
+			submitFour(har)
 		},
-		"idle, withdrawn and requested again, the withdrawal arrives last": {
-			zones:  []string{"a", "b"},
-			run:    func(har *harness) { har.evacuate(5, "a"); har.evacuate(7, "a"); har.evacuate(6); submit(har) },
-			placed: map[string]int{"b": 4},
+		answers: "1:notRun:noUpstream ",
+	},
+	"the other zone is full": {
+		zones: []string{"a", "b"},
+		run: func(har *harness) {
+			har.evacuate(5, "a")
+			har.report(2, busyReport(1, time.Second))
+			submitFour(har)
 		},
-		"idle, a sidecar has a newer set": {
-			zones:  []string{"a", "b"},
-			run:    func(har *harness) { har.reportEvacuated(1, 0); submit(har) },
-			placed: map[string]int{"b": 4},
+		answers: "1:notRun:expectedWait ",
+	},
+	"the other zone has no executor that can run the job": {
+		zones: []string{"a", "b"},
+		run: func(har *harness) {
+			har.evacuate(5, "a")
+			req := newRequest("job", 1, 100*time.Millisecond)
+			req.Steps[0].RequiredLabel = "side-1"
+			har.submit(1, req)
 		},
-		"placed before, then returned": {
-			zones: []string{"a", "b"},
-			run: func(har *harness) {
-				submit(har)
-				tks := har.takePlaced()
-				har.evacuate(5, "a")
-				har.endAllWithReason(tks, rgmodel.EndReturned, rgmodel.ReasonZoneEvacuated)
-			},
-			placed: map[string]int{"b": 4},
+		answers: "1:notRun:zoneEvacuated ",
+	},
+	"idle, withdrawn": {
+		zones:  []string{"a", "b"},
+		run:    func(har *harness) { har.evacuate(5, "a"); har.evacuate(6); submitFour(har) },
+		placed: map[string]int{"a": 4},
+	},
+	"idle, withdrawn and requested again, the withdrawal arrives last": {
+		zones:  []string{"a", "b"},
+		run:    func(har *harness) { har.evacuate(5, "a"); har.evacuate(7, "a"); har.evacuate(6); submitFour(har) },
+		placed: map[string]int{"b": 4},
+	},
+	"idle, a sidecar has a newer set": {
+		zones:  []string{"a", "b"},
+		run:    func(har *harness) { har.reportEvacuated(1, 0); submitFour(har) },
+		placed: map[string]int{"b": 4},
+	},
+	"placed before, then returned": {
+		zones: []string{"a", "b"},
+		run: func(har *harness) {
+			submitFour(har)
+			tks := har.takePlaced()
+			har.evacuate(5, "a")
+			har.endAllWithReason(tks, rgmodel.EndReturned, rgmodel.ReasonZoneEvacuated)
 		},
-		"placed with an old set, then returned": {
-			zones: []string{"a", "b"},
-			run: func(har *harness) {
-				submit(har)
-				tks := har.takePlaced()
-				har.reportEvacuated(1, 0)
-				har.endAllWithReason(tks, rgmodel.EndReturned, rgmodel.ReasonZoneEvacuated)
-			},
-			placed: map[string]int{"b": 4},
+		placed: map[string]int{"b": 4},
+	},
+	"placed with an old set, then returned": {
+		zones: []string{"a", "b"},
+		run: func(har *harness) {
+			submitFour(har)
+			tks := har.takePlaced()
+			har.reportEvacuated(1, 0)
+			har.endAllWithReason(tks, rgmodel.EndReturned, rgmodel.ReasonZoneEvacuated)
 		},
-		"placed before, then returned, the last zone": {
-			zones: []string{"a"},
-			run: func(har *harness) {
-				submit(har)
-				tks := har.takePlaced()
-				har.evacuate(5, "a")
-				har.endAllWithReason(map[SidecarConnID][]rgmodel.Ticket{1: tks[1][:1]}, rgmodel.EndReturned, rgmodel.ReasonZoneEvacuated)
-			},
-			answers: "1:mayHaveRun:zoneEvacuated ",
+		placed: map[string]int{"b": 4},
+	},
+	"placed before, then returned, the last zone": {
+		zones: []string{"a"},
+		run: func(har *harness) {
+			submitFour(har)
+			tks := har.takePlaced()
+			har.evacuate(5, "a")
+			har.endAllWithReason(map[SidecarConnID][]rgmodel.Ticket{1: tks[1][:1]}, rgmodel.EndReturned, rgmodel.ReasonZoneEvacuated)
 		},
-		"placed before, all returned, the last zone": {
-			zones: []string{"a"},
-			run: func(har *harness) {
-				har.submit(1, newRequest("job", 1, 100*time.Millisecond))
-				tks := har.takePlaced()
-				har.evacuate(5, "a")
-				har.endAllWithReason(tks, rgmodel.EndReturned, rgmodel.ReasonZoneEvacuated)
-			},
-			answers: "1:notRun:zoneEvacuated ",
+		answers: "1:mayHaveRun:zoneEvacuated ",
+	},
+	"placed before, all returned, the last zone": {
+		zones: []string{"a"},
+		run: func(har *harness) {
+			har.submit(1, newRequest("job", 1, 100*time.Millisecond))
+			tks := har.takePlaced()
+			har.evacuate(5, "a")
+			har.endAllWithReason(tks, rgmodel.EndReturned, rgmodel.ReasonZoneEvacuated)
 		},
-		"running, goes on": {
-			zones: []string{"a"},
-			run: func(har *harness) {
-				submit(har)
-				tks := har.takePlaced()
-				har.evacuate(5, "a")
-				har.reportEvacuated(1, 4)
-				har.advance(TickInterval)
-				har.endAll(tks, rgmodel.EndSucceeded)
-			},
-			answers: "1:ranOK: ",
+		answers: "1:notRun:zoneEvacuated ",
+	},
+	"running, goes on": {
+		zones: []string{"a"},
+		run: func(har *harness) {
+			submitFour(har)
+			tks := har.takePlaced()
+			har.evacuate(5, "a")
+			har.reportEvacuated(1, 4)
+			har.advance(TickInterval)
+			har.endAll(tks, rgmodel.EndSucceeded)
 		},
-	}
+		answers: "1:ranOK: ",
+	},
 }
 
 // TestEvacuation guards against a task that is placed in an evacuated zone, a job that waits although only evacuated executors are left,
 // and a running task that is given up.
 func TestEvacuation(t *testing.T) {
-	for name, tc := range evacuationTests() {
+	for name, tc := range evacuationTests {
 		t.Run(name, func(t *testing.T) {
 			har := newHarness()
 			har.sta.AvailabilityZone = "a"
--- a/io/rgdispatcher/evacuation_test.go
+++ b/io/rgdispatcher/evacuation_test.go
@@ -61,87 +61,87 @@
 	wantLines int
 }
 
-func watchEvacuationTests() map[string]watchEvacuationTest {
-	listing := func(ver uint64, itms ...rgstore.Item) *rgstore.Listing {
-		return &rgstore.Listing{Version: ver, Items: itms}
-	}
-	config := rgstore.Item{Key: "op/config", Value: []byte("8"), Version: 11}
-	return map[string]watchEvacuationTest{
-		"none": {lists: []*rgstore.Listing{listing(9)}, wantVersion: 9, wantConfig: 7, maxCalls: 16},
-		"at the start": {
-			lists: []*rgstore.Listing{listing(9, evacuationItem("b", 4), evacuationItem("a", 3))},
-			want:  []string{"a", "b"}, wantVersion: 9, wantConfig: 7, maxCalls: 16,
-		},
-		"requested, beside a configuration": {
-			lists: []*rgstore.Listing{listing(9)}, events: []*rgstore.Listing{listing(12, evacuationItem("a", 10), config)},
-			want: []string{"a"}, wantVersion: 12, wantConfig: 8, maxCalls: 17,
-		},
-		"withdrawn": {
-			lists:  []*rgstore.Listing{listing(9, evacuationItem("a", 4), evacuationItem("b", 4))},
-			events: []*rgstore.Listing{listing(10, removedItem("a", 10))},
-			want:   []string{"b"}, wantVersion: 10, wantConfig: 7, maxCalls: 17,
-		},
-		"withdrawn and requested again between two calls, listed in another order": {
-			lists:  []*rgstore.Listing{listing(9, evacuationItem("a", 4))},
-			events: []*rgstore.Listing{listing(11, evacuationItem("a", 11), removedItem("a", 10))},
-			want:   []string{"a"}, wantVersion: 11, wantConfig: 7, maxCalls: 17,
-		},
-		"change between the list and the read of the configuration": {
-			lists: []*rgstore.Listing{listing(5)}, events: []*rgstore.Listing{listing(9, evacuationItem("a", 6))},
-			want: []string{"a"}, wantVersion: 9, wantConfig: 7, maxCalls: 17,
-		},
-		"history dropped, withdrawn meanwhile": {
-			lists:  []*rgstore.Listing{listing(9, evacuationItem("a", 4)), listing(90, evacuationItem("b", 80))},
-			events: []*rgstore.Listing{nil},
-			want:   []string{"b"}, wantVersion: 90, wantConfig: 7, maxCalls: 19,
-		},
-		"list turned away at the start": {
-			lists: []*rgstore.Listing{nil, nil, listing(9, evacuationItem("a", 4))},
-			want:  []string{"a"}, wantVersion: 9, wantConfig: 7, maxCalls: 20,
-		},
-		"list of an older state": {
-			lists:  []*rgstore.Listing{listing(9, evacuationItem("a", 4)), listing(3)},
-			events: []*rgstore.Listing{nil},
-			want:   []string{"a"}, wantVersion: 9, wantConfig: 7, maxCalls: 19,
-		},
-		"list that is not complete": {
-			lists: []*rgstore.Listing{listing(9, evacuationItem("a", 4)), {Version: 20, Incomplete: true}}, events: []*rgstore.Listing{nil},
-			want: []string{"a"}, wantVersion: 9, wantConfig: 7, maxCalls: 145,
-		},
-		"no configuration": {
-			lists: []*rgstore.Listing{listing(9, evacuationItem("a", 4))}, noConfig: true,
-			want: []string{"a"}, wantVersion: 9, maxCalls: 16,
-		},
-		"malformed name": {
-			lists: []*rgstore.Listing{listing(9, evacuationItem("", 3), evacuationItem("a", 4))},
-			want:  []string{"a"}, wantVersion: 9, wantConfig: 7, maxCalls: 16, wantLines: 1,
-		},
-		"malformed value": {
-			lists: []*rgstore.Listing{listing(9)}, events: []*rgstore.Listing{listing(10, badItem("a", 10))},
-			wantVersion: 10, wantConfig: 7, maxCalls: 17, wantLines: 1,
-		},
-		"malformed value in place of a sound one": {
-			lists: []*rgstore.Listing{listing(9, evacuationItem("a", 4))}, events: []*rgstore.Listing{listing(10, badItem("a", 10))},
-			want: []string{"a"}, wantVersion: 10, wantConfig: 7, maxCalls: 17, wantLines: 1,
-		},
-		"malformed value in place of a sound one, listed again": {
-			lists:  []*rgstore.Listing{listing(9, evacuationItem("a", 4)), listing(20, badItem("a", 10))},
-			events: []*rgstore.Listing{listing(10, badItem("a", 10)), nil},
-			want:   []string{"a"}, wantVersion: 20, wantConfig: 7, maxCalls: 20, wantLines: 1,
-		},
-		"malformed value, removed": {
-			lists:       []*rgstore.Listing{listing(9, evacuationItem("a", 4))},
-			events:      []*rgstore.Listing{listing(10, badItem("a", 10)), listing(11, removedItem("a", 11))},
-			wantVersion: 11, wantConfig: 7, maxCalls: 18, wantLines: 1,
-		},
-		"item that cannot be decoded": {
-			lists: []*rgstore.Listing{listing(9)},
-			events: []*rgstore.Listing{{Version: 10, Malformed: []rgstore.MalformedItem{
-				{Key: "op/evacuate/a", Version: 10, Err: errors.NotValidf("item")},
-			}}},
-			wantVersion: 9, wantConfig: 7, maxCalls: 17, wantLines: 1,
-		},
-	}
+func newListing(ver uint64, itms ...rgstore.Item) *rgstore.Listing {
+	return &rgstore.Listing{Version: ver, Items: itms}
+}
+
+var watchEvacuationTests = map[string]watchEvacuationTest{
+	"none": {lists: []*rgstore.Listing{newListing(9)}, wantVersion: 9, wantConfig: 7, maxCalls: 16},
+	"at the start": {
+		lists: []*rgstore.Listing{newListing(9, evacuationItem("b", 4), evacuationItem("a", 3))},
+		want:  []string{"a", "b"}, wantVersion: 9, wantConfig: 7, maxCalls: 16,
+	},
+	"requested, beside a configuration": {
+		lists: []*rgstore.Listing{newListing(9)}, events: []*rgstore.Listing{newListing(12, evacuationItem("a", 10), rgstore.Item{
+			Key: "op/config", Value: []byte("8"), Version: 11,
+		})},
+		want: []string{"a"}, wantVersion: 12, wantConfig: 8, maxCalls: 17,
+	},
+	"withdrawn": {
+		lists:  []*rgstore.Listing{newListing(9, evacuationItem("a", 4), evacuationItem("b", 4))},
+		events: []*rgstore.Listing{newListing(10, removedItem("a", 10))},
+		want:   []string{"b"}, wantVersion: 10, wantConfig: 7, maxCalls: 17,
+	},
+	"withdrawn and requested again between two calls, listed in another order": {
+		lists:  []*rgstore.Listing{newListing(9, evacuationItem("a", 4))},
+		events: []*rgstore.Listing{newListing(11, evacuationItem("a", 11), removedItem("a", 10))},
+		want:   []string{"a"}, wantVersion: 11, wantConfig: 7, maxCalls: 17,
+	},
+	"change between the list and the read of the configuration": {
+		lists: []*rgstore.Listing{newListing(5)}, events: []*rgstore.Listing{newListing(9, evacuationItem("a", 6))},
+		want: []string{"a"}, wantVersion: 9, wantConfig: 7, maxCalls: 17,
+	},
+	"history dropped, withdrawn meanwhile": {
+		lists:  []*rgstore.Listing{newListing(9, evacuationItem("a", 4)), newListing(90, evacuationItem("b", 80))},
+		events: []*rgstore.Listing{nil},
+		want:   []string{"b"}, wantVersion: 90, wantConfig: 7, maxCalls: 19,
+	},
+	"list turned away at the start": {
+		lists: []*rgstore.Listing{nil, nil, newListing(9, evacuationItem("a", 4))},
+		want:  []string{"a"}, wantVersion: 9, wantConfig: 7, maxCalls: 20,
+	},
+	"list of an older state": {
+		lists:  []*rgstore.Listing{newListing(9, evacuationItem("a", 4)), newListing(3)},
+		events: []*rgstore.Listing{nil},
+		want:   []string{"a"}, wantVersion: 9, wantConfig: 7, maxCalls: 19,
+	},
+	"list that is not complete": {
+		lists: []*rgstore.Listing{newListing(9, evacuationItem("a", 4)), {Version: 20, Incomplete: true}}, events: []*rgstore.Listing{nil},
+		want: []string{"a"}, wantVersion: 9, wantConfig: 7, maxCalls: 145,
+	},
+	"no configuration": {
+		lists: []*rgstore.Listing{newListing(9, evacuationItem("a", 4))}, noConfig: true,
+		want: []string{"a"}, wantVersion: 9, maxCalls: 16,
+	},
+	"malformed name": {
+		lists: []*rgstore.Listing{newListing(9, evacuationItem("", 3), evacuationItem("a", 4))},
+		want:  []string{"a"}, wantVersion: 9, wantConfig: 7, maxCalls: 16, wantLines: 1,
+	},
+	"malformed value": {
+		lists: []*rgstore.Listing{newListing(9)}, events: []*rgstore.Listing{newListing(10, badItem("a", 10))},
+		wantVersion: 10, wantConfig: 7, maxCalls: 17, wantLines: 1,
+	},
+	"malformed value in place of a sound one": {
+		lists: []*rgstore.Listing{newListing(9, evacuationItem("a", 4))}, events: []*rgstore.Listing{newListing(10, badItem("a", 10))},
+		want: []string{"a"}, wantVersion: 10, wantConfig: 7, maxCalls: 17, wantLines: 1,
+	},
+	"malformed value in place of a sound one, listed again": {
+		lists:  []*rgstore.Listing{newListing(9, evacuationItem("a", 4)), newListing(20, badItem("a", 10))},
+		events: []*rgstore.Listing{newListing(10, badItem("a", 10)), nil},
+		want:   []string{"a"}, wantVersion: 20, wantConfig: 7, maxCalls: 20, wantLines: 1,
+	},
+	"malformed value, removed": {
+		lists:       []*rgstore.Listing{newListing(9, evacuationItem("a", 4))},
+		events:      []*rgstore.Listing{newListing(10, badItem("a", 10)), newListing(11, removedItem("a", 11))},
+		wantVersion: 11, wantConfig: 7, maxCalls: 18, wantLines: 1,
+	},
+	"item that cannot be decoded": {
+		lists: []*rgstore.Listing{newListing(9)},
+		events: []*rgstore.Listing{{Version: 10, Malformed: []rgstore.MalformedItem{
+			{Key: "op/evacuate/a", Version: 10, Err: errors.NotValidf("item")},
+		}}},
+		wantVersion: 9, wantConfig: 7, maxCalls: 17, wantLines: 1,
+	},
 }
 
 // newEvacuationStore returns a store with the replies of the case.
@@ -175,12 +175,13 @@
 // TestWatchEvacuation guards against an evacuation or a withdrawal that an entry misses because the watch fails, the store has dropped
 // its history, keys change quickly or are malformed, and against more than one line for a malformed key.
 func TestWatchEvacuation(t *testing.T) {
-	for name, tc := range watchEvacuationTests() {
+	for name, tc := range watchEvacuationTests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				cor, logs := observer.New(zap.WarnLevel)
 				sto := newEvacuationStore(tc)
-				pro := &Process{log: zap.New(cor), scope: tally.NoopScope, mailbox: rgmailbox.New[Event](), source: newEvacuationSource(sto)}
+				pro := &Process{log: zap.New(cor), scope: tally.NoopScope, mailbox: rgmailbox.New[Event]()}
+				pro.source = newEvacuationSource(sto)
 				pro.malformedConfigs.Log, pro.malformedEvacuations.Log = pro.log, pro.log
 				ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
 				defer stop()
@@ -195,8 +196,9 @@
 					}
 				}
 				synctest.Wait()
-				if got := zoneNames(sta.Dispatch.Evacuation); !slices.Equal(got, tc.want) || sta.Dispatch.Evacuation.Version != tc.wantVersion {
-					t.Errorf("zones %v of version %d, want %v of %d", got, sta.Dispatch.Evacuation.Version, tc.want, tc.wantVersion)
+				set := sta.Dispatch.Evacuation
+				if got := zoneNames(set); !slices.Equal(got, tc.want) || set.Version != tc.wantVersion {
+					t.Errorf("zones %v of version %d, want %v of %d", got, set.Version, tc.want, tc.wantVersion)
 				}
 				if got := versionOf(pro.Config()); got != tc.wantConfig {
 					t.Errorf("configuration %d, want %d", got, tc.wantConfig)
