evacuation: test of the readiness, one call at a time to a store that turns an entry away

Cause: no test showed that an entry is not ready before it knows the zones; and while the store turned an entry away, each attempt made two calls in place of one. Change: once a configuration is in force, it is not read again before the list succeeds.

--- a/io/rgdispatcher/command_watch.go
+++ b/io/rgdispatcher/command_watch.go
@@ -56,9 +56,13 @@
 	}
 }
 
-// readOperator reads the evacuated zones and the configuration. Each is in force if the read of the other one fails.
+// readOperator reads the evacuated zones and the configuration. The first configuration is in force even if the zones cannot be read. Later
+// on, a store that turns the entry away gets one call at a time.
 func (pro *Process) readOperator(workCtx context.Context, wat *operatorWatch) error {
 	listErr := pro.listEvacuation(workCtx, wat)
+	if listErr != nil && pro.Config() != nil {
+		return listErr
+	}
 	after, err := pro.readConfig(workCtx)
 	switch {
 	case errors.Is(err, errors.NotFound) && listErr == nil && wat.listedAt > 0:
