--- a/io/rgdispatcher/event.go
+++ b/io/rgdispatcher/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ragwortgap/core/rgdispatch"
+	"ragwortgap/core/rgevacuation"
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/core/rgroute"
 	"ragwortgap/io/rgsettings"
@@ -71,6 +72,23 @@
 		Origin string
 	}
 
+	// EvacuationReceived contains a set of evacuated zones, which may be older than the one in force. Origin is where it came from, for
+	// the log.
+	EvacuationReceived struct {
+		Set    rgevacuation.Set
+		Origin string
+	}
+
+	// ZonesRequested asks for the state of the evacuated zones.
+	ZonesRequested struct{ Reply chan<- ZoneStates }
+
+	// ZoneStates is what an entry knows of the evacuated zones. Version is the store version of its set, or zero if it has none.
+	ZoneStates struct {
+		Entry   string                 `json:"entry"`
+		Version uint64                 `json:"version"`
+		Zones   []rgdispatch.ZoneState `json:"zones"`
+	}
+
 	// EntriesListed contains the entries that are registered in the store. Incomplete is set if there may be more.
 	EntriesListed struct {
 		Entries    []rgmodel.Entry
@@ -96,6 +114,8 @@
 func (PeerDisconnected) isEvent()   {}
 func (MessageReceived) isEvent()    {}
 func (ConfigReceived) isEvent()     {}
+func (EvacuationReceived) isEvent() {}
+func (ZonesRequested) isEvent()     {}
 func (EntriesListed) isEvent()      {}
 func (DrainBegun) isEvent()         {}
 func (DrainEnded) isEvent()         {}
