rgintake, rgserver, platform: a memory budget for request bodies, and limits on connections

Cause: an entry read every body to its end with io.ReadAll, and nothing limited the number of bodies, their time, or the connections. A body that stopped just short of its end kept its memory for ever. Steps were counted after they were decoded: a step of 12 bytes takes 160. net/http reads up to 1 MB of headers, and waits without a limit for the rest of a body that its handler has ignored.

Change: rgintake decides who gets memory, who is evicted, when a body has stalled or is too slow, how long a body of tiny chunks waits, and which connections are kept. rgserver carries this out with one goroutine per process. Headers are limited to 16 KB, receive buffers of sockets to 32 KB.

Ruled out: a read deadline at each read, because it stays in force while the HTTP server reads on in the background to learn of the end of the connection, and would cancel the job; http.Server.ReadTimeout for the same reason and because it cuts off slow callers without overload; a goroutine for each body.

--- a/io/rgserver/caller.go
+++ b/io/rgserver/caller.go
@@ -22,6 +22,7 @@
 // WithConnection returns a context from which CallerLeft and Silence learn the connection of the caller.
 func WithConnection(ctx context.Context, con net.Conn) context.Context {
 	var cal callerConn
+	con = socketOf(con)
 	cal.measured, _ = con.(*measuredConn)
 	if sys, ok := con.(syscall.Conn); ok {
 		if raw, err := sys.SyscallConn(); err == nil {
--- a/io/rgserver/server.go
+++ b/io/rgserver/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 
+	"ragwortgap/core/rgintake"
 	"ragwortgap/io/rgclock"
 )
 
@@ -24,6 +25,7 @@
 
 	http     *http.Server
 	listener net.Listener
+	limits   *Connections
 	mutex    sync.Mutex
 	conns    map[net.Conn]connection
 }
@@ -36,20 +38,39 @@
 }
 
 // Serve serves requests on the address until the server is drained or closed. The headers of a request must arrive within
-// headerTimeout.
+// headerTimeout. The number of connections is that of a listener for probes.
 func Serve(adr string, hdl http.Handler, headerTimeout time.Duration) (*Server, error) {
-	lis, err := net.Listen("tcp", adr)
+	return ServeLimited(adr, hdl, headerTimeout, &Connections{Limits: rgintake.Limits{Connections: sideConnections}})
+}
+
+// ServeLimited is Serve with limits on the connections.
+func ServeLimited(adr string, hdl http.Handler, headerTimeout time.Duration, cns *Connections) (*Server, error) {
+	lis, err := Listen(adr)
 	if err != nil {
-		return nil, errors.Annotatef(err, "listen on %s", adr)
+		return nil, errors.Trace(err)
 	}
-	return serve(measuredListener{Listener: lis, now: rgclock.Now, age: receiveAge}, hdl, headerTimeout), nil
+	return serveLimited(MeasureListener(lis).(measuredListener), hdl, headerTimeout, cns), nil
+}
+
+// Listen returns a listener whose connections have bounded receive buffers.
+func Listen(adr string) (net.Listener, error) {
+	cfg := listenConfig()
+	lis, err := cfg.Listen(context.Background(), "tcp", adr)
+	return lis, errors.Annotatef(err, "listen on %s", adr)
+}
+
+// MeasureListener returns a listener whose connections are measured, for WithConnection.
+func MeasureListener(lis net.Listener) net.Listener {
+	return measuredListener{Listener: lis, now: rgclock.Now, age: receiveAge}
 }
 
 func serve(lis measuredListener, hdl http.Handler, headerTimeout time.Duration) *Server {
-	srv := &Server{Done: make(chan struct{}), listener: lis, conns: map[net.Conn]connection{}}
-	srv.http = &http.Server{
-		Handler: withAnswerRecording(hdl), ReadHeaderTimeout: headerTimeout, ConnState: srv.trackState, ConnContext: WithConnection,
-	}
+	return serveLimited(lis, hdl, headerTimeout, &Connections{})
+}
+
+func serveLimited(lis measuredListener, hdl http.Handler, headerTimeout time.Duration, cns *Connections) *Server {
+	srv := &Server{Done: make(chan struct{}), listener: lis, conns: map[net.Conn]connection{}, limits: cns}
+	srv.http = HTTPServer(hdl, headerTimeout, srv.trackState)
 	go func() {
 		defer close(srv.Done)
 		// Serve returns when the listener is closed. Any other error is not reported, because it shows when callers fail to
@@ -59,7 +80,16 @@
 	return srv
 }
 
+// HTTPServer returns a server with the limits of this package. Its listener must be that of MeasureListener, or TLS above that.
+func HTTPServer(hdl http.Handler, headerTimeout time.Duration, track func(net.Conn, http.ConnState)) *http.Server {
+	return &http.Server{
+		Handler: withRecording(hdl), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: track,
+		ConnContext: WithConnection,
+	}
+}
+
 func (srv *Server) trackState(con net.Conn, sta http.ConnState) {
+	srv.limits.TrackState(con, sta)
 	srv.mutex.Lock()
 	defer srv.mutex.Unlock()
 	if sta == http.StateClosed || sta == http.StateHijacked {
@@ -115,7 +145,7 @@
 
 // hasUnreadBytes reports whether the socket has received bytes that have not been read.
 func hasUnreadBytes(con net.Conn) bool {
-	sys, ok := con.(syscall.Conn)
+	sys, ok := socketOf(con).(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/io/rgserver/silence.go
+++ b/io/rgserver/silence.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -37,6 +36,10 @@
 		longestEnd time.Time
 		// answered is set when a request was answered and nothing has been read since.
 		answered bool
+		// received is the number of bytes that were read.
+		received int64
+		// bodyHandled is set once the body of the last request was read whole or refused.
+		bodyHandled bool
 	}
 )
 
@@ -82,14 +85,15 @@
 func (con *measuredConn) Read(buf []byte) (int, error) {
 	num, err := con.Conn.Read(buf)
 	if num > 0 {
-		con.recordRead()
+		con.recordRead(num)
 	}
 	return num, err
 }
 
-func (con *measuredConn) recordRead() {
+func (con *measuredConn) recordRead(num int) {
 	con.mutex.Lock()
 	defer con.mutex.Unlock()
+	con.received += int64(num)
 	now := con.now()
 	if con.answered && now.Sub(con.longestEnd) > pipelineTime {
 		con.longest = 0
@@ -142,13 +146,3 @@
 	}
 	return cal.measured.silence()
 }
-
-// withAnswerRecording returns a handler that records the end of each request on its connection.
-func withAnswerRecording(hdl http.Handler) http.Handler {
-	return http.HandlerFunc(func(wtr http.ResponseWriter, req *http.Request) {
-		hdl.ServeHTTP(wtr, req)
-		if cal, _ := req.Context().Value(connectionKey{}).(callerConn); cal.measured != nil {
-			cal.measured.recordAnswer()
-		}
-	})
-}
--- /dev/null
+++ b/io/rgsettings/intake.go
@@ -0,0 +1,47 @@
+package rgsettings
+
+import (
+	"fmt"
+
+	"ragwortgap/core/rgintake"
+)
+
+const (
+	bytesPerMegabyte = 1 << 20
+	// maxConnections is the largest number of connections that can be set.
+	maxConnections = 1 << 20
+)
+
+// IntakeSettings bound what a process takes in from its callers. Zero values mean limits that follow from the memory and the descriptors of
+// the process.
+type IntakeSettings struct {
+	// BodyMegabytes is the memory for request bodies that are being read and for what is decoded from them.
+	BodyMegabytes int64 `json:"bodyMegabytes"`
+	// Connections is the number of open connections of callers.
+	Connections int `json:"connections"`
+}
+
+// limits returns the limits of a process. Zero memory, descriptors or cores mean no limit.
+func (is IntakeSettings) limits(memoryMegabytes, descriptors int64, cores float64) rgintake.Limits {
+	lim := rgintake.Limits{Bytes: is.BodyMegabytes * bytesPerMegabyte, Connections: is.Connections, Cores: cores}
+	if lim.Bytes == 0 {
+		lim.Bytes = rgintake.Budget(memoryMegabytes * bytesPerMegabyte)
+	}
+	if lim.Connections == 0 {
+		lim.Connections = rgintake.MaxConnections(memoryMegabytes*bytesPerMegabyte, descriptors)
+	}
+	return lim
+}
+
+// checkIntake checks that the budget fits the largest body and leaves half of the memory to the rest of the process.
+func checkIntake(set IntakeSettings, memoryMegabytes int64) error {
+	least, most := int64(rgintake.MinBytes/bytesPerMegabyte), memoryMegabytes/2
+	if memoryMegabytes == 0 {
+		most = 1 << 20
+	}
+	if val := set.BodyMegabytes; val != 0 && (val < least || val > most) {
+		rsn := fmt.Sprintf("need %d to half of memoryMegabytes, or 0 for the default", least)
+		return FieldError{Field: "bodyMegabytes", Value: val, Reason: rsn}
+	}
+	return checkRange("connections", set.Connections, 0, maxConnections)
+}
--- a/io/rgsettings/platform.go
+++ b/io/rgsettings/platform.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"ragwortgap/core/rgexecutor"
+	"ragwortgap/core/rgintake"
 	"ragwortgap/core/rgmembership"
 	"ragwortgap/core/rgmodel"
 )
@@ -59,6 +60,8 @@
 	Cores float64 `json:"cores"`
 	// MemoryMegabytes is the memory limit of the process. Zero means no limit.
 	MemoryMegabytes int64 `json:"memoryMegabytes"`
+	// IntakeSettings bound what the process takes in from its callers.
+	IntakeSettings
 }
 
 // ReadPlatformEntry reads and validates the settings of an entry on the platform.
@@ -107,6 +110,8 @@
 		checkSeeds(set.Seeds),
 		checkAddress("store", set.Store),
 		checkNonNegative("cores", set.Cores),
+		checkNonNegative("memoryMegabytes", float64(set.MemoryMegabytes)),
+		checkIntake(set.IntakeSettings, set.MemoryMegabytes),
 		checkNonNegative("entriesSameZone", float64(set.EntriesSameZone)),
 		checkNonNegative("entriesOtherZones", float64(set.EntriesOtherZones)),
 		checkAdvertised(set.AdvertisedAddress),
@@ -116,6 +121,11 @@
 	)
 }
 
+// Intake returns the limits on what the process takes in, given the number of descriptors that it may open.
+func (pp PlatformProcess) Intake(descriptors int64) rgintake.Limits {
+	return pp.limits(pp.MemoryMegabytes, descriptors, pp.Cores)
+}
+
 // checkHost checks the IP address of a machine.
 func checkHost(fld, val string) error {
 	if ip, err := netip.ParseAddr(val); err != nil || ip.IsUnspecified() {
