rgapi, rgcommandapi, rgcli: the memory budget for the bodies of the product's own interface

Cause: ReadJob read up to 8 MB with io.ReadAll for any number of callers, and decoded all tasks of a body before it counted them. A task of two bytes takes 24 and an allocation.

Change: the route reads bodies with rgserver.Bodies, and DecodeJob gets the bytes. TaskValues keeps at most two tasks more than a job may have, so that the problem still names the number. The entry has the settings memoryMegabytes, bodyMegabytes and connections. Its budget is at least 32 MB, so that a body of 8 MB fits twice into the half that one client may hold.

Tests: TestReadJob* are TestDecodeJob* now, with bytes in place of a reader. TestReadJobUnreadable has become TestRefuseBody, which also checks the status and Retry-After.

--- a/io/rgapi/job.go
+++ b/io/rgapi/job.go
@@ -3,7 +3,6 @@
 
 import (
 	"bytes"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,7 +11,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-json-experiment/json"
-	"github.com/go-json-experiment/json/jsontext"
 
 	"ragwortgap/core/rgmodel"
 )
@@ -48,7 +46,7 @@
 		Deadline     rgmodel.Duration  `json:"deadline"`
 		RunTime      rgmodel.Duration  `json:"runTime"`
 		Requires     rgmodel.Resources `json:"requires"`
-		Tasks        []jsontext.Value  `json:"tasks"`
+		Tasks        TaskValues        `json:"tasks"`
 	}
 
 	// JobAnswer is the body of the response to a job. Results is set if the status is complete, Tasks if it is failed.
@@ -83,20 +81,11 @@
 	"high":   rgmodel.UrgencyHigh,
 }
 
-// ReadJob parses and validates a submission. The problem is nil if the job may be submitted.
+// DecodeJob parses and validates a submission. The problem is nil if the job may be submitted.
 // The digest identifies a resubmission. It covers the team, the kind, the urgency and the payloads of the tasks only.
-func ReadJob(src io.Reader, now time.Time) (rgmodel.Job, *Problem) {
-	raw, err := io.ReadAll(io.LimitReader(src, MaxBodyBytes+1))
-	if err != nil {
-		prb := newProblem("body", strconv.Itoa(len(raw))+" bytes", "not readable: "+err.Error())
-		// Here and below, the part that was not read may name an id.
-		prb.Verdict = rgmodel.MayHaveRun
-		return rgmodel.Job{}, prb
-	}
+func DecodeJob(raw []byte, now time.Time) (rgmodel.Job, *Problem) {
 	if len(raw) > MaxBodyBytes {
-		prb := newProblem("body", strconv.Itoa(len(raw))+" bytes or more", "limit is "+strconv.Itoa(MaxBodyBytes)+" bytes")
-		prb.Verdict = rgmodel.MayHaveRun
-		return rgmodel.Job{}, prb
+		return rgmodel.Job{}, tooLargeProblem()
 	}
 	var req JobRequest
 	if err := json.Unmarshal(raw, &req, json.RejectUnknownMembers(true)); err != nil {
@@ -162,7 +151,7 @@
 	case req.Deadline.Duration <= 0 || req.Deadline.Duration > MaxDeadline:
 		return newProblem("deadline", req.Deadline.String(), "need more than 0s and at most "+MaxDeadline.String())
 	case len(req.Tasks) < 1 || len(req.Tasks) > rgmodel.MaxTasks:
-		return newProblem("tasks", strconv.Itoa(len(req.Tasks))+" tasks", "need 1 to "+strconv.Itoa(rgmodel.MaxTasks))
+		return newProblem("tasks", req.Tasks.describe(), "need 1 to "+strconv.Itoa(rgmodel.MaxTasks))
 	case req.Requires.Cores < 0:
 		return newProblem("requires/cores", strconv.FormatFloat(req.Requires.Cores, 'g', -1, 64), "need zero or more")
 	case req.Requires.MemoryBytes < 0:
--- a/io/rgapi/job_test.go
+++ b/io/rgapi/job_test.go
@@ -1,12 +1,16 @@
 package rgapi
 
 import (
+	"encoding/json"
 	"io"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"ragwortgap/core/rgintake"
 	"ragwortgap/core/rgmodel"
+	"ragwortgap/io/rgserver"
 )
 
 var noon = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
@@ -27,8 +31,8 @@
 	return `{"team":"kitapDostu","kind":"signUps","deadline":"2s","tasks":` + tasks + members + `}`
 }
 
-// TestReadJobRejects guards against accepting requests with invalid or unknown parts.
-func TestReadJobRejects(t *testing.T) {
+// TestDecodeJobRejects guards against accepting requests with invalid or unknown parts.
+func TestDecodeJobRejects(t *testing.T) {
 	withID := func(id string) string { return jobBody("[1]", `,"submissionId":"`+id+`"`) }
 	tests := map[string]struct {
 		body                 string
@@ -66,6 +70,7 @@
 		"negative run time":       {jobBody("[1]", `,"runTime":"-1ms"`), "runTime", `"-1ms"`, "negative duration"},
 		"0 tasks":                 {jobBody("[]", ""), "tasks", "0 tasks", "need 1 to 360"},
 		"361 tasks":               {jobBody("[1"+strings.Repeat(",1", 360)+"]", ""), "tasks", "361 tasks", "need 1 to 360"},
+		"many tasks":              {jobBody("[1"+strings.Repeat(",1", 9999)+"]", ""), "tasks", "362 tasks or more", "need 1 to 360"},
 		"large payload": {
 			jobBody(`["`+strings.Repeat("a", MaxPayloadBytes)+`"]`, ""), "tasks/0", "65538 bytes", "limit is 65536 bytes",
 		},
@@ -86,7 +91,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			jb, prb := ReadJob(strings.NewReader(tc.body), noon)
+			jb, prb := DecodeJob([]byte(tc.body), noon)
 			if prb == nil {
 				t.Fatalf("request was accepted as %+v", jb)
 			}
@@ -112,9 +117,9 @@
 	}
 }
 
-// TestReadJobVerdict guards against "not run" for a request that is refused here, although an earlier request with its id may
+// TestDecodeJobVerdict guards against "not run" for a request that is refused here, although an earlier request with its id may
 // have been accepted.
-func TestReadJobVerdict(t *testing.T) {
+func TestDecodeJobVerdict(t *testing.T) {
 	id := `,"submissionId":"` + newIDAt(noon) + `"`
 	noEntryAccepts := newIDAt(noon.Add(2*rgmodel.ClockSkewLimit + time.Millisecond))
 	tests := map[string]struct {
@@ -135,7 +140,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			jb, prb := ReadJob(strings.NewReader(tc.body), noon)
+			jb, prb := DecodeJob([]byte(tc.body), noon)
 			if prb == nil {
 				t.Fatalf("request was accepted as %+v", jb)
 			}
@@ -147,26 +152,37 @@
 }
 
 // failingReader returns an error after the text.
-type failingReader struct{ io.Reader }
-
-func (fr failingReader) Read(buf []byte) (int, error) {
-	num, err := fr.Reader.Read(buf)
-	if err == io.EOF {
-		err = io.ErrUnexpectedEOF
+// TestRefuseBody guards against "not run" for a request whose id has not been read, and against a refusal that callers do not repeat.
+func TestRefuseBody(t *testing.T) {
+	tests := map[string]struct {
+		err        error
+		status     int
+		retryAfter string
+	}{
+		"unreadable": {err: io.ErrUnexpectedEOF, status: 400},
+		"too large":  {err: rgserver.ErrTooLarge, status: 400},
+		"refused":    {err: rgserver.RefusedError{Cause: rgintake.CauseBudget}, status: 503, retryAfter: "1"},
 	}
-	return num, err
-}
-
-// TestReadJobUnreadable guards against "not run" for a request whose id has not been read.
-func TestReadJobUnreadable(t *testing.T) {
-	_, prb := ReadJob(failingReader{strings.NewReader(`{"team":"a","subm`)}, noon)
-	if prb == nil || prb.Field != "body" || prb.Verdict != rgmodel.MayHaveRun {
-		t.Errorf("got %+v, want a problem of the body with the verdict mayHaveRun", prb)
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			rec := httptest.NewRecorder()
+			RefuseBody(rec, tc.err)
+			var prb Problem
+			if err := json.Unmarshal(rec.Body.Bytes(), &prb); err != nil {
+				t.Fatal(err)
+			}
+			if prb.Field != "body" || prb.Verdict != rgmodel.MayHaveRun {
+				t.Errorf("got %+v, want a problem of the body with the verdict mayHaveRun", prb)
+			}
+			if got := rec.Header().Get("Retry-After"); rec.Code != tc.status || got != tc.retryAfter {
+				t.Errorf("status %d and Retry-After %q, want %d and %q", rec.Code, got, tc.status, tc.retryAfter)
+			}
+		})
 	}
 }
 
-// TestReadJobAccepts guards against off-by-one errors in limits, and against digests that differ for the same job.
-func TestReadJobAccepts(t *testing.T) {
+// TestDecodeJobAccepts guards against off-by-one errors in limits, and against digests that differ for the same job.
+func TestDecodeJobAccepts(t *testing.T) {
 	tests := map[string]string{
 		"1 task":           jobBody("[null]", ""),
 		"360 tasks":        jobBody("[1"+strings.Repeat(",1", 359)+"]", ""),
@@ -177,11 +193,11 @@
 	}
 	for name, txt := range tests {
 		t.Run(name, func(t *testing.T) {
-			jb, prb := ReadJob(strings.NewReader(txt), noon)
+			jb, prb := DecodeJob([]byte(txt), noon)
 			if prb != nil {
 				t.Fatalf("refused: %+v", *prb)
 			}
-			again, _ := ReadJob(strings.NewReader(strings.Replace(txt, "{", `{"requires":{},`, 1)), noon)
+			again, _ := DecodeJob([]byte(strings.Replace(txt, "{", `{"requires":{},`, 1)), noon)
 			if jb.Digest == 0 || again.Digest != jb.Digest {
 				t.Errorf("digest %x, and %x for the same job in another JSON text", jb.Digest, again.Digest)
 			}
@@ -193,7 +209,7 @@
 func TestOversizedBodyVerdict(t *testing.T) {
 	body := `{"team":"a","kind":"b","deadline":"1s",` + strings.Repeat(" ", MaxBodyBytes) +
 		`"tasks":[1],"submissionId":"` + newIDAt(noon) + `"}`
-	if _, prb := ReadJob(strings.NewReader(body), noon); prb == nil || prb.Verdict != rgmodel.MayHaveRun {
+	if _, prb := DecodeJob([]byte(body), noon); prb == nil || prb.Verdict != rgmodel.MayHaveRun {
 		t.Errorf("got %+v, want a problem with the verdict mayHaveRun", prb)
 	}
 }
--- a/io/rgcli/command_run.go
+++ b/io/rgcli/command_run.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/juju/errors"
@@ -16,6 +17,7 @@
 	"ragwortgap/io/rgentry"
 	"ragwortgap/io/rgmetrics"
 	"ragwortgap/io/rgqueryapi"
+	"ragwortgap/io/rgserver"
 	"ragwortgap/io/rgsettings"
 	"ragwortgap/io/rgsidecar"
 	"ragwortgap/io/rgtls"
@@ -47,6 +49,9 @@
 		return err
 	}
 	defer func() { _ = met.Closer.Close() }()
+	if set.MemoryMegabytes > 0 {
+		debug.SetMemoryLimit(set.MemoryLimit())
+	}
 	// Keys and listener are opened before the start, so an entry that cannot serve callers does not join the ring.
 	entryLog := log.With(zap.String("entry", set.Name))
 	keys, err := openKeys(ctx, set.TeamKeys, entryLog)
@@ -62,10 +67,13 @@
 		return err
 	}
 	go logHangups(pro.Done, hup, entryLog)
+	lim := set.Intake(rgserver.Descriptors())
+	bds := rgserver.StartBodies(context.WithoutCancel(ctx), lim, met.Scope)
 	rtr := httprouter.New()
-	rgcommandapi.Routes{Entry: pro, Keys: keys}.Register(rtr)
+	rgcommandapi.Routes{Entry: pro, Keys: keys, Bodies: bds}.Register(rtr)
 	rgqueryapi.Routes{Entry: pro, Keys: keys, Metrics: met.Handler}.Register(rtr)
-	return serve(ctx, lis, rtr, set.DrainTimeout.Duration, pro.Done)
+	cns := &rgserver.Connections{Limits: lim, Scope: met.Scope}
+	return serve(ctx, lis, rgserver.HTTPServer(rtr, headerTimeout, cns.TrackState), set.DrainTimeout.Duration, pro.Done)
 }
 
 func newLoggerAndMetrics() (*zap.Logger, rgmetrics.Metrics, error) {
@@ -90,10 +98,11 @@
 }
 
 func listenForCallers(ctx context.Context, set rgsettings.Entry, log *zap.Logger) (net.Listener, error) {
-	lis, err := net.Listen("tcp", set.CallerAddress)
+	lis, err := rgserver.Listen(set.CallerAddress)
 	if err != nil {
-		return nil, errors.Annotatef(err, "setting callerAddress: listen on %s", set.CallerAddress)
+		return nil, errors.Annotate(err, "setting callerAddress")
 	}
+	lis = rgserver.MeasureListener(lis)
 	if set.CallerTLS == nil {
 		return lis, nil
 	}
@@ -108,8 +117,7 @@
 // serve serves requests until ctx ends, and then for the time in which the load balancer may still send requests. Finally
 // it waits until the requests in flight are answered and the process is done. Closing the listener at once would reset
 // connections that have not been accepted yet.
-func serve(ctx context.Context, lis net.Listener, hdl http.Handler, timeout time.Duration, done <-chan struct{}) error {
-	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout}
+func serve(ctx context.Context, lis net.Listener, srv *http.Server, timeout time.Duration, done <-chan struct{}) error {
 	failed := make(chan error, 1)
 	go func() { failed <- srv.Serve(lis) }()
 	select {
@@ -143,9 +151,10 @@
 	defer func() { _ = met.Closer.Close() }()
 	var lis net.Listener
 	if set.StatusAddress != "" {
-		if lis, err = net.Listen("tcp", set.StatusAddress); err != nil {
-			return errors.Annotatef(err, "setting statusAddress: listen on %s", set.StatusAddress)
+		if lis, err = rgserver.Listen(set.StatusAddress); err != nil {
+			return errors.Annotate(err, "setting statusAddress")
 		}
+		lis = rgserver.MeasureListener(lis)
 	}
 	pro, err := rgsidecar.Start(ctx, set, log, met.Scope)
 	if err != nil {
@@ -163,7 +172,7 @@
 
 // serveStatus serves the status routes until the sidecar is done, so operators can observe its drain.
 func serveStatus(lis net.Listener, hdl http.Handler, done <-chan struct{}) error {
-	srv := &http.Server{Handler: hdl, ReadHeaderTimeout: headerTimeout}
+	srv := rgserver.HTTPServer(hdl, headerTimeout, rgserver.NewSideConnections().TrackState)
 	go func() {
 		<-done
 		// The routes only read, so a request in flight may be cut off.
--- a/io/rgcommandapi/routes.go
+++ b/io/rgcommandapi/routes.go
@@ -7,11 +7,13 @@
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/julienschmidt/httprouter"
 
 	"ragwortgap/core/rgmodel"
 	"ragwortgap/io/rgapi"
 	"ragwortgap/io/rgentry"
+	"ragwortgap/io/rgserver"
 	"ragwortgap/io/rgtls"
 )
 
@@ -19,6 +21,8 @@
 type Routes struct {
 	Entry *rgentry.Process
 	Keys  *rgtls.TeamKeys
+	// Bodies holds the bodies of the process. Nil means a budget of its own for each request.
+	Bodies *rgserver.Bodies
 }
 
 // Register adds the routes to the router.
@@ -29,7 +33,18 @@
 
 func (rts Routes) submit(rsp http.ResponseWriter, req *http.Request, _ httprouter.Params) {
 	now := time.Now()
-	jb, prb := rgapi.ReadJob(req.Body, now)
+	bod, err := rts.Bodies.Read(rsp, req, rgapi.MaxBodyBytes)
+	if err != nil {
+		rts.refuseBody(rsp, err)
+		return
+	}
+	defer bod.Release()
+	if err := bod.ReserveDecoding(); err != nil {
+		rts.refuseBody(rsp, err)
+		return
+	}
+	jb, prb := rgapi.DecodeJob(bod.Bytes, now)
+	bod.Keep(rgapi.DecodedBytes(jb))
 	if prb != nil {
 		rts.Entry.CountMalformed()
 		rgapi.WriteJSON(rsp, http.StatusBadRequest, prb)
@@ -56,6 +71,14 @@
 	rgapi.WriteJSON(rsp, status, body)
 }
 
+func (rts Routes) refuseBody(rsp http.ResponseWriter, err error) {
+	var ref rgserver.RefusedError
+	if !errors.As(err, &ref) {
+		rts.Entry.CountMalformed()
+	}
+	rgapi.RefuseBody(rsp, err)
+}
+
 func (rts Routes) cancel(rsp http.ResponseWriter, req *http.Request, par httprouter.Params) {
 	id := rgmodel.SubmissionID(par.ByName("id"))
 	if prb := rgapi.CheckSubmissionID(id); prb != nil {
--- a/io/rgserver/connections.go
+++ b/io/rgserver/connections.go
@@ -36,6 +36,11 @@
 	open  rgintake.Connections[net.Conn]
 }
 
+// NewSideConnections returns the limits of a listener for probes and metrics.
+func NewSideConnections() *Connections {
+	return &Connections{Limits: rgintake.Limits{Connections: sideConnections}}
+}
+
 // Descriptors returns the number of descriptors that the process may open, or zero if it is unknown.
 func Descriptors() int64 {
 	var lim unix.Rlimit
--- a/io/rgserver/server.go
+++ b/io/rgserver/server.go
@@ -11,7 +11,6 @@
 
 	"github.com/juju/errors"
 
-	"ragwortgap/core/rgintake"
 	"ragwortgap/io/rgclock"
 )
 
@@ -40,7 +39,7 @@
 // Serve serves requests on the address until the server is drained or closed. The headers of a request must arrive within
 // headerTimeout. The number of connections is that of a listener for probes.
 func Serve(adr string, hdl http.Handler, headerTimeout time.Duration) (*Server, error) {
-	return ServeLimited(adr, hdl, headerTimeout, &Connections{Limits: rgintake.Limits{Connections: sideConnections}})
+	return ServeLimited(adr, hdl, headerTimeout, NewSideConnections())
 }
 
 // ServeLimited is Serve with limits on the connections.
--- a/io/rgsettings/intake.go
+++ b/io/rgsettings/intake.go
@@ -10,6 +10,12 @@
 	bytesPerMegabyte = 1 << 20
 	// maxConnections is the largest number of connections that can be set.
 	maxConnections = 1 << 20
+	// minEntryBodyBytes is the least budget of an entry of the product's own interface. One client may hold half of it, which must fit the
+	// largest body (8 MB) and what is decoded from it.
+	minEntryBodyBytes = 32 << 20
+	// memoryLimitPercent is the Go runtime's soft memory limit as a percentage of the memory limit of the process. The rest is
+	// for memory that the runtime does not count.
+	memoryLimitPercent = 80
 )
 
 // IntakeSettings bound what a process takes in from its callers. Zero values mean limits that follow from the memory and the descriptors of
@@ -21,11 +27,19 @@
 	Connections int `json:"connections"`
 }
 
-// limits returns the limits of a process. Zero memory, descriptors or cores mean no limit.
-func (is IntakeSettings) limits(memoryMegabytes, descriptors int64, cores float64) rgintake.Limits {
+// Intake returns the limits on what the entry takes in, given the number of descriptors that it may open.
+func (ent Entry) Intake(descriptors int64) rgintake.Limits {
+	return ent.limits(minEntryBodyBytes, ent.MemoryMegabytes, descriptors, 0)
+}
+
+// MemoryLimit returns the soft limit of the memory that the Go runtime uses, in bytes.
+func (ent Entry) MemoryLimit() int64 { return ent.MemoryMegabytes * bytesPerMegabyte * memoryLimitPercent / 100 }
+
+// limits returns the limits of a process whose budget is at least the given one. Zero memory, descriptors or cores mean no limit.
+func (is IntakeSettings) limits(least, memoryMegabytes, descriptors int64, cores float64) rgintake.Limits {
 	lim := rgintake.Limits{Bytes: is.BodyMegabytes * bytesPerMegabyte, Connections: is.Connections, Cores: cores}
 	if lim.Bytes == 0 {
-		lim.Bytes = rgintake.Budget(memoryMegabytes * bytesPerMegabyte)
+		lim.Bytes = max(least, rgintake.Budget(memoryMegabytes*bytesPerMegabyte))
 	}
 	if lim.Connections == 0 {
 		lim.Connections = rgintake.MaxConnections(memoryMegabytes*bytesPerMegabyte, descriptors)
@@ -34,8 +48,8 @@
 }
 
 // checkIntake checks that the budget fits the largest body and leaves half of the memory to the rest of the process.
-func checkIntake(set IntakeSettings, memoryMegabytes int64) error {
-	least, most := int64(rgintake.MinBytes/bytesPerMegabyte), memoryMegabytes/2
+func checkIntake(set IntakeSettings, leastBytes, memoryMegabytes int64) error {
+	least, most := leastBytes/bytesPerMegabyte, memoryMegabytes/2
 	if memoryMegabytes == 0 {
 		most = 1 << 20
 	}
--- a/io/rgsettings/platform.go
+++ b/io/rgsettings/platform.go
@@ -111,7 +111,7 @@
 		checkAddress("store", set.Store),
 		checkNonNegative("cores", set.Cores),
 		checkNonNegative("memoryMegabytes", float64(set.MemoryMegabytes)),
-		checkIntake(set.IntakeSettings, set.MemoryMegabytes),
+		checkIntake(set.IntakeSettings, rgintake.MinBytes, set.MemoryMegabytes),
 		checkNonNegative("entriesSameZone", float64(set.EntriesSameZone)),
 		checkNonNegative("entriesOtherZones", float64(set.EntriesOtherZones)),
 		checkAdvertised(set.AdvertisedAddress),
@@ -123,7 +123,7 @@
 
 // Intake returns the limits on what the process takes in, given the number of descriptors that it may open.
 func (pp PlatformProcess) Intake(descriptors int64) rgintake.Limits {
-	return pp.limits(pp.MemoryMegabytes, descriptors, pp.Cores)
+	return pp.limits(rgintake.MinBytes, pp.MemoryMegabytes, descriptors, pp.Cores)
 }
 
 // checkHost checks the IP address of a machine.
--- a/io/rgsettings/settings.go
+++ b/io/rgsettings/settings.go
@@ -47,6 +47,10 @@
 		CallerTLS *rgtls.Files `json:"callerTLS"`
 		// TeamKeys is the path of a file with key digests. If it is empty, callers need no key.
 		TeamKeys string `json:"teamKeys"`
+		// MemoryMegabytes is the memory limit of the process. Zero means no limit.
+		MemoryMegabytes int64 `json:"memoryMegabytes"`
+		// IntakeSettings bound what the entry takes in from its callers.
+		IntakeSettings
 	}
 
 	// Sidecar holds the settings of a sidecar process.
@@ -118,6 +122,8 @@
 		checkTLS("peerTLS", set.PeerTLS, true),
 		checkTLS("callerTLS", set.CallerTLS, false),
 		checkTeamKeys(set),
+		checkNonNegative("memoryMegabytes", float64(set.MemoryMegabytes)),
+		checkIntake(set.IntakeSettings, minEntryBodyBytes, set.MemoryMegabytes),
 	)
 }
 
