rgwire, rgdispatcher: limits on the messages and the connections of peers

Cause: the length in front of a notification was not limited, and its bytes were kept as they came. Each accepted connection of a peer has a queue and two goroutines, and their number was not limited.

Connections of peers are limited like those of callers.

Ruled out: one budget with the callers' bodies, because a flood of callers would then end connections of sidecars.

Not covered: ServeRequests, the calls of the product's own interface, because the replies to a seal hold all results of a home and have no limit in the protocol.

--- a/io/rgcli/command_run.go
+++ b/io/rgcli/command_run.go
@@ -72,7 +72,7 @@
 	rtr := httprouter.New()
 	rgcommandapi.Routes{Entry: pro, Keys: keys, Bodies: bds}.Register(rtr)
 	rgqueryapi.Routes{Entry: pro, Keys: keys, Metrics: met.Handler}.Register(rtr)
-	cns := &rgserver.Connections{Limits: lim, Scope: met.Scope}
+	cns := &rgserver.Connections{Limits: lim, Scope: met.Scope.Tagged(map[string]string{"listener": "callers"})}
 	return serve(ctx, lis, rgserver.HTTPServer(rtr, headerTimeout, cns.TrackState), set.DrainTimeout.Duration, pro.Done)
 }
 
--- a/io/rgdispatcher/command_peer.go
+++ b/io/rgdispatcher/command_peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,7 +42,12 @@
 			}
 			return
 		}
-		pro.traffic.Go(func() { pro.serveConnection(workCtx, rgwire.NewConnection(con), "", nil) })
+		pro.peerConns.TrackState(con, http.StateNew)
+		pro.peerConns.TrackState(con, http.StateActive)
+		pro.traffic.Go(func() {
+			defer pro.peerConns.TrackState(con, http.StateClosed)
+			pro.serveConnection(workCtx, rgwire.NewConnection(con), "", nil)
+		})
 	}
 }
 
--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -104,6 +104,8 @@
 		sleep   func(ctx context.Context, dur time.Duration) bool
 		stop    context.CancelFunc
 		traffic rgsupervisor.Supervisor
+		// peerConns limits the connections that peers open. None is closed for another one.
+		peerConns rgserver.Connections
 
 		malformedConfigs rgstore.MalformedLog
 		malformedEntries rgstore.MalformedLog
@@ -128,6 +130,8 @@
 	}
 	pro.resendDelay.Store(int64(set.ResendDelay.Duration))
 	pro.traffic.Log, pro.traffic.Scope = log, sco
+	pro.peerConns.Limits = set.PeerIntake(rgserver.Descriptors())
+	pro.peerConns.Scope = sco.Tagged(map[string]string{"listener": "peers"})
 	pro.malformedConfigs.Log, pro.malformedConfigs.Scope = log, sco
 	pro.malformedEntries.Log, pro.malformedEntries.Scope = log, sco
 	pro.traffic.Maintain(workCtx, func() { pro.accept(workCtx, lis) })
--- a/io/rgsettings/intake.go
+++ b/io/rgsettings/intake.go
@@ -33,7 +33,9 @@
 }
 
 // MemoryLimit returns the soft limit of the memory that the Go runtime uses, in bytes.
-func (ent Entry) MemoryLimit() int64 { return ent.MemoryMegabytes * bytesPerMegabyte * memoryLimitPercent / 100 }
+func (ent Entry) MemoryLimit() int64 {
+	return ent.MemoryMegabytes * bytesPerMegabyte * memoryLimitPercent / 100
+}
 
 // limits returns the limits of a process whose budget is at least the given one. Zero memory, descriptors or cores mean no limit.
 func (is IntakeSettings) limits(least, memoryMegabytes, descriptors int64, cores float64) rgintake.Limits {
--- a/io/rgsettings/platform.go
+++ b/io/rgsettings/platform.go
@@ -126,6 +126,11 @@
 	return pp.limits(rgintake.MinBytes, pp.MemoryMegabytes, descriptors, pp.Cores)
 }
 
+// PeerIntake returns the limits on the connections that peers open. They do not depend on the setting for callers.
+func (pp PlatformProcess) PeerIntake(descriptors int64) rgintake.Limits {
+	return IntakeSettings{}.limits(rgintake.MinBytes, pp.MemoryMegabytes, descriptors, pp.Cores)
+}
+
 // checkHost checks the IP address of a machine.
 func checkHost(fld, val string) error {
 	if ip, err := netip.ParseAddr(val); err != nil || ip.IsUnspecified() {
--- a/io/rgwire/notification_conn.go
+++ b/io/rgwire/notification_conn.go
@@ -61,11 +61,7 @@
 	defer nc.Close()
 	buf := bufio.NewReaderSize(nc.conn, bufferBytes)
 	for {
-		var ntf rawNotification
-		if err := (jsonrpc2.VarintObjectCodec{}).ReadObject(buf, &ntf); err != nil {
-			return
-		}
-		msg, err := Decode(ntf.Method, ntf.Params)
+		msg, err := readNotification(nc.conn, buf)
 		if errors.Is(err, errors.NotSupported) {
 			// Newer versions may send unknown methods.
 			continue
@@ -78,6 +74,19 @@
 	}
 }
 
+func readNotification(con net.Conn, buf *bufio.Reader) (Message, error) {
+	raw, done, err := frames.readFrame(con, buf)
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	var ntf rawNotification
+	if err := json.Unmarshal(raw, &ntf); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return Decode(ntf.Method, ntf.Params)
+}
+
 func (nc *NotificationConn) write(ctx context.Context) {
 	defer nc.Close()
 	buf := bufio.NewWriterSize(nc.conn, bufferBytes)
