platform, rgserver: the cost of an ordinary request

Bodies and connections use Go's clock, which also does not run while the machine is suspended, so no body counts as stalled after that.

--- a/core/rgintake/query_connection.go
+++ b/core/rgintake/query_connection.go
@@ -13,7 +13,7 @@
 	// Connection is an open connection of a caller.
 	Connection struct {
 		Peer netip.Addr
-		// Active is set while a request is in progress, and Since is when that last changed.
+		// Active is set while a request is in progress. Otherwise Since is when that began to be so.
 		Active bool
 		Since  time.Time
 	}
--- a/io/rgflood/flood.go
+++ b/io/rgflood/flood.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -35,7 +36,7 @@
 	// Framing is the size of the chunks of a body, or Length.
 	Framing int
 
-	// Load describes the requests of a number of clients.
+	// Load describes the requests of a number of clients. Path may have a verb for the number of the client.
 	Load struct {
 		Address, Host, Path string
 		Body                string
@@ -64,21 +65,22 @@
 // connections stay open until the returned function is called.
 func Send(ctx context.Context, lod Load) (closeAll func()) {
 	var fld flood
-	whole, part := lod.request(true), lod.request(false)
+	whole := lod.content()
+	part := whole[:max(0, len(whole)-missingBytes)]
 	var clients sync.WaitGroup
 	for num := range lod.Clients {
 		req := part
 		if lod.Whole || num%wholeEvery == 0 {
 			req = whole
 		}
-		clients.Go(func() { fld.send(ctx, lod.Address, req) })
+		clients.Go(func() { fld.send(ctx, lod.Address, lod.head(num), req) })
 	}
 	clients.Wait()
 	return fld.close
 }
 
 // send opens a connection and writes the request to it. Errors are ignored, because the process may refuse the client.
-func (fld *flood) send(ctx context.Context, adr string, req []byte) {
+func (fld *flood) send(ctx context.Context, adr, head string, req []byte) {
 	dlr := net.Dialer{Timeout: dialTimeout}
 	con, err := dlr.DialContext(ctx, "tcp", adr)
 	if err != nil {
@@ -88,7 +90,9 @@
 	fld.conns = append(fld.conns, con)
 	fld.mutex.Unlock()
 	_ = con.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, _ = con.Write(req)
+	if _, err := io.WriteString(con, head); err == nil {
+		_, _ = con.Write(req)
+	}
 }
 
 func (fld *flood) close() {
@@ -98,28 +102,35 @@
 	}
 }
 
-// request returns the bytes of a request, or all but the last ones.
-func (lod Load) request(whole bool) []byte {
+// head returns the request line and the headers of a client.
+func (lod Load) head(num int) string {
 	if lod.Head != "" {
-		return []byte(lod.Head)
+		return lod.Head
+	}
+	path := lod.Path
+	if strings.Contains(path, "%") {
+		path = fmt.Sprintf(path, num)
 	}
-	var req strings.Builder
-	fmt.Fprintf(&req, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: 20000\r\n", lod.Path, lod.Host)
+	framing := "Transfer-Encoding: chunked"
 	if lod.Framing == Length {
-		fmt.Fprintf(&req, "Content-Length: %d\r\n\r\n%s", len(lod.Body), lod.Body)
-	} else {
-		req.WriteString("Transfer-Encoding: chunked\r\n\r\n")
-		for rest := lod.Body; rest != ""; {
-			num := min(int(lod.Framing), len(rest))
-			fmt.Fprintf(&req, "%x\r\n%s\r\n", num, rest[:num])
-			rest = rest[num:]
-		}
-		req.WriteString("0\r\n\r\n")
+		framing = fmt.Sprintf("Content-Length: %d", len(lod.Body))
+	}
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: 20000\r\n%s\r\n\r\n", path, lod.Host, framing)
+}
+
+// content returns the bytes of the body.
+func (lod Load) content() []byte {
+	if lod.Head != "" || lod.Framing == Length {
+		return []byte(lod.Body)
 	}
-	if whole {
-		return []byte(req.String())
+	var txt strings.Builder
+	for rest := lod.Body; rest != ""; {
+		num := min(int(lod.Framing), len(rest))
+		fmt.Fprintf(&txt, "%x\r\n%s\r\n", num, rest[:num])
+		rest = rest[num:]
 	}
-	return []byte(req.String()[:req.Len()-missingBytes])
+	txt.WriteString("0\r\n\r\n")
+	return []byte(txt.String())
 }
 
 // Measure returns what a process has used so far.
--- a/io/rgserver/bodies.go
+++ b/io/rgserver/bodies.go
@@ -31,7 +31,7 @@
 	RefusedError struct{ Cause rgintake.Cause }
 
 	// Bodies shares the memory of a process among the bodies of requests, as rgintake decides. The zero value has the default limits and
-	// ends no body on its own.
+	// ends no body on its own. Its clock stops while the machine is suspended, during which nothing can arrive.
 	Bodies struct {
 		// Done is closed when bodies are no longer checked against their time limits.
 		Done chan struct{}
@@ -87,7 +87,7 @@
 func (bds *Bodies) expire(sco tally.Scope) {
 	bds.mutex.Lock()
 	defer bds.mutex.Unlock()
-	bds.end(rgintake.Expire(&bds.state, rgclock.Now()))
+	bds.end(rgintake.Expire(&bds.state, time.Now()))
 	reading := 0
 	for _, bod := range bds.state.Bodies {
 		if bod.Reading {
@@ -146,7 +146,7 @@
 	bds := rdr.bodies
 	bds.mutex.Lock()
 	defer bds.mutex.Unlock()
-	id, ver := rgintake.Open(&bds.state, rgclock.Now(), clientOf(rdr.request), size)
+	id, ver := rgintake.Open(&bds.state, time.Now(), clientOf(rdr.request), size)
 	bds.end(ver.Evicted)
 	if ver.Refused != "" {
 		return RefusedError{Cause: ver.Refused}
@@ -211,7 +211,7 @@
 func (bds *Bodies) reserve(id rgintake.BodyID, bytes int64) error {
 	bds.mutex.Lock()
 	defer bds.mutex.Unlock()
-	ver := rgintake.Grow(&bds.state, rgclock.Now(), id, bytes)
+	ver := rgintake.Grow(&bds.state, time.Now(), id, bytes)
 	bds.end(ver.Evicted)
 	if ver.Refused != "" {
 		return RefusedError{Cause: ver.Refused}
@@ -229,10 +229,10 @@
 	}
 	bds := rdr.bodies
 	bds.mutex.Lock()
-	rgintake.Receive(&bds.state, rgclock.Now(), rdr.id, bytes)
+	rgintake.Receive(&bds.state, time.Now(), rdr.id, bytes)
 	wait, cause := time.Duration(0), rgintake.Cause("")
 	if overhead > 0 {
-		wait, cause = rgintake.Pace(&bds.state, rgclock.Now(), overhead)
+		wait, cause = rgintake.Pace(&bds.state, time.Now(), overhead)
 	}
 	bds.mutex.Unlock()
 	if cause != "" {
--- a/io/rgserver/connections.go
+++ b/io/rgserver/connections.go
@@ -6,12 +6,12 @@
 	"net/netip"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sys/unix"
 
 	"ragwortgap/core/rgintake"
-	"ragwortgap/io/rgclock"
 )
 
 const (
@@ -65,7 +65,10 @@
 		rgintake.RemoveConnection(&cns.open, con)
 	default:
 		if cur, known := cns.open.Open[con]; known {
-			cur.Active, cur.Since = sta == http.StateActive, rgclock.Now()
+			cur.Active = sta == http.StateActive
+			if !cur.Active {
+				cur.Since = time.Now()
+			}
 			rgintake.SetConnection(&cns.open, con, cur)
 		}
 	}
@@ -76,7 +79,7 @@
 
 // admit registers a new connection, unless the limits forbid that.
 func (cns *Connections) admit(con net.Conn) bool {
-	now, peer := rgclock.Now(), peerOf(con)
+	now, peer := time.Now(), peerOf(con)
 	for range maxReplacements {
 		adm := rgintake.AdmitConnection(&cns.open, now, peer)
 		switch {
--- a/io/rgwire/frame.go
+++ b/io/rgwire/frame.go
@@ -7,11 +7,11 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 
 	"ragwortgap/core/rgintake"
-	"ragwortgap/io/rgclock"
 )
 
 const (
@@ -73,7 +73,7 @@
 	adr, _ := netip.ParseAddrPort(con.RemoteAddr().String())
 	fb.mutex.Lock()
 	defer fb.mutex.Unlock()
-	id, ver := rgintake.Open(&fb.state, rgclock.Now(), adr.Addr().Unmap(), framePart)
+	id, ver := rgintake.Open(&fb.state, time.Now(), adr.Addr().Unmap(), framePart)
 	fb.end(ver.Evicted)
 	if ver.Refused != "" {
 		return frame{}, errors.NotValidf("large message, refused because of %s,", ver.Refused)
@@ -117,7 +117,7 @@
 func (fm frame) grow(bytes int) error {
 	fm.budget.mutex.Lock()
 	defer fm.budget.mutex.Unlock()
-	ver := rgintake.Grow(&fm.budget.state, rgclock.Now(), fm.id, int64(bytes))
+	ver := rgintake.Grow(&fm.budget.state, time.Now(), fm.id, int64(bytes))
 	fm.budget.end(ver.Evicted)
 	if ver.Refused != "" {
 		return errors.NotValidf("large message, refused because of %s,", ver.Refused)
@@ -128,7 +128,7 @@
 func (fm frame) receive(bytes int) {
 	fm.budget.mutex.Lock()
 	defer fm.budget.mutex.Unlock()
-	rgintake.Receive(&fm.budget.state, rgclock.Now(), fm.id, int64(bytes))
+	rgintake.Receive(&fm.budget.state, time.Now(), fm.id, int64(bytes))
 }
 
 func (fm frame) finish() error {
