rgflood: one flood at a time on a machine

go test runs the tests of several packages at once, so the floods of platform and rgproof could take each other's memory and CPU time. A lock on a file orders them. No bound has changed.

--- a/io/rgflood/flood.go
+++ b/io/rgflood/flood.go
@@ -7,12 +7,14 @@
 	"io"
 	"net"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -30,6 +32,8 @@
 	// writeTimeout ends a client whose bytes the process does not read. It is long because the machine may be busy.
 	writeTimeout = 20 * time.Second
 	dialTimeout  = 10 * time.Second
+	// lockName is the name of the file that Lock uses. Tests of several packages run at the same time.
+	lockName = "ragwortgap-flood.lock"
 )
 
 type (
@@ -61,6 +65,16 @@
 	}
 )
 
+// Lock waits until no other test floods a process of this machine, and returns the function that lets the next one begin.
+func Lock() (unlock func(), err error) {
+	fil, err := os.OpenFile(filepath.Join(os.TempDir(), lockName), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, errors.Annotate(err, "open lock")
+	}
+	// Closing the file unlocks it, also when the process ends.
+	return func() { _ = fil.Close() }, errors.Annotate(unix.Flock(int(fil.Fd()), unix.LOCK_EX), "lock")
+}
+
 // Send opens the connections of all clients and returns when each has sent its request, or the process no longer takes it. The
 // connections stay open until the returned function is called.
 func Send(ctx context.Context, lod Load) (closeAll func()) {
--- a/io/rgproof/bodies_test.go
+++ b/io/rgproof/bodies_test.go
@@ -20,6 +20,11 @@
 
 // TestBodyFlood guards against an entry that runs out of memory or hangs because of clients with large and unfinished bodies.
 func TestBodyFlood(t *testing.T) {
+	unlock, err := rgflood.Lock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unlock()
 	const format = `{"team":"team","kind":"work","deadline":"5s","tasks":[%s]}`
 	large := fmt.Sprintf(format, `"`+strings.Repeat("x", rgapi.MaxBodyBytes-len(format))+`"`)
 	many := fmt.Sprintf(format, strings.Repeat("1,", (rgapi.MaxBodyBytes-len(format))/2)+"1")
--- a/io/rgsettings/intake_test.go
+++ b/io/rgsettings/intake_test.go
@@ -17,15 +17,18 @@
 	}{
 		"smallest machine": {memory: 144, want: rgintake.Limits{Bytes: 18 * megabyte, Connections: 1152}},
 		"set": {
-			memory: 144, set: IntakeSettings{BodyMegabytes: 40, Connections: 7}, want: rgintake.Limits{Bytes: 40 * megabyte, Connections: 7},
+			memory: 144, set: IntakeSettings{BodyMegabytes: 40, Connections: 7},
+			want: rgintake.Limits{Bytes: 40 * megabyte, Connections: 7},
+		},
+		"no memory limit":       {want: rgintake.Limits{Bytes: 64 * megabyte, Connections: 3075}},
+		"less than the largest": {memory: 144, set: IntakeSettings{BodyMegabytes: 15}, wantErr: "bodyMegabytes"},
+		"more than half":        {memory: 144, set: IntakeSettings{BodyMegabytes: 73}, wantErr: "bodyMegabytes"},
+		"negative budget":       {set: IntakeSettings{BodyMegabytes: -1}, wantErr: "bodyMegabytes"},
+		"negative connections":  {set: IntakeSettings{Connections: -1}, wantErr: "connections"},
+		"too many connections":  {set: IntakeSettings{Connections: maxConnections + 1}, wantErr: "connections"},
+		"more without any limit": {
+			set: IntakeSettings{BodyMegabytes: 4096}, want: rgintake.Limits{Bytes: 4096 * megabyte, Connections: 3075},
 		},
-		"no memory limit":        {want: rgintake.Limits{Bytes: 64 * megabyte, Connections: 3075}},
-		"less than the largest":  {memory: 144, set: IntakeSettings{BodyMegabytes: 15}, wantErr: "bodyMegabytes"},
-		"more than half":         {memory: 144, set: IntakeSettings{BodyMegabytes: 73}, wantErr: "bodyMegabytes"},
-		"negative budget":        {set: IntakeSettings{BodyMegabytes: -1}, wantErr: "bodyMegabytes"},
-		"negative connections":   {set: IntakeSettings{Connections: -1}, wantErr: "connections"},
-		"too many connections":   {set: IntakeSettings{Connections: maxConnections + 1}, wantErr: "connections"},
-		"more without any limit": {set: IntakeSettings{BodyMegabytes: 4096}, want: rgintake.Limits{Bytes: 4096 * megabyte, Connections: 3075}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
