--- a/core/rgevacuation/adopt_test.go
+++ b/core/rgevacuation/adopt_test.go
@@ -43,6 +43,7 @@
 		"withdrawn and requested again, in another order": {
 			offered: []Set{newSet(5, east), newSet(7, east), newSet(6)}, want: []string{"east"}, wantVer: 7,
 		},
+		"the same version":  {offered: []Set{newSet(5, east), newSet(5, west)}, want: []string{"east"}, wantVer: 5},
 		"without a version": {offered: []Set{newSet(5, east), {}}, want: []string{"east"}, wantVer: 5},
 	}
 	for name, tc := range tests {
--- a/io/rgdispatcher/watch_test.go
+++ b/io/rgdispatcher/watch_test.go
@@ -162,7 +162,9 @@
 			case tc.events[call-1] == nil:
 				return rgstore.Listing{}, errors.New("status 410")
 			default:
-				return *tc.events[call-1], nil
+				lis := *tc.events[call-1]
+				lis.Items = slices.DeleteFunc(slices.Clone(lis.Items), func(itm rgstore.Item) bool { return itm.Version <= after })
+				return lis, nil
 			}
 		},
 	}
