rgexecutor: late tasks are queued by the end of their value

Cause: in an overload, a task that could no longer be on time went behind every task that could, was returned after 200 ms and began again elsewhere.

Sidecars queue late tasks by the latest start for that, and return after 200 ms only tasks without a value.

--- a/core/rgdispatch/command_place.go
+++ b/core/rgdispatch/command_place.go
@@ -79,6 +79,7 @@
 		Service:            jb.Request.Route.Service,
 		Priority:           jb.Request.Route.Priority,
 		TimeToSoftDeadline: jb.SoftDeadline.Sub(now).Round(time.Millisecond),
+		TimeToLateDeadline: lateDeadline(jb).Sub(now).Round(time.Millisecond),
 		Requires:           jb.Request.Steps[step].Requires,
 		Spec:               jb.Request.Spec,
 	}
--- a/core/rgexecutor/command_conn.go
+++ b/core/rgexecutor/command_conn.go
@@ -45,6 +45,9 @@
 			Task: tsk, Conn: id, Queued: now, Priority: plc.Priority, Requires: plc.Requires, Spec: plc.Spec,
 			Deadline: plc.Deadline.Time(), SoftDeadline: plc.Issued.Time().Add(plc.TimeToSoftDeadline),
 		}
+		if plc.TimeToLateDeadline > 0 {
+			act.LateDeadline = plc.Issued.Time().Add(plc.TimeToLateDeadline)
+		}
 		if !ok {
 			efs = append(efs, returnTask(sta, act, rsn))
 			continue
--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -7,9 +7,7 @@
 	"ragwortgap/core/rgmodel"
 )
 
-// enqueue inserts a task into the queue, which is ordered by the latest start that is still on time, with tasks that are
-// already late at the end. An order by priority alone would starve long tasks of low priority, although they have the least
-// time to wait.
+// enqueue inserts a task into the queue, in the order of startsAfter.
 func enqueue(sta *State, now time.Time, act AcceptedTask) {
 	at, _ := slices.BinarySearchFunc(sta.Queue, act, func(one, two AcceptedTask) int {
 		if startsAfter(sta, now, one, two) {
@@ -21,21 +19,7 @@
 	sta.Queue = slices.Insert(sta.Queue, at, act)
 }
 
-// startsAfter reports whether the first task is queued behind the second one.
-func startsAfter(sta *State, now time.Time, one, two AcceptedTask) bool {
-	oneAt, twoAt := latestStart(sta, one), latestStart(sta, two)
-	oneLate, twoLate := oneAt.Before(now), twoAt.Before(now)
-	switch {
-	case oneLate != twoLate:
-		return oneLate
-	case one.Priority != two.Priority && oneLate:
-		return one.Priority > two.Priority
-	default:
-		return oneAt.After(twoAt)
-	}
-}
-
-// reorder moves tasks that have become late behind those that can still be on time.
+// reorder moves the tasks that have become late.
 func reorder(sta *State, now time.Time) {
 	slices.SortStableFunc(sta.Queue, func(one, two AcceptedTask) int {
 		switch {
--- a/core/rgexecutor/command_tick.go
+++ b/core/rgexecutor/command_tick.go
@@ -46,7 +46,8 @@
 	return efs
 }
 
-// expireQueued returns queued tasks that will miss their deadline, and those that are late and have been queued for too long.
+// expireQueued returns queued tasks that will miss their deadline, and those that are too late to be useful and have been queued for too
+// long.
 func expireQueued(sta *State, now time.Time) []Effect {
 	var efs []Effect
 	kept := sta.Queue[:0]
@@ -55,7 +56,7 @@
 			efs = append(efs, returnTask(sta, act, rgmodel.ReasonExpired))
 			continue
 		}
-		if latestStart(sta, act).Before(now) && now.Sub(act.Queued) >= maxLateQueueTime {
+		if _, useful := latestUsefulStart(sta, now, act); !useful && now.Sub(act.Queued) >= maxLateQueueTime {
 			efs = append(efs, returnTask(sta, act, rgmodel.ReasonExpectedWait))
 			continue
 		}
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -47,9 +47,8 @@
 	stopConfirmTimeout = 250 * time.Millisecond
 	// MaxPlacementAge is the age above which placements are returned. It allows for a round trip between zones and a busy entry.
 	MaxPlacementAge = 300 * time.Millisecond
-	// maxLateQueueTime is how long a late task is queued before it is returned, so that its entry can place it elsewhere. It
-	// is queued behind tasks that can still be on time, and might wait until its deadline while other executors have free
-	// capacity.
+	// maxLateQueueTime is how long a task whose end has no value any more is queued before it is returned, so that its entry can place
+	// it elsewhere. It is queued behind all others, and might wait until its deadline while other executors have free capacity.
 	maxLateQueueTime = 200 * time.Millisecond
 	// maxStartAttempts bounds the attempts to start a run. An attempt is repeated with a higher run number if its number was
 	// used before or its lease had expired on arrival.
@@ -123,6 +122,8 @@
 		Deadline time.Time
 		// SoftDeadline is the latest end of the task at which its job is still on time.
 		SoftDeadline time.Time
+		// LateDeadline is the latest end of the task at which its job, although late, still has a value; zero if it is not known.
+		LateDeadline time.Time
 		// UnrefusedStarts is the number of start orders for the task that the executor has not refused and that may have reached
 		// it. The task was certainly never started only while it is zero.
 		UnrefusedStarts int
--- a/core/rgexecutor/query_forecast.go
+++ b/core/rgexecutor/query_forecast.go
@@ -60,15 +60,15 @@
 }
 
 // expectedWaits returns the expected wait of a task that arrives now, for each of the slack buckets and, as the last element,
-// for a task that is already late.
+// for a task whose end has no value any more.
 func expectedWaits(sta *State, now time.Time) []time.Duration {
 	fct := newForecast(sta, now)
 	mean := meanCores(sta)
 	slacks := rgmodel.SlackBuckets
 	wts := make([]time.Duration, 0, len(slacks)+1)
 	for _, act := range sta.Queue {
-		slack := latestStart(sta, act).Sub(now)
-		for len(wts) < len(slacks) && (slack < 0 || slack > slacks[len(wts)]) {
+		at, useful := latestUsefulStart(sta, now, act)
+		for len(wts) < len(slacks) && (!useful || at.Sub(now) > slacks[len(wts)]) {
 			wts = append(wts, fct.waitFor(mean))
 		}
 		fct.schedule(sta, act)
--- a/core/rgmodel/placement.go
+++ b/core/rgmodel/placement.go
@@ -31,6 +31,9 @@
 		// TimeToSoftDeadline is the soft deadline of the job minus the time at which the placement was sent. Unlike the slack in
 		// SlackBuckets, it includes the run time.
 		TimeToSoftDeadline time.Duration `json:"slack"`
+		// TimeToLateDeadline is the time from the placement until a late end of the job has no value any more. Zero means that it is
+		// not known.
+		TimeToLateDeadline time.Duration `json:"lateSlack,omitempty"`
 		Requires           Resources     `json:"needs"`
 		Spec               string        `json:"spec"`
 		Tasks              []PlacedTask  `json:"tasks"`
