rgexecutor: slow tasks are not stopped as hung while their executor works

Cause: a run was stopped as hung after four times its expected run time plus 300 ms, but 3 of 100 tasks take seven times as long.

Ruled out: a larger factor for all runs, because a hung executor would be noticed twice as late.

Change: while other runs of the executor have succeeded since the start of a run, it counts as hung after ten times its expected run time. An executor that completes nothing is found as before.

--- a/core/rgexecutor/command_poll.go
+++ b/core/rgexecutor/command_poll.go
@@ -212,7 +212,7 @@
 	took := now.Sub(run.Started)
 	switch sts {
 	case rgmodel.EndSucceeded:
-		recordSuccess(&sta.Health)
+		recordSuccess(&sta.Health, now)
 		learnSlowdown(sta, run.AcceptedTask, took)
 		return []Effect{reportEnd(sta, run.AcceptedTask, sts, "", took)}
 	case rgmodel.EndFailed:
--- a/core/rgexecutor/command_tick.go
+++ b/core/rgexecutor/command_tick.go
@@ -74,7 +74,7 @@
 		}
 	case now.After(run.AcceptedTask.Deadline):
 		return stopRun(sta, now, run, rgmodel.ReasonDeadlineExceeded)
-	case run.State == RunRunning && now.Sub(run.Started) > hungFactor*expectedRunTime(sta, run.AcceptedTask)+hungMargin:
+	case isHung(sta, now, run):
 		efs := stopRun(sta, now, run, rgmodel.ReasonUpstreamTimeout)
 		if recordHungRun(&sta.Health, now) {
 			efs = append(efs, returnQueue(sta, rgmodel.ReasonUpstreamTimeout)...)
--- a/core/rgexecutor/health.go
+++ b/core/rgexecutor/health.go
@@ -16,10 +16,6 @@
 	refusalEjectionTime = 300 * time.Millisecond
 	// recoveryFraction is the fraction of its cores that an executor may use after an ejection, enough for about one task.
 	recoveryFraction = 0.125
-	// hungFactor and hungMargin determine when a run is considered hung: after hungFactor times its expected run time plus
-	// hungMargin. Estimates are off by up to 40 % either way.
-	hungFactor = 4
-	hungMargin = 300 * time.Millisecond
 )
 
 // Health is the health of the executor as derived from the outcomes of its runs.
@@ -33,10 +29,12 @@
 	EjectionTime time.Duration
 	// Recovering is set from the start of an ejection after failures or hung runs until a run succeeds.
 	Recovering bool
+	// LastSuccess is when a run last succeeded.
+	LastSuccess time.Time
 }
 
-func recordSuccess(hea *Health) {
-	*hea = Health{}
+func recordSuccess(hea *Health, now time.Time) {
+	*hea = Health{LastSuccess: now}
 }
 
 func recordFailure(hea *Health, now time.Time, job string) bool {
