--- a/core/rgexecutor/command_tick.go
+++ b/core/rgexecutor/command_tick.go
@@ -54,7 +54,8 @@
 	return efs
 }
 
-// expireQueued returns queued tasks that will miss their deadline, and those that are late and have been queued for too long.
+// expireQueued returns queued tasks that will miss their deadline, and those that are too late to be useful and have been queued for too
+// long.
 func expireQueued(sta *State, now time.Time) []Effect {
 	var efs []Effect
 	kept := sta.Queue[:0]
@@ -63,7 +64,7 @@
 			efs = append(efs, returnTask(sta, act, rgmodel.ReasonExpired))
 			continue
 		}
-		if latestStart(sta, act).Before(now) && now.Sub(act.Queued) >= maxLateQueueTime {
+		if _, useful := latestUsefulStart(sta, now, act); !useful && now.Sub(act.Queued) >= maxLateQueueTime {
 			efs = append(efs, returnTask(sta, act, rgmodel.ReasonExpectedWait))
 			continue
 		}
@@ -81,7 +82,7 @@
 		}
 	case now.After(run.AcceptedTask.Deadline):
 		return stopRun(sta, now, run, rgmodel.ReasonDeadlineExceeded)
-	case run.State == RunRunning && now.Sub(run.Started) > hungFactor*expectedRunTime(sta, run.AcceptedTask)+hungMargin:
+	case isHung(sta, now, run):
 		efs := stopRun(sta, now, run, rgmodel.ReasonUpstreamTimeout)
 		if recordHungRun(&sta.Health, now) {
 			efs = append(efs, returnQueue(sta, rgmodel.ReasonUpstreamTimeout)...)
