rgexecutor: bound on the time that a task waits for a preferred place

Cause: an entry can bound the expected wait of a task when it arrives (MaxWait), not the time that the task then spends in the queue. A wait that turns out longer than expected therefore kept a task at one place until it was late by 200 ms.

Change: PlacedTask.MaxQueueTime, optional on the wire. A task of which a start order may have been carried out stays, because it would count as lost. Older sidecars ignore the field.

Ruled out: a cancellation by the entry at the bound. The task may start while the cancellation is on its way, and would have to count as possibly run.

TestMaxQueueTime fails without the return ("at the bound").

--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -67,6 +67,7 @@
 		sta.Queue = sta.Queue[1:]
 		efs = append(efs, startRun(sta, now, act)...)
 	}
+	efs = append(efs, endPlaceWaits(sta, now)...)
 	return append(efs, sendPolls(sta, now)...)
 }
 
--- a/core/rgexecutor/wait_test.go
+++ b/core/rgexecutor/wait_test.go
@@ -50,6 +50,58 @@
 	}
 }
 
+// TestMaxQueueTime guards against a task that stays queued at its preferred place although its wait no longer pays, so that it runs
+// neither there nor elsewhere, and against one that is returned before that, or although it can start or may have been started.
+func TestMaxQueueTime(t *testing.T) {
+	const bound = 30 * time.Millisecond
+	tests := map[string]struct {
+		maxQueueTime, queued time.Duration
+		freed, unanswered    bool
+		want                 string
+	}{
+		"below the bound":                {maxQueueTime: bound, queued: bound - 1},
+		"at the bound":                   {maxQueueTime: bound, queued: bound, want: "returned placeWait"},
+		"at the bound, capacity is free": {maxQueueTime: bound, queued: bound, freed: true, want: "started"},
+		"a start got no reply":           {maxQueueTime: bound, queued: bound, unanswered: true},
+		"no bound":                       {queued: 400 * time.Millisecond},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			har := newHarness(t)
+			har.place("running", 8)
+			har.replyToStarts(har.acceptedReply())
+			har.placeOne(time.Second, 0)
+			har.takeEffects()
+			har.sta.Queue[0].Task.MaxQueueTime = tc.maxQueueTime
+			if tc.unanswered {
+				har.sta.Queue[0].UnrefusedStarts = 1
+			}
+			har.now = har.now.Add(tc.queued)
+			if tc.freed {
+				delete(har.sta.Runs, rgmodel.TaskKey{Job: "running"})
+			}
+			RecordHeartbeat(&har.sta, testConn, har.now)
+			got := ""
+			for _, eff := range startQueued(&har.sta, har.now) {
+				switch eff := eff.(type) {
+				case ReportEnd:
+					got = eff.End.Status.String() + " " + string(eff.End.Reason)
+				case SendOrder:
+					if _, start := eff.Order.(rgmodel.StartOrder); start {
+						got = "started"
+					}
+				}
+			}
+			if got != tc.want {
+				t.Errorf("got %q, want %q", got, tc.want)
+			}
+			if queued := len(har.sta.Queue) > 0; queued != (tc.want == "") {
+				t.Errorf("queued: %v", queued)
+			}
+		})
+	}
+}
+
 // TestLateQueueTime guards against a late task that stays queued until its deadline while other executors have free
 // capacity, and against a task that is returned although it can still be on time.
 func TestLateQueueTime(t *testing.T) {
--- a/core/rgmodel/placement.go
+++ b/core/rgmodel/placement.go
@@ -18,6 +18,9 @@
 		// MaxWait is the longest expected wait at which the sidecar queues the task; above it, the task is returned at once.
 		// Zero means no bound.
 		MaxWait time.Duration `json:"patience,omitempty"`
+		// MaxQueueTime is the time in the queue after which the sidecar returns the task, because its wait for a preferred place no longer
+		// pays. Zero means no bound.
+		MaxQueueTime time.Duration `json:"maxQueueTime,omitempty"`
 	}
 
 	// Placement is a request of an entry to a sidecar to run tasks of one step of a job.
--- a/core/rgmodel/verdict.go
+++ b/core/rgmodel/verdict.go
@@ -25,6 +25,8 @@
 	ReasonQuota           Reason = "quota"
 	ReasonAboveBurst      Reason = "aboveBurst"
 	ReasonExpectedWait    Reason = "expectedWait"
+	// ReasonPlaceWait is given for a task that was not started because its wait for a preferred place no longer pays.
+	ReasonPlaceWait Reason = "placeWait"
 	// ReasonNeverRunnable is given if no upstream that the deciding process knows meets the requirements of the job, or if the
 	// job or its route uses an unsupported feature.
 	ReasonNeverRunnable Reason = "neverRunnable"
