rgdispatch: a task waits for its preferred place for as long as that pays

Cause: placement takes the slowest executor that starts a task at once and ends it within 0.8 of the time to the soft deadline. The remote factor counts as slowness, so with a factor of 1.5 short tasks went anywhere but to the rack of their data, even while it was idle. With both places busy, the expected ends decided, without a bound for the wait and without the cores that a remote run holds for longer.

Change: WorthwhileWait says how long a wait pays: up to the time by which a run elsewhere ends later, and beyond that by the additional core time there, weighed with the used fraction of the cores elsewhere. While a run elsewhere would be on time, the wait leaves enough time for it. choosePlace compares the best preferred place with the best one elsewhere; bestCandidate is unchanged. A task waits in the queue of the sidecar, which returns it at the bound. At most 3 such returns end the waits of a task, and none counts as a placement retry. There is no bound for the time in the queue if the job would be too late elsewhere after it.

The simulation queues the tasks of a fleet with a hot rack in the order of the latest start and forecasts waits as a sidecar does; other fleets are unchanged.

The entry counts the ends of waits in placeWaits and placeWaitTime, by paidOff.

--- a/core/rgdispatch/command_job.go
+++ b/core/rgdispatch/command_job.go
@@ -186,7 +186,9 @@
 		}
 		delete(sc.Placed, end.Ticket)
 		if jb := sta.Jobs[ref.Job]; jb != nil {
-			efs = append(efs, recordEnd(sta, now, jb, &jb.Tasks[ref.Step][ref.Index], sc.Name, end)...)
+			tsk := &jb.Tasks[ref.Step][ref.Index]
+			end.Reason, efs = endPlaceWait(now, tsk, end, efs)
+			efs = append(efs, recordEnd(sta, now, jb, tsk, sc.Name, end)...)
 		}
 	}
 	return efs
--- a/core/rgdispatch/command_place.go
+++ b/core/rgdispatch/command_place.go
@@ -32,10 +32,11 @@
 		tsk.State = TaskPlaced
 		tsk.Conn = plt.conn
 		tsk.Ticket = sc.LastTicket
+		beginPlaceWait(now, tsk, plt)
 		plc.Tasks = append(plc.Tasks, rgmodel.PlacedTask{
 			Ticket:   sc.LastTicket,
 			Key:      rgmodel.TaskKey{Job: jb.Request.ID, Step: plt.step, Index: plt.index},
-			Estimate: estimateAt(sta, stp, sc), MaxWait: maxWait(tsk, plt),
+			Estimate: estimateAt(sta, stp, sc), MaxWait: maxWait(tsk, plt), MaxQueueTime: plt.maxQueueTime,
 		})
 	}
 	efs := make([]Effect, 0, len(targets))
@@ -68,7 +69,15 @@
 	if tsk.PlacementRetries >= maxPlacementRetries {
 		return 0
 	}
-	return plt.wait + max(minExtraWait, plt.slack/2)
+	longest := plt.wait + max(minExtraWait, plt.slack/2)
+	switch {
+	case plt.worthwhileWait <= 0:
+		return longest
+	case placeReturns(tsk) >= maxPlaceWaits-1:
+		return plt.worthwhileWait
+	default:
+		return min(longest, plt.worthwhileWait)
+	}
 }
 
 func newPlacement(now time.Time, jb *Job, sc *SidecarConn, step int) *rgmodel.Placement {
--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -149,6 +149,8 @@
 		Failures int
 		// PlacementRetries counts how often a sidecar has returned the task because it would wait too long there.
 		PlacementRetries int
+		// PlaceWait is nil until the task waits for a preferred place.
+		PlaceWait *PlaceWait
 		// EndedBy is the time by which the run of a task in TaskUnknown has certainly ended.
 		EndedBy time.Time
 		// AvoidedSidecars holds the names of the sidecars on which the task failed or was lost, or which returned it.
@@ -173,6 +175,16 @@
 		LateEstimate LateEstimate
 	}
 
+	// PlaceWait describes the waits of a task for preferred places.
+	PlaceWait struct {
+		// Since is when the task was placed where it waits; zero if it does not wait now.
+		Since time.Time
+		// Expected is the expected wait; zero if the place seemed to be free.
+		Expected time.Duration
+		// Returns is the number of waits after which the task was returned.
+		Returns int
+	}
+
 	// TaskRef identifies a task of a job in progress.
 	TaskRef struct {
 		Job   string
@@ -272,6 +284,12 @@
 		Proof           EndProof
 	}
 
+	// CountPlaceWait counts the end of a wait for a preferred place. It has paid off if the task ran there.
+	CountPlaceWait struct {
+		PaidOff bool
+		Waited  time.Duration
+	}
+
 	// CloseConn closes the connection to a sidecar.
 	CloseConn struct{ Conn SidecarConnID }
 
@@ -303,3 +321,4 @@
 func (SendAnswer) isEffect()     {}
 func (CloseConn) isEffect()      {}
 func (LogPlacedAgain) isEffect() {}
+func (CountPlaceWait) isEffect() {}
--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -19,6 +19,10 @@
 		// wait is the expected wait, and slack the time between the expected end and the soft deadline.
 		wait  time.Duration
 		slack time.Duration
+		// worthwhileWait is how long the task may wait for a preferred place; zero if it does not wait for one.
+		worthwhileWait time.Duration
+		// maxQueueTime is the time in the queue after which the task is returned; zero means no bound.
+		maxQueueTime time.Duration
 	}
 
 	// candidate is a sidecar that can run tasks of a step.
@@ -52,13 +56,15 @@
 	allocated := map[SidecarConnID]float64{}
 	for i := range jb.Tasks {
 		stp := jb.Request.Steps[i]
-		cnds := findCandidates(sta, now, jb, stp)
+		pln = slices.Grow(pln, len(jb.Tasks[i]))
+		grp := groupByPlace(sta, stp, findCandidates(sta, now, jb, stp))
 		for j := range jb.Tasks[i] {
 			tsk := &jb.Tasks[i][j]
 			if tsk.State != TaskWaiting {
 				continue
 			}
-			cnd, dly := bestCandidate(now, jb, stp, cnds, tsk, allocated)
+			chn := choosePlace(now, jb, stp, grp, tsk, allocated)
+			cnd, dly := chn.candidate, chn.wait
 			if cnd == nil {
 				return nil, unplaceableReason(sta, jb, stp)
 			}
@@ -71,7 +77,10 @@
 			}
 			cnd.planned++
 			allocated[cnd.conn] += stp.Requires.Cores
-			pln = append(pln, plannedTask{conn: cnd.conn, step: i, index: j, wait: dly, slack: jb.SoftDeadline.Sub(now) - end})
+			pln = append(pln, plannedTask{
+				conn: cnd.conn, step: i, index: j, wait: dly, slack: jb.SoftDeadline.Sub(now) - end,
+				worthwhileWait: chn.worthwhileWait, maxQueueTime: chn.maxQueueTime,
+			})
 		}
 	}
 	return pln, ""
--- a/core/rgdispatch/simulation_test.go
+++ b/core/rgdispatch/simulation_test.go
@@ -19,6 +19,7 @@
 		name, zone string
 		cores      int
 		slowdown   float64
+		rack       int
 		// lost means that the executor runs nothing and its sidecar does not report.
 		lost    bool
 		queue   []*simTask
@@ -41,6 +42,15 @@
 		ticket rgmodel.Ticket
 		run    time.Duration
 		endsAt time.Time
+		// estimate is what the sidecar expects, relative to its slowdown.
+		estimate time.Duration
+		started  time.Time
+		// latestStart is the latest start at which the task is still on time.
+		latestStart time.Time
+		// rack is set for a task of a job that prefers a rack.
+		rack *simRackTask
+		// queuedUntil is when the task is returned if it is still queued; zero means never.
+		queuedUntil time.Time
 	}
 
 	simEntry struct {
@@ -67,6 +77,12 @@
 		tasks    int
 		// usedTime is the core time of all tasks, and coreTime that of all executors that are not lost.
 		usedTime, coreTime time.Duration
+		rack               simRack
+		rackTasks          []*simRackTask
+		rackJobs           int
+		rackJobsOnTime     int
+		rackReturned       int
+		rackPaidOff        int
 	}
 
 	// simLoad describes a simulated fleet and its jobs.
@@ -80,7 +96,9 @@
 		// lostZone is a zone whose executors are lost, if it is not empty.
 		lostZone string
 		// added is the number of sidecars that are added empty after half of the time.
-		added    int
+		added int
+		// rack adds a rack that many jobs prefer, if it is not zero.
+		rack     simRack
 		duration time.Duration
 	}
 )
@@ -89,7 +107,7 @@
 
 // runSimulation runs jobs of a few tasks of 60 to 900 ms, as many of each kind of work as of the others.
 func runSimulation(lod simLoad) *simulation {
-	sim := &simulation{rnd: rand.New(rand.NewPCG(1, 2)), now: time.Unix(1000, 0)}
+	sim := &simulation{rnd: rand.New(rand.NewPCG(1+lod.rack.seed, 2)), now: time.Unix(1000, 0), rack: lod.rack}
 	for i := range lod.entries {
 		ent := &simEntry{
 			name: fmt.Sprintf("entry-%d", i), zone: zoneName(i % lod.zones), sidecars: map[SidecarConnID]*simSidecar{}, weight: 1,
@@ -99,6 +117,7 @@
 		}
 		ent.sta.Name, ent.sta.AvailabilityZone = ent.name, ent.zone
 		ent.sta.Limits = Limits{MaxRunTimeAfterLoss: 1500 * time.Millisecond, Cores: 0.5}
+		ent.sta.RemoteFactor = lod.rack.remoteFactor
 		ent.sta.StartedAt = sim.now.Add(-time.Hour)
 		DetectSuspension(&ent.sta, sim.now)
 		sim.entries = append(sim.entries, ent)
@@ -123,7 +142,7 @@
 		}
 		sim.step()
 		// The mean job takes 0.56 s of core time.
-		pending += lod.load * capacity * simStep.Seconds() / 0.56
+		pending += lod.load * sim.rack.burst(sim.now.Sub(begin)) * capacity * simStep.Seconds() / 0.56
 		for ; pending >= 1; pending-- {
 			sim.submit()
 		}
@@ -135,10 +154,14 @@
 func (sim *simulation) addSidecar(num int, lod simLoad) {
 	sc := &simSidecar{
 		name: fmt.Sprintf("side-%d", num), zone: zoneName(num % lod.zones), cores: 6, slowdown: 1.4, conns: map[*simEntry]*simConn{},
+		rack: noRack,
 	}
 	if num%3 == 0 {
 		sc.cores, sc.slowdown = 9, 0.6
 	}
+	if lod.rack.remoteFactor > 0 {
+		sc.cores, sc.slowdown, sc.rack = rackCores, 1+0.1*float64(num%4), num/rackSize
+	}
 	sc.lost = sc.zone == lod.lostZone
 	sim.sidecars = append(sim.sidecars, sc)
 	members := rgmembership.State{Name: sc.name, AvailabilityZone: sc.zone, Limits: lod.limits}
@@ -166,6 +189,7 @@
 	Connect(&ent.sta, sim.now, con.id, sc.name, rgmodel.SidecarTimeOf(sim.now))
 	UpdateExecutor(&ent.sta, con.id, rgmodel.Executor{
 		Service: "desk", AvailabilityZone: sc.zone, Capacity: rgmodel.Resources{Cores: float64(sc.cores)},
+		Labels: []string{rackName(sc.rack)},
 	})
 	sim.report(ent, sc)
 }
@@ -192,6 +216,9 @@
 	if len(sc.running) < sc.cores {
 		return 0
 	}
+	if sc.rack != noRack {
+		return sc.forecast(now)
+	}
 	left := time.Duration(0)
 	for _, tsk := range sc.running {
 		left += tsk.endsAt.Sub(now)
@@ -230,10 +257,15 @@
 		sim.end(sc, tsk, rgmodel.TaskEnd{Ticket: tsk.ticket})
 	}
 	sc.running = left
+	sim.returnQueued(sc)
 	for len(sc.queue) > 0 && len(sc.running) < sc.cores {
 		tsk := sc.queue[0]
 		sc.queue = sc.queue[1:]
-		tsk.endsAt = sim.now.Add(time.Duration(sc.slowdown * float64(tsk.run)))
+		run := time.Duration(sc.slowdown * float64(tsk.run))
+		tsk.started, tsk.endsAt = sim.now, sim.now.Add(run)
+		if tsk.rack != nil {
+			tsk.rack.started, tsk.rack.run = sim.now, run
+		}
 		sc.running = append(sc.running, tsk)
 	}
 	for _, con := range sc.order {
@@ -245,6 +277,9 @@
 
 func (sim *simulation) end(sc *simSidecar, tsk *simTask, end rgmodel.TaskEnd) {
 	sim.messages++
+	if tsk.rack != nil && end.Status == rgmodel.EndSucceeded {
+		sim.rackTasks = append(sim.rackTasks, tsk.rack)
+	}
 	sim.perform(tsk.entry, RecordEnds(&tsk.entry.sta, sim.now, sc.conns[tsk.entry].id, []rgmodel.TaskEnd{end}))
 }
 
@@ -257,8 +292,9 @@
 		{count: 8, estimate: 60 * time.Millisecond},
 		{count: 1, estimate: 800 * time.Millisecond},
 		{count: 2, estimate: 200 * time.Millisecond},
+		{count: 4, estimate: 900 * time.Millisecond},
 	}
-	knd := kinds[sim.jobs%len(kinds)]
+	knd := kinds[sim.rack.kind(sim)]
 	sum := 0.0
 	for _, ent := range sim.entries {
 		sum += ent.weight
@@ -274,6 +310,7 @@
 	sim.jobs++
 	sim.tasks += knd.count
 	req := newRequest(fmt.Sprintf("job-%d", sim.jobs), knd.count, knd.estimate)
+	sim.rack.prefer(sim, &req)
 	sim.perform(ent, Submit(&ent.sta, sim.now, CallerID(sim.jobs), req))
 }
 
@@ -283,6 +320,8 @@
 		case SendPlacement:
 			sim.messages++
 			sim.accept(ent, ent.sidecars[eff.Conn], eff.Placement)
+		case CountPlaceWait:
+			sim.rack.recordWait(sim, eff)
 		case CancelTasks:
 			sim.messages++
 			sim.cancel(ent, ent.sidecars[eff.Conn], eff.Tickets)
@@ -290,6 +329,9 @@
 			if eff.Verdict == rgmodel.RanOK {
 				if eff.Detail.Overdue <= 0 {
 					sim.onTime++
+					if eff.Detail.Route == hotRoute {
+						sim.rackJobsOnTime++
+					}
 				}
 				sim.times = append(sim.times, eff.Took.Seconds()/eff.Detail.Estimate.Seconds())
 			} else {
@@ -303,13 +345,18 @@
 	con := sc.conns[ent]
 	for _, tsk := range plc.Tasks {
 		con.lastTicket = max(con.lastTicket, tsk.Ticket)
-		job := &simTask{entry: ent, ticket: tsk.Ticket, run: tsk.Estimate}
+		job := &simTask{entry: ent, ticket: tsk.Ticket, run: sim.rack.actual(sim, tsk.Estimate), estimate: tsk.Estimate}
+		job.rack = sim.rack.newRackTask(ent, sc, tsk)
+		job.latestStart = sim.now.Add(plc.TimeToSoftDeadline - time.Duration(sc.slowdown*float64(tsk.Estimate)))
+		if tsk.MaxQueueTime > 0 {
+			job.queuedUntil = sim.now.Add(tsk.MaxQueueTime)
+		}
 		if tsk.MaxWait > 0 && sc.expectedWait(sim.now) > tsk.MaxWait {
 			sim.report(ent, sc)
 			sim.end(sc, job, rgmodel.TaskEnd{Ticket: tsk.Ticket, Status: rgmodel.EndReturned, Reason: rgmodel.ReasonExpectedWait})
 			continue
 		}
-		sc.queue = append(sc.queue, job)
+		sc.enqueue(job)
 	}
 }
 
--- a/io/rgdispatcher/control.go
+++ b/io/rgdispatcher/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -144,6 +145,10 @@
 			pro.log.Info("task placed again", zap.String("job", eff.Task.Job), zap.Int("step", eff.Task.Step),
 				zap.Int("task", eff.Task.Index), zap.String("sidecar", eff.Sidecar), zap.String("lostBy", eff.LostBy),
 				zap.String("proof", string(eff.Proof)))
+		case rgdispatch.CountPlaceWait:
+			tagged := pro.scope.Tagged(map[string]string{"paidOff": strconv.FormatBool(eff.PaidOff)})
+			tagged.Counter("placeWaits").Inc(1)
+			tagged.Timer("placeWaitTime").Record(eff.Waited)
 		}
 	}
 }
