--- a/core/rgdispatch/preference_test.go
+++ b/core/rgdispatch/preference_test.go
@@ -20,20 +20,35 @@
 		// wantInQueue is the bound of the time in the queue.
 		wantInQueue time.Duration
 	}{
-		"no place is preferred":        {},
-		"elsewhere as fast":            {choice: PlaceChoice{Preferred: near, Elsewhere: near, TimeLeft: time.Second}},
-		"idle elsewhere: the gain":     {choice: PlaceChoice{Preferred: near, Elsewhere: far, TimeLeft: time.Second}, want: 30 * ms},
-		"busy elsewhere: its wait too": {choice: PlaceChoice{Preferred: near, Elsewhere: busyFar, TimeLeft: time.Second}, want: 50 * ms},
+		"no place is preferred": {},
+		"elsewhere as fast":     {choice: PlaceChoice{Preferred: near, Elsewhere: near, TimeLeft: time.Second}},
+		"idle elsewhere: the gain": {
+			choice: PlaceChoice{Preferred: near, Elsewhere: far, TimeLeft: time.Second}, want: 30 * ms,
+		},
+		"busy elsewhere: its wait too": {
+			choice: PlaceChoice{Preferred: near, Elsewhere: busyFar, TimeLeft: time.Second}, want: 50 * ms,
+		},
 		"half of the cores used elsewhere": {
 			choice: PlaceChoice{Preferred: near, Elsewhere: far, TimeLeft: time.Second, Load: 0.5}, want: 45 * ms,
 		},
-		"all cores used elsewhere":     {choice: PlaceChoice{Preferred: near, Elsewhere: far, TimeLeft: time.Second, Load: 1}, want: 60 * ms},
-		"load that is not a fraction":  {choice: PlaceChoice{Preferred: near, Elsewhere: far, TimeLeft: time.Second, Load: 7}, want: 60 * ms},
-		"time left to run elsewhere":   {choice: PlaceChoice{Preferred: near, Elsewhere: far, TimeLeft: 125 * ms}, want: 10 * ms},
-		"spread of the wait elsewhere": {choice: PlaceChoice{Preferred: near, Elsewhere: busyFar, TimeLeft: 160 * ms}, want: 8 * ms},
-		"late elsewhere, on time here": {choice: PlaceChoice{Preferred: near, Elsewhere: far, TimeLeft: 110 * ms}, want: 50 * ms},
+		"all cores used elsewhere": {
+			choice: PlaceChoice{Preferred: near, Elsewhere: far, TimeLeft: time.Second, Load: 1}, want: 60 * ms,
+		},
+		"load that is not a fraction": {
+			choice: PlaceChoice{Preferred: near, Elsewhere: far, TimeLeft: time.Second, Load: 7}, want: 60 * ms,
+		},
+		"time left to run elsewhere": {
+			choice: PlaceChoice{Preferred: near, Elsewhere: far, TimeLeft: 125 * ms}, want: 10 * ms,
+		},
+		"spread of the wait elsewhere": {
+			choice: PlaceChoice{Preferred: near, Elsewhere: busyFar, TimeLeft: 160 * ms}, want: 8 * ms,
+		},
+		"late elsewhere, on time here": {
+			choice: PlaceChoice{Preferred: near, Elsewhere: far, TimeLeft: 110 * ms}, want: 50 * ms,
+		},
 		"late elsewhere, possible after the wait": {
-			choice: PlaceChoice{Preferred: near, Elsewhere: far, TimeLeft: 110 * ms, LateLeft: 140 * ms}, want: 50 * ms, wantInQueue: 50 * ms,
+			choice: PlaceChoice{Preferred: near, Elsewhere: far, TimeLeft: 110 * ms, LateLeft: 140 * ms},
+			want:   50 * ms, wantInQueue: 50 * ms,
 		},
 		"late elsewhere, too late after the wait": {
 			choice: PlaceChoice{Preferred: near, Elsewhere: far, TimeLeft: 110 * ms, LateLeft: 139 * ms}, want: 50 * ms,
