--- a/core/rgdispatch/query_evacuation.go
+++ b/core/rgdispatch/query_evacuation.go
@@ -27,7 +27,8 @@
 // isEvacuated reports whether the sidecar's executor is in an evacuated zone, by the set of this entry or by the newer one of the sidecar.
 func isEvacuated(sta *State, sc *SidecarConn) bool {
 	// The length is checked here, because this is called for each sidecar of each job, and the compiler inlines it.
-	return sc.Report.Evacuation != nil || len(sta.Evacuation.Zones) > 0 && rgevacuation.Contains(sta.Evacuation, sc.Executor.AvailabilityZone)
+	return sc.Report.Evacuation != nil ||
+		len(sta.Evacuation.Zones) > 0 && rgevacuation.Contains(sta.Evacuation, sc.Executor.AvailabilityZone)
 }
 
 // EvacuatedZones returns the evacuated zones and the sidecars in them, ordered by name. A sidecar with two connections is listed once.
