--- a/core/rgdispatch/preference_test.go
+++ b/core/rgdispatch/preference_test.go
@@ -7,8 +7,6 @@
 	"ragwortgap/core/rgmodel"
 )
 
-const ms = time.Millisecond
-
 // TestWorthwhileWait guards against a wait that costs the caller more than a run elsewhere, and against a run elsewhere that holds cores
 // for longer, or ends later, than a wait.
 func TestWorthwhileWait(t *testing.T) {
