rgdispatch: jobs that cannot end in time are refused before any task starts

Cause: a task that need not wait was placed whatever its estimate, and later steps were not looked at. A task of 1.8 s with 1.5 s left was held to the end, and a job whose second step could never end in time ran its first step.

Ruled out: the sum of the estimates as the bound, because they are off by up to 40 % either way; a check before the plan, because an entry without sidecars then answers expired instead of neverRunnable (TestStartup).

Change: Submit refuses a job as expired if it would miss its deadline with 95 % on the fastest executor without any wait.

--- a/core/rgdispatch/command_job.go
+++ b/core/rgdispatch/command_job.go
@@ -48,6 +48,9 @@
 	if rsn != "" && !mayWaitForSidecars(sta, now, jb) {
 		return []Effect{newAnswer(now, jb, rgmodel.NotRun, rsn)}
 	}
+	if cannotEndInTime(sta, now, jb) {
+		return []Effect{newAnswer(now, jb, rgmodel.NotRun, rgmodel.ReasonExpired)}
+	}
 	addJob(sta, jb)
 	return placeTasks(sta, now, jb, pln)
 }
--- a/core/rgdispatch/query_job.go
+++ b/core/rgdispatch/query_job.go
@@ -188,12 +188,7 @@
 	// minFraction is the fraction of the run time on the fastest executor that must fit before the deadline. It allows for
 	// estimates that are too long.
 	const minFraction = 0.5
-	fastest := 1.0
-	for _, sc := range sta.Sidecars {
-		if sc.Report.Slowdown > 0 {
-			fastest = min(fastest, sc.Report.Slowdown)
-		}
-	}
+	fastest := fastestSlowdown(sta)
 	for i, tsks := range jb.Tasks {
 		need := time.Duration(minFraction * fastest * float64(jb.Request.Steps[i].Estimate))
 		for _, tsk := range tsks {
--- /dev/null
+++ b/core/rgdispatch/query_unreachable.go
@@ -0,0 +1,44 @@
+package rgdispatch
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minRunFactor and runFactorRange describe the run times of tasks relative to their estimates, which are off by up to 40 %.
+	minRunFactor   = 0.6
+	runFactorRange = 0.8
+	// minChance is the chance of ending in time below which a job is not started.
+	minChance = 0.05
+)
+
+// cannotEndInTime reports whether the job would miss its deadline almost certainly, even without waiting on the fastest executor. All
+// tasks of a step have to end, so the more tasks it has, the closer its run time is to the longest one.
+func cannotEndInTime(sta *State, now time.Time, jb *Job) bool {
+	left := jb.Deadline.Sub(now)
+	need := criticalPath(likelyShortest(jb.Request.Steps))
+	// Most jobs have enough time, which shows without a look at each sidecar.
+	return need > left && time.Duration(fastestSlowdown(sta)*float64(need)) > left
+}
+
+// likelyShortest returns the steps with the run times that the longest of their tasks exceed but for minChance.
+func likelyShortest(stps []Step) []Step {
+	res := make([]Step, len(stps))
+	for i, stp := range stps {
+		fac := minRunFactor + runFactorRange*math.Pow(minChance, 1/float64(max(1, stp.Count)))
+		res[i] = Step{DependsOn: stp.DependsOn, Estimate: time.Duration(fac * float64(stp.Estimate))}
+	}
+	return res
+}
+
+// fastestSlowdown returns the lowest learned ratio of run times to estimates of all sidecars, at most 1.
+func fastestSlowdown(sta *State) float64 {
+	fastest := 1.0
+	for _, sc := range sta.Sidecars {
+		if sc.Report.Slowdown > 0 {
+			fastest = min(fastest, sc.Report.Slowdown)
+		}
+	}
+	return fastest
+}
