--- a/core/rgdispatch/query_unreachable.go
+++ b/core/rgdispatch/query_unreachable.go
@@ -17,8 +17,12 @@
 // tasks of a step have to end, so the more tasks it has, the closer its run time is to the longest one.
 func cannotEndInTime(sta *State, now time.Time, jb *Job) bool {
 	left := jb.Deadline.Sub(now)
+	// The time to the soft deadline is at least the estimate of the critical path. Most jobs have enough time, which shows without a look
+	// at their steps and at each sidecar.
+	if time.Duration((minRunFactor+runFactorRange)*float64(jb.SoftDeadline.Sub(jb.Arrived))) <= left {
+		return false
+	}
 	need := criticalPath(likelyShortest(jb.Request.Steps))
-	// Most jobs have enough time, which shows without a look at each sidecar.
 	return need > left && time.Duration(fastestSlowdown(sta)*float64(need)) > left
 }
 
