rgdispatch: jobs that must wait for most of their slack are refused when they arrive

Expected waits are too short under load: tasks with less slack that arrive later overtake, and 12 entries place tasks on the same executors.

Change: a job that has to wait is admitted if the expected wait is at most 0.4 of its slack. Once it was admitted, the limit is 1.3 times the time to the soft deadline as before, so that a returned task does not end it.

--- a/core/rgdispatch/command_place.go
+++ b/core/rgdispatch/command_place.go
@@ -12,6 +12,7 @@
 		conn SidecarConnID
 		step int
 	}
+	jb.Admitted = jb.Admitted || len(pln) > 0
 	plcs := map[target]*rgmodel.Placement{}
 	var targets []target
 	for _, plt := range pln {
--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -36,9 +36,6 @@
 	networkOverhead = 5 * time.Millisecond
 	// retryAfter is the time after which a refused caller may retry, which is about the time that a full queue takes to empty.
 	retryAfter = time.Second
-	// lateTolerance is the multiple of the time to the soft deadline within which a job must be expected to end to be admitted.
-	// Estimates are off by up to 40 %, so many jobs that are expected to be late are still on time.
-	lateTolerance = 1.3
 	// softDeadlineFraction is the fraction of the time to the soft deadline within which a task must be expected to end on a
 	// slow executor.
 	softDeadlineFraction = 0.8
@@ -168,6 +165,8 @@
 		SoftDeadline time.Time
 		// Tasks holds the tasks of each step. It is nil for a step whose dependencies are not done.
 		Tasks [][]Task
+		// Admitted is set once a task has been placed.
+		Admitted bool
 		// MayHaveRun is set once a task may have been started.
 		MayHaveRun bool
 		// UnrefusedStarts is the number of start orders that the executors have not refused, for lost tasks.
--- a/core/rgdispatch/query_job.go
+++ b/core/rgdispatch/query_job.go
@@ -46,7 +46,7 @@
 // others.
 func mayWaitForSidecars(sta *State, now time.Time, jb *Job) bool {
 	startingUp := now.Sub(sta.StartedAt) < startupTime || now.Sub(sta.ResumedAt) < startupTime
-	return startingUp && !now.Add(criticalPath(jb.Request.Steps)).After(latestEnd(jb))
+	return startingUp && !now.Add(criticalPath(jb.Request.Steps)).After(latestEndOnceAdmitted(jb))
 }
 
 // UnplacedJobs returns the jobs of which a task waits, or may still run on a lost sidecar and will be placed again after that.
--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -86,19 +86,6 @@
 	return pln, ""
 }
 
-// latestEnd returns the latest expected end at which the job is worth running. A job of which a task may have been started is
-// worth running until its deadline.
-func latestEnd(jb *Job) time.Time {
-	if jb.MayHaveRun {
-		return jb.Deadline
-	}
-	tol := time.Duration(lateTolerance * float64(jb.SoftDeadline.Sub(jb.Arrived)))
-	if end := jb.Arrived.Add(tol); end.Before(jb.Deadline) {
-		return end
-	}
-	return jb.Deadline
-}
-
 // findCandidates returns sidecars that can run tasks of the step: all of them in a small view, and else a sample that differs
 // between jobs, so that the cost of a job does not grow with the view.
 func findCandidates(sta *State, now time.Time, jb *Job, stp Step) []*candidate {
--- a/core/rgdispatch/query_preference.go
+++ b/core/rgdispatch/query_preference.go
@@ -111,7 +111,7 @@
 	}
 	chc := PlaceChoice{
 		Preferred: newPlaceEstimate(pfr, wait), Elsewhere: newPlaceEstimate(els, elsWait), Load: usedFraction(grp.elsewhere),
-		TimeLeft: min(jb.SoftDeadline.Sub(now), jb.Deadline.Sub(now)/deadlineMargin), LateLeft: latestEnd(jb).Sub(now),
+		TimeLeft: min(jb.SoftDeadline.Sub(now), jb.Deadline.Sub(now)/deadlineMargin), LateLeft: latestEndOnceAdmitted(jb).Sub(now),
 	}
 	bound := WorthwhileWait(chc)
 	switch {
