--- a/core/rgdispatch/admission_test.go
+++ b/core/rgdispatch/admission_test.go
@@ -7,8 +7,8 @@
 	"ragwortgap/core/rgmodel"
 )
 
-// TestAdmissionInWave guards against jobs that are admitted in a wave of demand, when every executor has a queue, and are then given up while
-// their tasks run: a wait that takes most of the slack is refused at once, and a job that was admitted goes on.
+// TestAdmissionInWave guards against jobs that are admitted in a wave of demand, when every executor has a queue, and are then given up
+// while their tasks run: a wait that takes most of the slack is refused at once, and a job that was admitted goes on.
 func TestAdmissionInWave(t *testing.T) {
 	// The job of 100 ms has 220 ms until its soft deadline, so its slack is 120 ms.
 	tests := map[string]struct {
