rgintake: usual names for the limit on chunk headers and the bytes of ended bodies

Cause: Pace with a Debt in a "full" bucket, and Leaving for the memory of ended bodies, are no terms of the field.

Only names and comments change; the test of Pace is TestThrottle.

--- a/core/rgintake/body_test.go
+++ b/core/rgintake/body_test.go
@@ -112,8 +112,8 @@
 			if tc.want != "" && (sta.Held != held || len(sta.Bodies) != before || sta.Refused[tc.want] != 1) {
 				t.Errorf("%d of %d bytes and %d of %d bodies left, counted %v", sta.Held, held, len(sta.Bodies), before, sta.Refused)
 			}
-			if sta.Held > MinBytes || sta.Leaving > MinBytes/4 {
-				t.Errorf("%d bytes held and %d leaving", sta.Held, sta.Leaving)
+			if sta.Held > MinBytes || sta.HeldByEnded > MinBytes/4 {
+				t.Errorf("%d bytes held and %d leaving", sta.Held, sta.HeldByEnded)
 			}
 			checkSums(t, sta)
 		})
@@ -131,14 +131,14 @@
 			leaving += bod.Held
 		}
 	}
-	if held != sta.Held || leaving != sta.Leaving {
-		t.Errorf("sums %d and %d, want %d and %d", sta.Held, sta.Leaving, held, leaving)
+	if held != sta.Held || leaving != sta.HeldByEnded {
+		t.Errorf("sums %d and %d, want %d and %d", sta.Held, sta.HeldByEnded, held, leaving)
 	}
 	for id := range sta.Bodies {
 		Close(sta, id)
 	}
-	if sta.Held != 0 || sta.Large != 0 || sta.Leaving != 0 || len(sta.LargeOf) != 0 {
-		t.Errorf("after the last body: %d held, %d large, %d leaving, clients %v", sta.Held, sta.Large, sta.Leaving, sta.LargeOf)
+	if sta.Held != 0 || sta.Large != 0 || sta.HeldByEnded != 0 || len(sta.LargeOf) != 0 {
+		t.Errorf("after the last body: %d held, %d large, %d leaving, clients %v", sta.Held, sta.Large, sta.HeldByEnded, sta.LargeOf)
 	}
 }
 
@@ -213,8 +213,8 @@
 	}
 }
 
-// TestPace guards against tiny chunks that take all of the CPU time, and against a wait of a single legal body.
-func TestPace(t *testing.T) {
+// TestThrottle guards against tiny chunks that take all of the CPU time, and against a wait of a single legal body.
+func TestThrottle(t *testing.T) {
 	const largestBody = 5 * largeBytes
 	tests := map[string]struct {
 		cores     float64
@@ -239,7 +239,7 @@
 				if num == len(tc.overheads)-1 {
 					now = now.Add(tc.rested)
 				}
-				wait, cause = Pace(sta, now, ovh)
+				wait, cause = Throttle(sta, now, ovh)
 			}
 			if wait != tc.wantWait || cause != tc.want {
 				t.Errorf("wait %v and cause %q, want %v and %q", wait, cause, tc.wantWait, tc.want)
--- a/core/rgintake/command_body.go
+++ b/core/rgintake/command_body.go
@@ -114,7 +114,7 @@
 // setHeld changes the memory of a body and the sums.
 func setHeld(sta *State, bod *Body, bytes int64) {
 	if bod.Ended != "" {
-		sta.Leaving += bytes - bod.Held
+		sta.HeldByEnded += bytes - bod.Held
 		bod.Held = bytes
 		return
 	}
--- a/core/rgintake/intake.go
+++ b/core/rgintake/intake.go
@@ -14,9 +14,9 @@
 	FirstBytes = 4 << 10
 	// largePercent is the share of the budget that large bodies may hold together, and clientPercent that of one client.
 	largePercent, clientPercent = 75, 50
-	// leavingPercent bounds the bytes of evicted bodies whose handlers have not returned yet, as a share of the budget. They are held
+	// endedPercent bounds the bytes of evicted bodies whose handlers have not returned yet, as a share of the budget. They are held
 	// beyond the budget.
-	leavingPercent = 25
+	endedPercent = 25
 
 	// StallTime is how long a body may send nothing. It equals the platform's time limit of an idle connection.
 	StallTime = 15 * time.Second
@@ -68,13 +68,13 @@
 		Limits Limits
 		Bodies map[BodyID]*Body
 		LastID BodyID
-		// Held is the memory of all bodies but the ended ones, Large that of the large ones, and Leaving that of the ended ones.
-		Held, Large, Leaving int64
+		// Held is the memory of all bodies but the ended ones, Large that of the large ones, and HeldByEnded that of the ended ones.
+		Held, Large, HeldByEnded int64
 		// LargeOf is the part of Large by client.
 		LargeOf map[netip.Addr]int64
 		// LastExpired is when Expire was last called.
 		LastExpired time.Time
-		// Overhead is the bucket of chunk headers.
+		// Overhead limits the rate of chunk headers.
 		Overhead Overhead
 		// Refused counts the bodies that were refused or ended.
 		Refused map[Cause]int64
--- a/core/rgintake/query_body.go
+++ b/core/rgintake/query_body.go
@@ -39,7 +39,7 @@
 		}
 	}
 	slices.SortFunc(cands, func(one, two BodyID) int { return sta.Bodies[one].LastRead.Compare(sta.Bodies[two].LastRead) })
-	leaving := sta.Leaving
+	ended := sta.HeldByEnded
 	var ver Verdict
 	for _, cand := range cands {
 		if sho.bytes <= 0 {
@@ -53,10 +53,10 @@
 		sho.bytes -= bod.Held
 		sho.largeBytes -= bod.Held
 		sho.clientBytes -= bod.Held
-		leaving += bod.Held
+		ended += bod.Held
 		ver.Evicted = append(ver.Evicted, cand)
 	}
-	if sho.bytes > 0 || leaving > sta.Limits.bytes()*leavingPercent/100 {
+	if sho.bytes > 0 || ended > sta.Limits.bytes()*endedPercent/100 {
 		return Verdict{Refused: sho.cause}
 	}
 	return ver
--- a/io/rgserver/bodies.go
+++ b/io/rgserver/bodies.go
@@ -95,7 +95,7 @@
 		}
 	}
 	sco.Gauge("bodiesReading").Update(float64(reading))
-	sco.Gauge("bodyBytesHeld").Update(float64(bds.state.Held + bds.state.Leaving))
+	sco.Gauge("bodyBytesHeld").Update(float64(bds.state.Held + bds.state.HeldByEnded))
 	for cause, num := range bds.state.Refused {
 		sco.Tagged(map[string]string{"cause": string(cause)}).Counter("bodiesRefused").Inc(num)
 	}
@@ -232,7 +232,7 @@
 	rgintake.Receive(&bds.state, time.Now(), rdr.id, bytes)
 	wait, cause := time.Duration(0), rgintake.Cause("")
 	if overhead > 0 {
-		wait, cause = rgintake.Pace(&bds.state, time.Now(), overhead)
+		wait, cause = rgintake.Throttle(&bds.state, time.Now(), overhead)
 	}
 	bds.mutex.Unlock()
 	if cause != "" {
