rgdispatcher: names of the watch of the operator's keys

Cause: watchOperator, readOperator and awaitOperator read as if they watched a person.

Change: watchOperatorKeys, readOperatorKeys and awaitOperatorKeys.

--- a/io/rgdispatcher/command_store.go
+++ b/io/rgdispatcher/command_store.go
@@ -80,7 +80,7 @@
 			continue
 		}
 		if err != nil {
-			// watchOperator logs that the store is unavailable.
+			// watchOperatorKeys logs that the store is unavailable.
 			rgclock.Sleep(workCtx, 4*storeRetryDelay)
 			continue
 		}
@@ -122,7 +122,7 @@
 // pollEntries reads the registered entries at regular intervals.
 func (pro *Process) pollEntries(workCtx context.Context) {
 	for workCtx.Err() == nil {
-		// watchOperator logs that the store is unavailable. Until it is back, gossip provides the list of entries.
+		// watchOperatorKeys logs that the store is unavailable. Until it is back, gossip provides the list of entries.
 		if lis, err := ListEntries(workCtx, pro.source.Store); err == nil {
 			pro.malformedEntries.Record(lis.Malformed)
 			pro.mailbox.Send(workCtx, EntriesListed{Entries: lis.Entries, Incomplete: lis.Incomplete})
--- a/io/rgdispatcher/command_watch.go
+++ b/io/rgdispatcher/command_watch.go
@@ -27,17 +27,17 @@
 	malformed map[string]rgstore.MalformedItem
 }
 
-// watchOperator reads the configuration and the evacuated zones at the start, after each change and after each failure of the watch. A call
-// that has made no progress is repeated after a delay, because a malformed item or a faulty store may reply at once each time.
-func (pro *Process) watchOperator(workCtx context.Context) {
+// watchOperatorKeys reads the configuration and the evacuated zones at the start, after each change and after each failure of the watch. A
+// call that has made no progress is repeated after a delay, because a malformed item or a faulty store may reply at once each time.
+func (pro *Process) watchOperatorKeys(workCtx context.Context) {
 	wat, healthy, failedWatches := operatorWatch{}, true, 0
 	for workCtx.Err() == nil {
 		began, before := rgclock.Now(), wat.after
 		var err error
 		if before == 0 {
-			err = pro.readOperator(workCtx, &wat)
+			err = pro.readOperatorKeys(workCtx, &wat)
 		} else {
-			err = pro.awaitOperator(workCtx, &wat)
+			err = pro.awaitOperatorKeys(workCtx, &wat)
 		}
 		healthy = pro.logStoreState(err, healthy)
 		switch {
@@ -56,9 +56,9 @@
 	}
 }
 
-// readOperator reads the evacuated zones and the configuration. The first configuration is in force even if the zones cannot be read. Later
-// on, a store that turns the entry away gets one call at a time.
-func (pro *Process) readOperator(workCtx context.Context, wat *operatorWatch) error {
+// readOperatorKeys reads the evacuated zones and the configuration. The first configuration is in force even if the zones cannot be read.
+// Later on, a store that turns the entry away gets one call at a time.
+func (pro *Process) readOperatorKeys(workCtx context.Context, wat *operatorWatch) error {
 	listErr := pro.listEvacuation(workCtx, wat)
 	if listErr != nil && pro.Config() != nil {
 		return listErr
@@ -128,8 +128,8 @@
 	return nil
 }
 
-// awaitOperator waits for changes of the operator's keys.
-func (pro *Process) awaitOperator(workCtx context.Context, wat *operatorWatch) error {
+// awaitOperatorKeys waits for changes of the operator's keys.
+func (pro *Process) awaitOperatorKeys(workCtx context.Context, wat *operatorWatch) error {
 	lis, err := pro.source.Store.Watch(workCtx, cmp.Or(pro.source.WatchPrefix, pro.source.ConfigKey), wat.after, watchTimeout)
 	if err != nil {
 		return err
--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -158,7 +158,7 @@
 	pro.malformedEntries.Log, pro.malformedEntries.Scope = log, sco
 	pro.malformedEvacuations.Log, pro.malformedEvacuations.Scope = log, sco
 	pro.traffic.Maintain(workCtx, func() { pro.accept(workCtx, lis) })
-	pro.traffic.Maintain(workCtx, func() { pro.watchOperator(workCtx) })
+	pro.traffic.Maintain(workCtx, func() { pro.watchOperatorKeys(workCtx) })
 	pro.traffic.Maintain(workCtx, func() { pro.maintainLease(workCtx) })
 	pro.traffic.Maintain(workCtx, func() { pro.pollEntries(workCtx) })
 	go pro.run(workCtx, lis)
--- a/io/rgdispatcher/store_test.go
+++ b/io/rgdispatcher/store_test.go
@@ -182,7 +182,7 @@
 				ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
 				defer stop()
 				sta := &State{}
-				go pro.watchOperator(ctx)
+				go pro.watchOperatorKeys(ctx)
 				for running := true; running; {
 					select {
 					case evt := <-pro.mailbox.Events:
--- a/io/rgdispatcher/watch_test.go
+++ b/io/rgdispatcher/watch_test.go
@@ -184,7 +184,7 @@
 				ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
 				defer stop()
 				sta := &State{}
-				go pro.watchOperator(ctx)
+				go pro.watchOperatorKeys(ctx)
 				for running := true; running; {
 					select {
 					case evt := <-pro.mailbox.Events:
