rgwire, rgcli: clear errors of refused messages and of differing zones

Cause: "large message, refused because of budget, not valid" and "not known alike everywhere" are hard to understand.

Change: the errors name the cause, and say that entries disagree or do not answer. TestZonesQuery finds its parts of the text unchanged.

--- a/io/rgcli/query_zones.go
+++ b/io/rgcli/query_zones.go
@@ -48,7 +48,7 @@
 		printZone(out, zon, zones[zon.Name].Sidecars)
 	}
 	if unreachable > 0 || differing > 0 {
-		return errors.Errorf("not known alike everywhere: %d entries differ from the ones before, %d entries without answer",
+		return errors.Errorf("entries disagree or do not answer: %d entries differ from the ones before, %d entries without answer",
 			differing, unreachable)
 	}
 	return nil
--- a/io/rgwire/frame.go
+++ b/io/rgwire/frame.go
@@ -20,7 +20,7 @@
 	MaxMessageBytes = 8 << 20
 	// frameBytes is the budget of a process for large notifications that are being read. One peer may hold half of it.
 	frameBytes = rgintake.MinBytes
-	// framePart is read at a time, so that progress shows.
+	// framePart is the number of bytes that are read at a time, so that a slow message counts as making progress.
 	framePart = rgintake.SmallBytes
 )
 
@@ -42,8 +42,8 @@
 // frames is the budget of this process.
 var frames = frameBudget{state: rgintake.State{Limits: rgintake.Limits{Bytes: frameBytes}}}
 
-// readFrame reads a notification with its length in front. Nothing else may read from con. done must be called when the bytes are no longer
-// used.
+// readFrame reads a notification that is prefixed with its length. Nothing else may read from con. done must be called when the bytes are
+// no longer used.
 func (fb *frameBudget) readFrame(con net.Conn, rdr *bufio.Reader) (raw []byte, done func(), err error) {
 	size, err := binary.ReadUvarint(rdr)
 	if err != nil {
@@ -76,7 +76,7 @@
 	id, ver := rgintake.Open(&fb.state, time.Now(), adr.Addr().Unmap(), framePart)
 	fb.end(ver.Evicted)
 	if ver.Refused != "" {
-		return frame{}, errors.NotValidf("large message, refused because of %s,", ver.Refused)
+		return frame{}, errors.NotValidf("large message (refused, cause %s)", ver.Refused)
 	}
 	if fb.conns == nil {
 		fb.conns = map[rgintake.BodyID]net.Conn{}
@@ -120,7 +120,7 @@
 	ver := rgintake.Grow(&fm.budget.state, time.Now(), fm.id, int64(bytes))
 	fm.budget.end(ver.Evicted)
 	if ver.Refused != "" {
-		return errors.NotValidf("large message, refused because of %s,", ver.Refused)
+		return errors.NotValidf("large message (refused, cause %s)", ver.Refused)
 	}
 	return nil
 }
@@ -135,7 +135,7 @@
 	fm.budget.mutex.Lock()
 	defer fm.budget.mutex.Unlock()
 	if cause := rgintake.Finish(&fm.budget.state, fm.id); cause != "" {
-		return errors.NotValidf("large message, refused because of %s,", cause)
+		return errors.NotValidf("large message (refused, cause %s)", cause)
 	}
 	return nil
 }
