rgdispatch: jobs that cannot end in time are in query_infeasible.go

Cause: "unreachable" means a network fault elsewhere in the product, and likelyShortest did not say which run times it returns.

The comments of maxPlaceWaits and CountPlaceWait say what the code does: after three returns a task runs at a preferred place only if that is free, and a wait is counted as paid off only if one was expected and the task has succeeded.

--- a/core/rgdispatch/dispatch.go
+++ b/core/rgdispatch/dispatch.go
@@ -284,7 +284,8 @@
 		Proof           EndProof
 	}
 
-	// CountPlaceWait counts the end of a wait for a preferred place. It has paid off if the task ran there.
+	// CountPlaceWait counts the end of a wait for a preferred place. It has paid off if the task succeeded there after a wait
+	// that was expected.
 	CountPlaceWait struct {
 		PaidOff bool
 		Waited  time.Duration
--- a/core/rgdispatch/query_unreachable.go
+++ b/core/rgdispatch/query_infeasible.go
@@ -9,7 +9,7 @@
 	// minRunFactor and runFactorRange describe the run times of tasks relative to their estimates, which are off by up to 40 %.
 	minRunFactor   = 0.6
 	runFactorRange = 0.8
-	// minChance is the chance of ending in time below which a job is not started.
+	// minChance is the probability of ending in time below which a job is not started.
 	minChance = 0.05
 )
 
@@ -22,12 +22,13 @@
 	if time.Duration((minRunFactor+runFactorRange)*float64(jb.SoftDeadline.Sub(jb.Arrived))) <= left {
 		return false
 	}
-	need := criticalPath(likelyShortest(jb.Request.Steps))
+	need := criticalPath(withShortRunTimes(jb.Request.Steps))
 	return need > left && time.Duration(fastestSlowdown(sta)*float64(need)) > left
 }
 
-// likelyShortest returns the steps with the run times that the longest of their tasks exceed but for minChance.
-func likelyShortest(stps []Step) []Step {
+// withShortRunTimes returns the steps with run times in place of their estimates. The longest task of a step takes less than that with the
+// probability minChance. Run times are taken as uniformly distributed between minRunFactor and minRunFactor plus runFactorRange.
+func withShortRunTimes(stps []Step) []Step {
 	res := make([]Step, len(stps))
 	for i, stp := range stps {
 		fac := minRunFactor + runFactorRange*math.Pow(minChance, 1/float64(max(1, stp.Count)))
--- a/core/rgdispatch/query_preference.go
+++ b/core/rgdispatch/query_preference.go
@@ -9,7 +9,8 @@
 	// waitSpread is the part of an expected wait by which the actual one may be longer. Waits are sums of estimates, which are off by up
 	// to 40 %.
 	waitSpread = 0.4
-	// maxPlaceWaits is how often a task may wait for a preferred place and be returned. After that it goes wherever it ends first.
+	// maxPlaceWaits is how often a task may wait for a preferred place and be returned. After that it runs at a preferred place only if
+	// that is free.
 	maxPlaceWaits = 3
 )
 
