rgevacuation, rgexecutor, rgflood: comments that did not match the code

Cause: Adopt also keeps earlier times if the offered set is older; Evacuated also counts tasks that are reported as lost; LargeChunks and SmallChunks had two overlapping comments.

Change: the comments say so.

--- a/core/rgevacuation/command_adopt.go
+++ b/core/rgevacuation/command_adopt.go
@@ -3,7 +3,7 @@
 import "slices"
 
 // Adopt replaces the set by the offered one if that is newer, and reports whether it was. The version in force never decreases, regardless
-// of the source of the offered set.
+// of the source of the offered set. Of a key that both sets contain, the earlier time is kept in either case.
 func Adopt(cur *Set, offered Set) bool {
 	if offered.Version <= cur.Version {
 		cur.Zones = withEarliestTimes(cur.Zones, offered.Zones)
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -306,8 +306,8 @@
 	// Counts are totals for the metrics.
 	Counts struct {
 		Started, Succeeded, Failed, Lost, Returned, Requeued, RunsExpired, MalformedRuns uint64
-		// Evacuated counts the tasks that were returned because the zone is evacuated, of which a start order may have been carried out or
-		// not.
+		// Evacuated counts the tasks that were returned because the zone is evacuated, including lost ones, of which a start
+		// order may have been carried out.
 		Evacuated uint64
 	}
 )
--- a/io/rgflood/flood.go
+++ b/io/rgflood/flood.go
@@ -20,9 +20,9 @@
 const (
 	// Length declares the length of the body.
 	Length Framing = 0
-	// LargeChunks and SmallChunks send it in chunks of these sizes.
+	// LargeChunks sends the body in large chunks.
 	LargeChunks Framing = 64 << 10
-	// SmallChunks are the smallest ones, which cost the most CPU time.
+	// SmallChunks sends it in the smallest chunks, which cost the most CPU time.
 	SmallChunks Framing = 1
 
 	// missingBytes is how much of an unfinished body is missing.
