rgdispatch: functions of sidecars and of slowdowns beside those that use them

Change: fastestSlowdown is in query_job.go, and forecast, enqueue and returnQueued are in sidecar_simulation_test.go.

--- a/core/rgdispatch/query_infeasible.go
+++ b/core/rgdispatch/query_infeasible.go
@@ -36,14 +36,3 @@
 	}
 	return res
 }
-
-// fastestSlowdown returns the lowest learned ratio of run times to estimates of all sidecars, at most 1.
-func fastestSlowdown(sta *State) float64 {
-	fastest := 1.0
-	for _, sc := range sta.Sidecars {
-		if sc.Report.Slowdown > 0 {
-			fastest = min(fastest, sc.Report.Slowdown)
-		}
-	}
-	return fastest
-}
--- a/core/rgdispatch/query_job.go
+++ b/core/rgdispatch/query_job.go
@@ -219,6 +219,17 @@
 	return false
 }
 
+// fastestSlowdown returns the lowest learned ratio of run times to estimates of all sidecars, at most 1.
+func fastestSlowdown(sta *State) float64 {
+	fastest := 1.0
+	for _, sc := range sta.Sidecars {
+		if sc.Report.Slowdown > 0 {
+			fastest = min(fastest, sc.Report.Slowdown)
+		}
+	}
+	return fastest
+}
+
 // LookupJob reports whether a job is in progress and whether a task of it may have run.
 func LookupJob(sta *State, id string) (mayHaveRun, known bool) {
 	jb := sta.Jobs[id]
--- a/core/rgdispatch/sidecar_simulation_test.go
+++ b/core/rgdispatch/sidecar_simulation_test.go
@@ -191,3 +191,48 @@
 	sc.queue = slices.DeleteFunc(sc.queue, match)
 	sc.running = slices.DeleteFunc(sc.running, match)
 }
+
+// forecast returns how long a task that arrives now would wait by the estimates, as a sidecar predicts it.
+func (sc *simSidecar) forecast(now time.Time) time.Duration {
+	ends := make([]time.Duration, 0, len(sc.running))
+	for _, tsk := range sc.running {
+		exp := time.Duration(sc.slowdown * float64(tsk.estimate))
+		ends = append(ends, max(exp-now.Sub(tsk.started), exp/8))
+	}
+	slices.Sort(ends)
+	for _, tsk := range sc.queue {
+		ends[0] += time.Duration(sc.slowdown * float64(tsk.estimate))
+		slices.Sort(ends)
+	}
+	return ends[0]
+}
+
+// enqueue queues the task in the order of arrival, or in that of the latest start, as a sidecar does.
+func (sc *simSidecar) enqueue(tsk *simTask) {
+	at := len(sc.queue)
+	if sc.rack != noRack {
+		at, _ = slices.BinarySearchFunc(sc.queue, tsk, func(one, two *simTask) int {
+			if one.latestStart.After(two.latestStart) {
+				return 1
+			}
+			return -1
+		})
+	}
+	sc.queue = slices.Insert(sc.queue, at, tsk)
+}
+
+// returnQueued returns the tasks that have been queued for too long.
+func (sim *simulation) returnQueued(sc *simSidecar) {
+	var overdue []*simTask
+	sc.queue = slices.DeleteFunc(sc.queue, func(tsk *simTask) bool {
+		over := !tsk.queuedUntil.IsZero() && !sim.now.Before(tsk.queuedUntil)
+		if over {
+			overdue = append(overdue, tsk)
+		}
+		return over
+	})
+	for _, tsk := range overdue {
+		sim.report(tsk.entry, sc)
+		sim.end(sc, tsk, rgmodel.TaskEnd{Ticket: tsk.ticket, Status: rgmodel.EndReturned, Reason: rgmodel.ReasonPlaceWait})
+	}
+}
