rgdispatch: the figures of the contention simulation are a benchmark

Cause: they were logged by a test that is skipped unless an environment variable is set.

Change: BenchmarkContention reports the served part of each route at 1, 1.3 and 1.8 times the rates. TestCapacityUnderContention is unchanged.

--- a/core/rgdispatch/contention_test.go
+++ b/core/rgdispatch/contention_test.go
@@ -4,9 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -79,19 +77,20 @@
 	}
 }
 
-// TestContentionFigures logs the figures of the whole fleet, to compare decisions.
-func TestContentionFigures(t *testing.T) {
-	if os.Getenv("CONTENTION") == "" {
-		t.Skip("figures of the whole fleet: CONTENTION=1 CONTENTION1=1,1.3 CONTENTION2=1.5, multiples of the rates")
-	}
-	for name, lod := range map[string]contentionLoad{"1": deployment1(), "2": deployment2()} {
-		for _, fld := range strings.Split(os.Getenv("CONTENTION"+name), ",") {
-			if fld == "" {
-				continue
-			}
-			t.Run(fmt.Sprint("deployment ", name, " times ", fld), func(t *testing.T) {
-				lod.scale, _ = strconv.ParseFloat(fld, 64)
-				t.Log(runContention(lod).figures())
+// BenchmarkContention reports the part of the jobs of each route that are served by the whole fleet, and logs all figures, to compare
+// decisions.
+func BenchmarkContention(b *testing.B) {
+	for name, lod := range map[string]contentionLoad{"deployment 1": deployment1(), "deployment 2": deployment2()} {
+		for _, multiple := range []float64{1, 1.3, 1.8} {
+			b.Run(fmt.Sprintf("%s times %.1f", name, multiple), func(b *testing.B) {
+				lod.scale = multiple
+				for b.Loop() {
+					con := runContention(lod)
+					b.Log(con.figures())
+					for r, rte := range lod.routes {
+						b.ReportMetric(servedPart(con.jobsOf(r)), rte.name+"-served")
+					}
+				}
 			})
 		}
 	}
