--- a/core/rgdispatch/interval_test.go
+++ b/core/rgdispatch/interval_test.go
@@ -8,8 +8,8 @@
 	"ragwortgap/core/rgmodel"
 )
 
-// TestReportIntervals guards against an entry that requests more reports than its CPU can process, and against sidecars of
-// its own zone that report less often than those of other zones.
+// TestReportIntervals guards against an entry that requests more reports than its CPU can process, against sidecars of its own zone that
+// report less often than those of other zones, and against bytes between zones for reports that come more often than needed.
 func TestReportIntervals(t *testing.T) {
 	tests := map[string]struct {
 		cores         float64
@@ -21,6 +21,7 @@
 	}{
 		"no limit":                      {local: 20, remote: 60, wantInterval: rgmodel.MinReportInterval, wantPrioritized: 60},
 		"few sidecars":                  {cores: 0.1, local: 4, remote: 7, wantInterval: 46 * time.Millisecond, wantPrioritized: 7},
+		"few sidecars, many cores":      {cores: 0.8, local: 4, remote: 7, wantInterval: rgmodel.MinReportInterval, wantPrioritized: 7},
 		"many sidecars, many cores":     {cores: 0.2, local: 17, remote: 35, wantInterval: 80 * time.Millisecond, wantPrioritized: 21},
 		"many sidecars, few cores":      {cores: 0.048, local: 17, remote: 35, wantInterval: 148 * time.Millisecond, wantPrioritized: 0},
 		"no sidecar in the own zone":    {cores: 0.048, remote: 35, wantPrioritized: 9},
@@ -46,6 +47,8 @@
 					if sc.ReportInterval > tc.wantInterval {
 						t.Errorf("%s reports every %v, want at most %v", sc.Name, sc.ReportInterval, tc.wantInterval)
 					}
+				case tc.cores > 0 && sc.ReportInterval < minOtherZoneInterval:
+					t.Errorf("%s of another zone reports every %v, want at least %v", sc.Name, sc.ReportInterval, minOtherZoneInterval)
 				case sc.ReportInterval < maxReportInterval:
 					prioritized++
 				}
