--- a/core/rgdispatch/query_admission.go
+++ b/core/rgdispatch/query_admission.go
@@ -12,7 +12,7 @@
 	lateTolerance = 1.3
 )
 
-// latestEnd returns the latest expected end at which a job of which a task has to wait is worth running. To give up a job that was admitted
+// latestEnd returns the latest expected end at which a job of which a task has to wait is still run. To give up a job that was admitted
 // wastes the wait of its caller and the runs of its other tasks, so a longer limit holds for it.
 func latestEnd(jb *Job) time.Time {
 	if jb.Admitted {
