rgexecutor: a sidecar checks the label that a task requires

Tasks that require a label are started on an executor without it. An executor crashes and comes back under its id as one of another kind while an entry stands still for 240 ms. The entry then places the jobs that wait in its connections by the description of the earlier incarnation, before it has read the newer one.

Cause: a placement did not name the required label, so the sidecar could compare the service, the resources, the drain and the age of the placement with its executor, but not the label. Only the entry checked it, against what it knew last.

The simulation of the whole path learns executors that restart as another kind and jobs that require a kind, and tells starts by the sidecar's own knowledge of the executor from orders that were meant for an earlier incarnation.

Change: a placement carries the label, and the sidecar returns the task if its executor does not have it, as for resources that do not fit. The entry gets the present description with or before the return and places the task elsewhere. Entries and sidecars share rgmodel.Executor.HasLabel.

--- a/core/rgdispatch/command_place.go
+++ b/core/rgdispatch/command_place.go
@@ -91,6 +91,7 @@
 		TimeToSoftDeadline: jb.SoftDeadline.Sub(now).Round(time.Millisecond),
 		TimeToLateDeadline: lateDeadline(jb).Sub(now).Round(time.Millisecond),
 		Requires:           jb.Request.Steps[step].Requires,
+		RequiredLabel:      jb.Request.Steps[step].RequiredLabel,
 		Spec:               jb.Request.Spec,
 	}
 }
--- a/core/rgdispatch/harness_test.go
+++ b/core/rgdispatch/harness_test.go
@@ -97,6 +97,17 @@
 	return last
 }
 
+// placedLabels returns the labels that the placements since the last call of takePlaced require.
+func (har *harness) placedLabels() []string {
+	var labels []string
+	for _, eff := range har.efs {
+		if snd, ok := eff.(SendPlacement); ok {
+			labels = append(labels, snd.Placement.RequiredLabel)
+		}
+	}
+	return labels
+}
+
 // busyReport returns the report of a fully used sidecar with 8 cores on which every task has the given expected wait.
 func busyReport(slowdown float64, wait time.Duration) rgmodel.ExecutorReport {
 	rep := rgmodel.ExecutorReport{
--- a/core/rgdispatch/job_test.go
+++ b/core/rgdispatch/job_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -237,6 +238,9 @@
 				tc.change(&req)
 			}
 			har.submit(1, req)
+			if got, want := har.placedLabels(), []string{req.Steps[0].RequiredLabel}; !slices.Equal(got, want) {
+				t.Errorf("placements require %q, want %q", got, want)
+			}
 			if tks := har.takePlaced(); len(tks[conns[tc.want]]) != 1 {
 				t.Errorf("placed %v, want one on %s (%v)", tks, tc.want, conns)
 			}
--- a/core/rgdispatch/query_plan.go
+++ b/core/rgdispatch/query_plan.go
@@ -108,8 +108,7 @@
 // canRun reports whether the sidecar's executor can run tasks of the step, regardless of its load.
 func canRun(sc *SidecarConn, jb *Job, stp Step) bool {
 	return sc.Executor.Service == jb.Request.Route.Service && !sc.Executor.Draining &&
-		stp.Requires.Fits(sc.Executor.Capacity) &&
-		(stp.RequiredLabel == "" || slices.Contains(sc.Executor.Labels, stp.RequiredLabel))
+		stp.Requires.Fits(sc.Executor.Capacity) && sc.Executor.HasLabel(stp.RequiredLabel)
 }
 
 // unplaceableReason distinguishes a step that no executor can ever run from one that no executor can run now, and from one that only
--- a/core/rgexecutor/query_capacity.go
+++ b/core/rgexecutor/query_capacity.go
@@ -57,7 +57,8 @@
 	return max(res-expiry-2*TickInterval, 2*TickInterval)
 }
 
-// checkPlacement reports whether the tasks of a placement may be queued, and otherwise the reason why not.
+// checkPlacement reports whether the tasks of a placement may be queued, and otherwise the reason why not. It repeats the checks of the
+// entry, whose description of the executor may be that of an earlier incarnation.
 func checkPlacement(sta *State, now time.Time, id EntryConnID, plc rgmodel.Placement) (rgmodel.Reason, bool) {
 	switch {
 	case sta.Conns[id] == nil, now.Sub(plc.Issued.Time()) > MaxPlacementAge:
@@ -70,7 +71,7 @@
 		return rgmodel.ReasonNoUpstream, false
 	case !Usable(sta, now):
 		return rgmodel.ReasonUpstreamUnreachable, false
-	case !plc.Requires.Fits(sta.Executor.Capacity):
+	case !plc.Requires.Fits(sta.Executor.Capacity), !sta.Executor.HasLabel(plc.RequiredLabel):
 		return rgmodel.ReasonNeverRunnable, false
 	default:
 		return "", true
--- a/core/rgmodel/executor.go
+++ b/core/rgmodel/executor.go
@@ -1,6 +1,10 @@
 package rgmodel
 
-import "github.com/juju/errors"
+import (
+	"slices"
+
+	"github.com/juju/errors"
+)
 
 const (
 	// maxCores, maxMemoryBytes and maxAccelerators bound the resources of an executor. Larger ones are mistakes and could overflow in
@@ -47,3 +51,8 @@
 	}
 	return nil
 }
+
+// HasLabel reports whether the executor has a label that a task requires. The empty label requires nothing.
+func (exe Executor) HasLabel(label string) bool {
+	return label == "" || slices.Contains(exe.Labels, label)
+}
--- a/core/rgmodel/placement.go
+++ b/core/rgmodel/placement.go
@@ -38,8 +38,10 @@
 		// not known.
 		TimeToLateDeadline time.Duration `json:"lateSlack,omitempty"`
 		Requires           Resources     `json:"needs"`
-		Spec               string        `json:"spec"`
-		Tasks              []PlacedTask  `json:"tasks"`
+		// RequiredLabel is a label that the executor must have; empty if any will do.
+		RequiredLabel string       `json:"label,omitempty"`
+		Spec          string       `json:"spec"`
+		Tasks         []PlacedTask `json:"tasks"`
 	}
 
 	// TaskEnd reports the end of a placed task to the entry.
--- a/core/rgsimulation/caller_test.go
+++ b/core/rgsimulation/caller_test.go
@@ -41,7 +41,9 @@
 		tasks    int
 		runTime  time.Duration
 		estimate time.Duration
-		attempts int
+		// requiredKind is the label that the executors of its tasks must have, or empty.
+		requiredKind string
+		attempts     int
 	}
 
 	// attempt is one submission of a job.
@@ -76,6 +78,9 @@
 	if rnd.IntN(3) == 0 && jb.runTime < callerWait/3 {
 		jb.steps = 2
 	}
+	if sim.labelsRequired {
+		jb.requiredKind = kinds[sim.jobs%len(kinds)]
+	}
 	return jb
 }
 
@@ -204,7 +209,9 @@
 		Route: rgroute.Route{Name: "r", Service: service, LatencyAllowance: 60 * time.Millisecond, SlackFactor: 1.6, MaxAttempts: 2},
 	}
 	for i := range jb.steps {
-		stp := rgdispatch.Step{Count: jb.tasks, Requires: rgmodel.Resources{Cores: 1}, Estimate: jb.estimate}
+		stp := rgdispatch.Step{
+			Count: jb.tasks, Requires: rgmodel.Resources{Cores: 1}, Estimate: jb.estimate, RequiredLabel: jb.requiredKind,
+		}
 		if i > 0 {
 			stp.DependsOn = []int{i - 1}
 		}
--- a/core/rgsimulation/executor_test.go
+++ b/core/rgsimulation/executor_test.go
@@ -50,6 +50,7 @@
 		sim           *simulation
 		sc            *sidecar
 		incarnation   rgmodel.ExecutorIncarnation
+		kind          string
 		up            bool
 		draining      bool
 		refusingUntil time.Time
@@ -70,7 +71,8 @@
 // startExecutor starts an executor on the machine, which then listens instead of the one before.
 func (sim *simulation) startExecutor(sc *sidecar, id string, firstClock float64) {
 	exe := &executor{
-		sim: sim, sc: sc, up: true, born: sim.now, firstClock: firstClock, clockRate: minClockRate + (1-minClockRate)*sim.rnd.Float64(),
+		sim: sim, sc: sc, kind: sc.executorKind, up: true, born: sim.now, firstClock: firstClock,
+		clockRate:   minClockRate + (1-minClockRate)*sim.rnd.Float64(),
 		incarnation: rgmodel.ExecutorIncarnation{ID: id, StartedMillis: sim.now.Add(-sc.setBack).UnixMilli()},
 		runs:        map[rgmodel.TaskKey]*run{}, highestRun: map[rgmodel.TaskKey]uint64{},
 	}
@@ -107,7 +109,7 @@
 func (exe *executor) describe() rgmodel.Executor {
 	return rgmodel.Executor{
 		Incarnation: exe.incarnation, Service: service, Capacity: rgmodel.Resources{Cores: executorCores}, Draining: exe.draining,
-		Clock: rgmodel.ExecutorTime(exe.clock()), Sequence: exe.heartbeats,
+		Labels: []string{exe.kind}, Clock: rgmodel.ExecutorTime(exe.clock()), Sequence: exe.heartbeats,
 	}
 }
 
@@ -200,6 +202,7 @@
 	exe.sim.note(taskName(ord.Task), "run %d starts on %s of %s, %s, order late by %v",
 		ord.Run, executorName(exe), exe.sc.name, ord.Spec, late)
 	exe.sim.checkStart(run)
+	exe.sim.checkLabel(run, ord.Incarnation)
 	exe.highestRun[ord.Task] = ord.Run
 	exe.runs[ord.Task] = run
 	status := rgmodel.EndSucceeded
--- a/core/rgsimulation/fault_test.go
+++ b/core/rgsimulation/fault_test.go
@@ -57,6 +57,8 @@
 	longTasks struct{}
 	// overload makes the jobs of a seed frequent and their tasks short, so that many are queued and end at any time.
 	overload struct{}
+	// requireLabels makes each job require the label of one of the kinds of executors.
+	requireLabels struct{}
 	// holdRequests holds a share of the requests back until the caller may have left. The ends of connections arrive up to endDelay
 	// after the request; zero means maxEndDelay.
 	holdRequests struct {
@@ -66,6 +68,8 @@
 
 	// restartExecutor lets an executor crash and restart under the same id.
 	restartExecutor struct{}
+	// restartAsOtherKind lets an executor crash and restart under the same id as one of the other kind.
+	restartAsOtherKind struct{}
 	// deregisterExecutor lets an executor leave. The acknowledgement may be slow or lost, and another one starts after the end.
 	deregisterExecutor struct{}
 	// refuseConnections lets an executor refuse connections while its runs go on.
@@ -99,8 +103,10 @@
 func (longWaits) isFault()                {}
 func (longTasks) isFault()                {}
 func (overload) isFault()                 {}
+func (requireLabels) isFault()            {}
 func (holdRequests) isFault()             {}
 func (restartExecutor) isFault()          {}
+func (restartAsOtherKind) isFault()       {}
 func (deregisterExecutor) isFault()       {}
 func (refuseConnections) isFault()        {}
 func (replaceExecutor) isFault()          {}
@@ -155,7 +161,9 @@
 		sim.lateHeartbeats = flt.percent
 	case setClockBack, forgeStartTime, forgeID, forgeClock, forgeSequence:
 		sim.disturbHeartbeats(sc, flt)
-	case restartExecutor, deregisterExecutor, refuseConnections, replaceExecutor:
+	case requireLabels:
+		sim.labelsRequired = true
+	case restartExecutor, restartAsOtherKind, deregisterExecutor, refuseConnections, replaceExecutor:
 		if sc.listening.up {
 			sim.disturbExecutor(sc.listening, flt)
 		}
@@ -181,6 +189,9 @@
 func (sim *simulation) disturbExecutor(exe *executor, flt fault) {
 	sc := exe.sc
 	switch flt.(type) {
+	case restartAsOtherKind:
+		sc.executorKind = otherKind(exe.kind)
+		sim.disturbExecutor(exe, restartExecutor{})
 	case restartExecutor:
 		exe.stop("crashes")
 		sim.after(between(sim.faultRnd, minDownTime, maxDownTime), func() { sim.startExecutor(sc, exe.incarnation.ID, 0) })
@@ -317,8 +328,8 @@
 // isPermanent reports whether the fault begins once and holds until the end.
 func isPermanent(flt fault) bool {
 	switch flt.(type) {
-	case loseOrders, loseReplies, delayOrders, delayHeartbeats, malformRows, leaveEarly, longWaits, longTasks, overload, holdRequests,
-		cutCallers, cutCallersBriefly:
+	case loseOrders, loseReplies, delayOrders, delayHeartbeats, malformRows, leaveEarly, longWaits, longTasks, overload,
+		holdRequests, requireLabels, cutCallers, cutCallersBriefly:
 		return true
 	default:
 		return false
--- a/core/rgsimulation/sidecar_test.go
+++ b/core/rgsimulation/sidecar_test.go
@@ -43,6 +43,8 @@
 		saved rgmodel.Executor
 		// listening is the executor that was started last on the machine.
 		listening *executor
+		// executorKind is the label of the executors that start on the machine from now on.
+		executorKind string
 		// setBack is how far the clock of the machine was set back.
 		setBack time.Duration
 	}
--- a/core/rgsimulation/simulation_test.go
+++ b/core/rgsimulation/simulation_test.go
@@ -148,6 +148,9 @@
 	"caller cut off":                      {12, 83},
 	"long tasks, callers cut off":         {3, 4},
 	"requests held back, entry suspended": {4, 48},
+	"other kind, entry slow":              {4, 12},
+	"other kind, overload":                {3, 7},
+	"other kind, orders lost":             {9, 12},
 }
 
 // simulation is a system in virtual time.
@@ -177,6 +180,8 @@
 	// cutCallerPercent is the share of callers that are cut off, and briefCallerCuts is set if connections of callers are cut briefly.
 	cutCallerPercent int
 	briefCallerCuts  bool
+	// labelsRequired is set if each job requires the label of a kind of executors.
+	labelsRequired bool
 	// deadCallers counts the callers whose connections were found dead.
 	deadCallers int
 	// malformedPercent is the share of rows that cannot be decoded.
@@ -207,7 +212,9 @@
 		sim.entries = append(sim.entries, &entry{process: process{sim: sim, name: fmt.Sprint("entry", i)}, index: i})
 	}
 	for i := range sidecarCount {
-		sim.sidecars = append(sim.sidecars, &sidecar{process: process{sim: sim, name: fmt.Sprint("sidecar", i)}, index: i})
+		sim.sidecars = append(sim.sidecars, &sidecar{
+			process: process{sim: sim, name: fmt.Sprint("sidecar", i)}, index: i, executorKind: kinds[i%len(kinds)],
+		})
 	}
 	sim.targetSidecar, sim.targetEntry = sim.sidecars[0], sim.entries[0]
 	for _, ent := range sim.entries {
