rgexecutor: tasks queued by a saved description are checked again

What callers would see: a task on an executor of another kind, service or size than its job allows.

A sidecar that has restarted accepts placements by the description that an earlier process saved, until the first heartbeat of the executor replaces it. Tasks that were queued until then started on whatever the heartbeat described. The saved description is false if another writer sent it to the earlier process.

Change: when the first heartbeat describes the executor otherwise (service, resources, labels), the queue is returned, and the entries place the tasks anew. Runs that have started are not stopped.

Result: TestQueueAfterRestoredDescription failed in its three rows with another label, service and capacity before, and passes.

--- a/core/rgexecutor/command_heartbeat.go
+++ b/core/rgexecutor/command_heartbeat.go
@@ -63,22 +63,32 @@
 // describeIncarnation handles a heartbeat of the known incarnation. It does not store the clock: a false one would make leases longer. If
 // the last reading is old, it asks for one.
 func describeIncarnation(sta *State, now time.Time, exe rgmodel.Executor) []Effect {
+	var efs []Effect
 	if sta.Undescribed || sta.Restored {
+		if !runsSameTasks(sta.Executor, exe) {
+			// The queued tasks were accepted by the saved description.
+			efs = returnQueue(sta, rgmodel.ReasonNoUpstream)
+		}
 		// A delayed heartbeat does not end the drain of the saved description.
 		exe.Draining = exe.Draining || sta.Restored && sta.Executor.Draining && exe.Sequence <= sta.Executor.Sequence
 		exe.Clock = sta.Executor.Clock
 		sta.Executor, sta.Undescribed, sta.Restored = exe, false, false
 	}
 	if updateDescription(&sta.Executor, exe) {
-		return returnQueue(sta, rgmodel.ReasonDraining)
+		return append(efs, returnQueue(sta, rgmodel.ReasonDraining)...)
 	}
-	efs := startQueued(sta, now)
+	efs = append(efs, startQueued(sta, now)...)
 	if len(sta.Polls) == 0 && sinceReading(sta, now) > maxReadingAge {
 		efs = append(efs, pollWithoutLease(sta, now)...)
 	}
 	return efs
 }
 
+// runsSameTasks reports whether two descriptions are alike in what checkPlacement compares with a placement.
+func runsSameTasks(one, two rgmodel.Executor) bool {
+	return one.Service == two.Service && one.Capacity == two.Capacity && slices.Equal(one.Labels, two.Labels)
+}
+
 // updateDescription updates the description of an incarnation by a later heartbeat, and reports whether the executor begins to drain. Only
 // the drain may change. A heartbeat of another service comes from another writer. A drain counts whatever its sequence is, because another
 // writer may have used a larger one; it ends with a later sequence, which its own executor never sends.
--- a/core/rgexecutor/restore_test.go
+++ b/core/rgexecutor/restore_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"ragwortgap/core/rgmodel"
 )
 
 // TestRestoredDescription guards against a false description of the executor that is saved, and so outlives the sidecar process, and
@@ -34,3 +36,44 @@
 		})
 	}
 }
+
+// TestQueueAfterRestoredDescription guards against a task that starts on an executor that its job excludes: it was queued by a saved
+// description, and the first heartbeat describes the executor otherwise.
+func TestQueueAfterRestoredDescription(t *testing.T) {
+	tests := map[string]struct {
+		change     func(exe *rgmodel.Executor)
+		wantQueued int
+	}{
+		"same description": {change: func(*rgmodel.Executor) {}, wantQueued: 1},
+		"other labels":     {change: func(exe *rgmodel.Executor) { exe.Labels = []string{"a"} }},
+		"other service":    {change: func(exe *rgmodel.Executor) { exe.Service = "other" }},
+		"less memory":      {change: func(exe *rgmodel.Executor) { exe.Capacity.MemoryBytes = 1 }},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			har := &harness{now: time.Unix(1000, 0)}
+			Connect(&har.sta, har.now, testConn)
+			saved := newExecutor(1)
+			saved.Labels = []string{"b"}
+			har.efs = RestoreExecutor(&har.sta, har.now, saved)
+			har.takeOver(t)
+			// Without ejection, the task would be started at once.
+			har.sta.Health.EjectedUntil = har.now.Add(time.Hour)
+			har.sta.Queue = []AcceptedTask{{
+				Task: rgmodel.PlacedTask{Ticket: 1, Key: rgmodel.TaskKey{Job: "job"}}, Conn: testConn, Queued: har.now,
+				Requires: rgmodel.Resources{Cores: 1, MemoryBytes: 2}, Deadline: har.now.Add(2 * time.Second),
+			}}
+			har.takeEffects()
+			described := saved
+			described.Sequence = 2
+			tc.change(&described)
+			har.announce(described)
+			if len(har.sta.Queue) != tc.wantQueued {
+				t.Errorf("%d tasks queued, want %d", len(har.sta.Queue), tc.wantQueued)
+			}
+			if tc.wantQueued == 0 {
+				checkEnd(t, har, rgmodel.EndReturned, 0)
+			}
+		})
+	}
+}
