rgsettings: the runtime's soft memory limit is 65% of the memory

What callers would see: an entry or a sidecar that its machine ends, because it is over its memory, and with it all requests in progress.

Cause: the soft limit of 80% left 29 MB of 144 for the program itself (about 15 MB) and for the bytes that the kernel holds for connections, which count as well. Under large valid jobs the heap grows up to the soft limit, because an entry collects garbage late (entryGCPercent).

Both kinds of process take the limit from one function; the percentage stood twice before.

--- a/io/rgsettings/intake.go
+++ b/io/rgsettings/intake.go
@@ -13,9 +13,10 @@
 	// minEntryBodyBytes is the least budget of an entry of the product's own interface. One client may hold half of it, which must fit the
 	// largest body (8 MB) and what is decoded from it.
 	minEntryBodyBytes = 32 << 20
-	// memoryLimitPercent is the Go runtime's soft memory limit as a percentage of the memory limit of the process. The rest is
-	// for memory that the runtime does not count.
-	memoryLimitPercent = 80
+	// memoryLimitPercent is the Go runtime's soft memory limit as a percentage of the memory limit of the process. The rest is for memory
+	// that the runtime does not count: the program itself, about 15 MB, and the bytes that the kernel holds for connections, up to 33 MB
+	// for the 1,152 connections of a process with 144 MB and those that wait to be accepted.
+	memoryLimitPercent = 65
 )
 
 // IntakeSettings bound what a process takes in from its callers. Zero values mean limits that follow from the memory and the descriptors of
@@ -32,9 +33,14 @@
 	return ent.limits(minEntryBodyBytes, ent.MemoryMegabytes, descriptors, 0)
 }
 
-// MemoryLimit returns the soft limit of the memory that the Go runtime uses, in bytes.
-func (ent Entry) MemoryLimit() int64 {
-	return ent.MemoryMegabytes * bytesPerMegabyte * memoryLimitPercent / 100
+// MemoryLimit returns the soft limit of the memory that the Go runtime uses, in bytes; zero means none.
+func (ent Entry) MemoryLimit() int64 { return memoryLimit(ent.MemoryMegabytes) }
+
+// MemoryLimit returns the soft limit of the memory that the Go runtime uses, in bytes; zero means none.
+func (pp PlatformProcess) MemoryLimit() int64 { return memoryLimit(pp.MemoryMegabytes) }
+
+func memoryLimit(megabytes int64) int64 {
+	return megabytes * bytesPerMegabyte * memoryLimitPercent / 100
 }
 
 // limits returns the limits of a process whose budget is at least the given one. Zero memory, descriptors or cores mean no limit.
