rgserver: the kernel holds little for connections without a large body

What callers would see: a machine that counts what its kernel holds ends an entry or a sidecar, and with it all requests in progress, while clients that nobody controls send large bodies or heads without end. Seen in tests only.

Cause: bytes that were received and not read count as memory of the process, and the limits on bodies and connections left them out. Each connection held up to 48 KB, also the up to 4,096 that were not accepted yet, and those that were refused, for the 500 ms in which the HTTP server lets their clients read the refusal. The flood tests did not see it: they measured resident memory only, with 600 clients.

Evidence: the tests now add the unread bytes of a process and of its accept queues, and have loads of 3,000 connections: bodies, heads over the limit or without end, empty lines. Crowds and bounds were fixed before the change.

Change: listening sockets have a receive buffer of 8 KB, for which the kernel holds up to 12 KB, so that ordinary jobs still come in one piece. A body above 8 KB gets 16 KB (24 KB held) while it is read. At most 512 connections wait to be accepted.

Cost: a body of 256 KB takes 11 round trips in place of 6.

--- a/io/rgflood/flood.go
+++ b/io/rgflood/flood.go
@@ -8,7 +8,6 @@
 	"net"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -48,20 +47,16 @@
 		Clients             int
 		// Whole makes all clients send their whole body. Otherwise most of them stop just short of its end.
 		Whole bool
-		// Head replaces the request, for clients that do not finish the headers.
-		Head string
+		// PieceBytes makes the clients send their bodies in pieces of this size, each after all others have sent theirs. Zero means at once.
+		PieceBytes int
+		// Raw replaces the request, for clients that send something else. All of them send it as it is.
+		Raw string
 	}
 
-	// Usage is what a process has used.
-	Usage struct {
-		// PeakBytes is the largest resident memory since the start.
-		PeakBytes   int64
-		Descriptors int
-	}
-
-	flood struct {
-		mutex sync.Mutex
-		conns []net.Conn
+	// client is a connection to the process, nil if it was not opened, and what is left to send over it.
+	client struct {
+		conn net.Conn
+		rest []byte
 	}
 )
 
@@ -78,48 +73,74 @@
 // Send opens the connections of all clients and returns when each has sent its request, or the process no longer takes it. The
 // connections stay open until the returned function is called.
 func Send(ctx context.Context, lod Load) (closeAll func()) {
-	var fld flood
 	whole := lod.content()
 	part := whole[:max(0, len(whole)-missingBytes)]
-	var clients sync.WaitGroup
-	for num := range lod.Clients {
-		req := part
-		if lod.Whole || num%wholeEvery == 0 {
-			req = whole
+	size := lod.PieceBytes
+	if size <= 0 {
+		size = max(1, len(whole))
+	}
+	clients := make([]client, lod.Clients)
+	forEach(clients, func(num int, cl *client) {
+		cl.rest = part
+		if lod.Whole || lod.Raw != "" || num%wholeEvery == 0 {
+			cl.rest = whole
+		}
+		cl.open(ctx, lod.Address, lod.head(num))
+		cl.send(size)
+	})
+	for sent := size; sent < len(whole); sent += size {
+		forEach(clients, func(_ int, cl *client) { cl.send(size) })
+	}
+	return func() {
+		for _, cl := range clients {
+			if cl.conn != nil {
+				// The process may have closed the connection.
+				_ = cl.conn.Close()
+			}
 		}
-		clients.Go(func() { fld.send(ctx, lod.Address, lod.head(num), req) })
 	}
-	clients.Wait()
-	return fld.close
 }
 
-// send opens a connection and writes the request to it. Errors are ignored, because the process may refuse the client.
-func (fld *flood) send(ctx context.Context, adr, head string, req []byte) {
+// forEach calls the function for all clients at the same time and returns when all calls have.
+func forEach(clients []client, call func(num int, cl *client)) {
+	var calls sync.WaitGroup
+	for num := range clients {
+		calls.Go(func() { call(num, &clients[num]) })
+	}
+	calls.Wait()
+}
+
+// open opens the connection and sends the head. Errors are ignored, because the process may refuse the client.
+func (cl *client) open(ctx context.Context, adr, head string) {
 	dlr := net.Dialer{Timeout: dialTimeout}
 	con, err := dlr.DialContext(ctx, "tcp", adr)
 	if err != nil {
+		cl.rest = nil
 		return
 	}
-	fld.mutex.Lock()
-	fld.conns = append(fld.conns, con)
-	fld.mutex.Unlock()
+	cl.conn = con
 	_ = con.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := io.WriteString(con, head); err == nil {
-		_, _ = con.Write(req)
+	if _, err := io.WriteString(con, head); err != nil {
+		cl.rest = nil
 	}
 }
 
-func (fld *flood) close() {
-	for _, con := range fld.conns {
-		// The process may have closed the connection.
-		_ = con.Close()
+// send sends up to size bytes of what is left.
+func (cl *client) send(size int) {
+	piece := cl.rest[:min(size, len(cl.rest))]
+	cl.rest = cl.rest[len(piece):]
+	if len(piece) == 0 {
+		return
+	}
+	if _, err := cl.conn.Write(piece); err != nil {
+		cl.rest = nil
 	}
 }
 
 // head returns the request line and the headers of a client.
 func (lod Load) head(num int) string {
-	if lod.Head != "" {
-		return lod.Head
+	if lod.Raw != "" {
+		return ""
 	}
 	path := lod.Path
 	if strings.Contains(path, "%") {
@@ -134,7 +155,10 @@
 
 // content returns the bytes of the body.
 func (lod Load) content() []byte {
-	if lod.Head != "" || lod.Framing == Length {
+	switch {
+	case lod.Raw != "":
+		return []byte(lod.Raw)
+	case lod.Framing == Length:
 		return []byte(lod.Body)
 	}
 	var txt strings.Builder
@@ -146,20 +170,3 @@
 	txt.WriteString("0\r\n\r\n")
 	return []byte(txt.String())
 }
-
-// Measure returns what a process has used so far.
-func Measure(pid int) (Usage, error) {
-	dir := fmt.Sprintf("/proc/%d", pid)
-	fds, err := os.ReadDir(dir + "/fd")
-	if err != nil {
-		return Usage{}, errors.Annotate(err, "list descriptors")
-	}
-	raw, err := os.ReadFile(dir + "/status")
-	if err != nil {
-		return Usage{}, errors.Annotate(err, "read memory")
-	}
-	_, rest, _ := strings.Cut(string(raw), "VmHWM:")
-	val, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
-	kib, err := strconv.ParseInt(val, 10, 64)
-	return Usage{PeakBytes: kib << 10, Descriptors: len(fds)}, errors.Annotate(err, "read VmHWM")
-}
--- a/io/rgproof/bodies_test.go
+++ b/io/rgproof/bodies_test.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// floodClients send an entry far more than floodBytes, the bound of its memory.
+	// floodClients send an entry far more than floodBytes, the bound of its memory, and headClients have heads of headBytes.
 	floodClients = 64
 	floodBytes   = 256 << 20
+	headClients  = 1000
+	headBytes    = 1 << 20
 	// floodDescriptors bounds the descriptors of the entry.
 	floodDescriptors = 1600
 )
@@ -34,21 +36,30 @@
 		// The body is smaller, because a small chunk takes six times its size.
 		"small chunks": {Body: large[:len(large)/4], Clients: 4 * floodClients, Framing: rgflood.SmallChunks},
 		"many tasks":   {Body: many, Clients: floodClients, Whole: true},
+		"header line without end": {
+			Clients: headClients, Raw: "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nA: " + strings.Repeat("b", headBytes),
+		},
+		"head over the limit": {
+			Clients: headClients,
+			Raw:     "POST /v1/jobs HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("A: "+strings.Repeat("b", 1000)+"\r\n", headBytes/1000) + "\r\n",
+		},
+		"empty lines": {Clients: headClients, Raw: strings.Repeat("\r\n", headBytes/2)},
 	}
 	for name, lod := range tests {
 		t.Run(name, func(t *testing.T) {
 			sys := newSystem(t, 1, 1, 1)
+			wch := rgflood.StartWatch(sys.entries[0].cmd.Process.Pid)
 			lod.Address, lod.Host, lod.Path = sys.callerAddresses[0], "a", "/v1/jobs"
 			defer rgflood.Send(t.Context(), lod)()
 			sys.waitUntil("answer to an ordinary request", readyTimeout, func() bool {
 				return sys.submit(0, newID(time.Now()), "ordinary", 4).answer.Status == "complete"
 			})
-			use, err := rgflood.Measure(sys.entries[0].cmd.Process.Pid)
+			use, err := wch.Stop()
 			if err != nil {
 				t.Fatal(err)
 			}
-			t.Logf("peak %d MB, %d descriptors", use.PeakBytes>>20, use.Descriptors)
-			if use.PeakBytes > floodBytes || use.Descriptors > floodDescriptors {
+			t.Logf("peak %d MB, %d of them unread, %d descriptors", use.MemoryBytes>>20, use.UnreadBytes>>20, use.Descriptors)
+			if use.MemoryBytes > floodBytes || use.Descriptors > floodDescriptors {
 				t.Errorf("want at most %d MB and %d descriptors", floodBytes>>20, floodDescriptors)
 			}
 		})
--- a/io/rgserver/bodies.go
+++ b/io/rgserver/bodies.go
@@ -56,6 +56,8 @@
 		limit   int64
 		// received is the number of bytes that were read from the connection before.
 		received int64
+		// large is set once the connection has a receive buffer for a large body.
+		large bool
 	}
 )
 
@@ -126,6 +128,9 @@
 	if err == nil {
 		err = rdr.readAll()
 	}
+	if rdr.large {
+		setLargeRequest(req, false)
+	}
 	if err != nil {
 		rdr.Release()
 		wtr.Header().Set("Connection", "close")
@@ -137,6 +142,13 @@
 	return &rdr.Body, nil
 }
 
+// setLargeRequest is SetLarge for the connection of a request.
+func setLargeRequest(req *http.Request, large bool) {
+	if con := measuredOf(req.Context()); con != nil {
+		SetLarge(con.Conn, large)
+	}
+}
+
 // open reserves the first bytes.
 func (rdr *bodyReader) open(wtr http.ResponseWriter) error {
 	if rdr.request.ContentLength > rdr.limit {
@@ -202,6 +214,10 @@
 	if err := rdr.bodies.reserve(rdr.id, size-old); err != nil {
 		return err
 	}
+	if !rdr.large && size > receiveBuffer {
+		rdr.large = true
+		setLargeRequest(rdr.request, true)
+	}
 	buf := make([]byte, len(rdr.Bytes), size)
 	copy(buf, rdr.Bytes)
 	rdr.Bytes = buf
--- a/io/rgserver/connections.go
+++ b/io/rgserver/connections.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"net/netip"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -19,9 +18,6 @@
 	sideConnections = 64
 	// maxHeaderBytes is the platform's limit of the headers of a request. The HTTP server allows 4 KB more.
 	maxHeaderBytes = 16 << 10
-	// receiveBuffer bounds the bytes that the kernel holds for a connection, and doubles it for its own data. Without a bound, it
-	// grows to several MB for a connection that is not read. A body of 256 KB takes 8 round trips with it.
-	receiveBuffer = 32 << 10
 	// maxReplacements bounds the search for a connection that may be closed for a new one.
 	maxReplacements = 8
 )
@@ -126,17 +122,3 @@
 	adr, _ := netip.ParseAddrPort(con.RemoteAddr().String())
 	return adr.Addr().Unmap()
 }
-
-// listenConfig bounds the receive buffers of the connections that are accepted.
-func listenConfig() net.ListenConfig {
-	return net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		var optErr error
-		err := raw.Control(func(fd uintptr) {
-			optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
-		})
-		if err != nil {
-			return err
-		}
-		return optErr
-	}}
-}
--- a/io/rgserver/server.go
+++ b/io/rgserver/server.go
@@ -51,13 +51,6 @@
 	return serveLimited(MeasureListener(lis).(measuredListener), hdl, headerTimeout, cns), nil
 }
 
-// Listen returns a listener whose connections have bounded receive buffers.
-func Listen(adr string) (net.Listener, error) {
-	cfg := listenConfig()
-	lis, err := cfg.Listen(context.Background(), "tcp", adr)
-	return lis, errors.Annotatef(err, "listen on %s", adr)
-}
-
 // MeasureListener returns a listener whose connections are measured, for WithConnection.
 func MeasureListener(lis net.Listener) net.Listener {
 	return measuredListener{Listener: lis, now: rgclock.Now, age: receiveAge}
