rgdispatcher, rgwire: bounded receive buffers for peers

Cause: the listeners for other processes were opened without a bound on the receive buffers of their connections, on the platform and on the product's own interface, so the kernel could hold several MB for each.

Change: they are opened by rgserver.Listen. A message above 16 KB of a peer on the platform gets the larger buffer while it is read; connections of the product's own interface always have it, because their requests are not limited.

--- a/io/rgdispatcher/process.go
+++ b/io/rgdispatcher/process.go
@@ -137,9 +137,9 @@
 // Start runs an entry until Stop is called. It fails if it cannot listen for peers.
 func Start(ctx context.Context, set rgsettings.PlatformProcess, src Source, log *zap.Logger, sco tally.Scope) (*Process, error) {
 	adr := rgwire.PeerAddress(set.Address, set.PeerPort)
-	lis, err := net.Listen("tcp", adr)
+	lis, err := rgserver.Listen(adr)
 	if err != nil {
-		return nil, errors.Annotatef(err, "listen for peers on %s", adr)
+		return nil, errors.Annotate(err, "listen for peers")
 	}
 	workCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	pro := &Process{
--- a/io/rgwire/peer.go
+++ b/io/rgwire/peer.go
@@ -6,6 +6,8 @@
 
 	"github.com/juju/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"ragwortgap/io/rgserver"
 )
 
 type (
@@ -39,6 +41,8 @@
 // ServeRequests starts exchanging requests and notifications over an open connection. Each message is handled in a goroutine
 // of its own.
 func ServeRequests(ctx context.Context, con net.Conn, hdl Handler) *Peer {
+	// The size of requests is not limited.
+	rgserver.SetLarge(con, true)
 	per := &Peer{}
 	ready := make(chan struct{})
 	han := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
--- a/io/rgwire/transport.go
+++ b/io/rgwire/transport.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"ragwortgap/io/rgserver"
 	"ragwortgap/io/rgtls"
 )
 
@@ -21,9 +22,9 @@
 
 // Listen returns a listener for peers, with mutual TLS if an identity is given.
 func Listen(adr string, ide *rgtls.Identity) (net.Listener, error) {
-	lis, err := net.Listen("tcp", adr)
+	lis, err := rgserver.Listen(adr)
 	if err != nil {
-		return nil, errors.Annotatef(err, "listen on %s", adr)
+		return nil, errors.Trace(err)
 	}
 	if ide == nil {
 		return lis, nil
