--- a/core/rgsimulation/label_test.go
+++ b/core/rgsimulation/label_test.go
@@ -20,6 +20,7 @@
 	"other kind, orders lost":         {requireLabels{}, restartAsOtherKind{}, loseOrders{percent: 20}, slowEntry{}},
 	"other kind, executor leaves":     {requireLabels{}, restartAsOtherKind{}, deregisterExecutor{}, suspendEntry{}},
 	"other kind, overload":            {requireLabels{}, overload{}, longWaits{}, restartAsOtherKind{}, slowEntry{}},
+	"order to the last incarnation":   {requireLabels{}, delayHeartbeats{percent: 50}, restartAsOtherKind{}, suspendEntry{}},
 	"other kind, heartbeats are late": {requireLabels{}, delayHeartbeats{percent: 50}, restartAsOtherKind{}, suspendEntry{}},
 }
 
--- a/core/rgsimulation/simulation_test.go
+++ b/core/rgsimulation/simulation_test.go
@@ -148,6 +148,7 @@
 	"caller cut off":                      {12, 83},
 	"long tasks, callers cut off":         {3, 4},
 	"requests held back, entry suspended": {4, 48},
+	"order to the last incarnation":       {3, 5},
 	"other kind, entry slow":              {4, 12},
 	"other kind, overload":                {3, 7},
 	"other kind, orders lost":             {9, 12},
