--- a/core/rgexecutor/command_heartbeat.go
+++ b/core/rgexecutor/command_heartbeat.go
@@ -84,11 +84,6 @@
 	return efs
 }
 
-// runsSameTasks reports whether two descriptions are alike in what checkPlacement compares with a placement.
-func runsSameTasks(one, two rgmodel.Executor) bool {
-	return one.Service == two.Service && one.Capacity == two.Capacity && slices.Equal(one.Labels, two.Labels)
-}
-
 // updateDescription updates the description of an incarnation by a later heartbeat, and reports whether the executor begins to drain. Only
 // the drain may change. A heartbeat of another service comes from another writer. A drain counts whatever its sequence is, because another
 // writer may have used a larger one; it ends with a later sequence, which its own executor never sends.
--- a/core/rgexecutor/query_capacity.go
+++ b/core/rgexecutor/query_capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"ragwortgap/core/rgmodel"
@@ -78,6 +79,11 @@
 	}
 }
 
+// runsSameTasks reports whether two descriptions are alike in what checkPlacement compares with a placement.
+func runsSameTasks(one, two rgmodel.Executor) bool {
+	return one.Service == two.Service && one.Capacity == two.Capacity && slices.Equal(one.Labels, two.Labels)
+}
+
 // isIdle reports whether nothing runs on the executor, it replies, and no start order is on its way that a next incarnation with the
 // same id could carry out.
 func isIdle(sta *State, now time.Time) bool {
--- a/io/rgserver/bodies.go
+++ b/io/rgserver/bodies.go
@@ -129,7 +129,7 @@
 		err = rdr.readAll()
 	}
 	if rdr.large {
-		setLargeRequest(req, false)
+		setLargeBuffer(req, false)
 	}
 	if err != nil {
 		rdr.Release()
@@ -142,10 +142,10 @@
 	return &rdr.Body, nil
 }
 
-// setLargeRequest is SetLarge for the connection of a request.
-func setLargeRequest(req *http.Request, large bool) {
+// setLargeBuffer is SetLargeBuffer for the connection of a request.
+func setLargeBuffer(req *http.Request, large bool) {
 	if con := measuredOf(req.Context()); con != nil {
-		SetLarge(con.Conn, large)
+		SetLargeBuffer(con.Conn, large)
 	}
 }
 
@@ -216,7 +216,7 @@
 	}
 	if !rdr.large && size > receiveBuffer {
 		rdr.large = true
-		setLargeRequest(rdr.request, true)
+		setLargeBuffer(rdr.request, true)
 	}
 	buf := make([]byte, len(rdr.Bytes), size)
 	copy(buf, rdr.Bytes)
--- a/io/rgserver/listen.go
+++ b/io/rgserver/listen.go
@@ -76,9 +76,9 @@
 	return cmp.Or(err, lisErr)
 }
 
-// SetLarge lets the kernel hold more of an accepted connection while a large body or message is read from it, or less again. It does
+// SetLargeBuffer lets the kernel hold more of an accepted connection while a large body or message is read from it, or less again. It does
 // nothing for other connections.
-func SetLarge(con net.Conn, large bool) {
+func SetLargeBuffer(con net.Conn, large bool) {
 	bnd, ok := socketOf(con).(boundedConn)
 	if !ok {
 		return
--- a/io/rgserver/listen_test.go
+++ b/io/rgserver/listen_test.go
@@ -30,7 +30,7 @@
 	}
 	defer func() { _ = accepted.Close() }()
 	own := receiveBufferOf(t, dialed)
-	SetLarge(dialed, true)
+	SetLargeBuffer(dialed, true)
 	if got := receiveBufferOf(t, dialed); got != own {
 		t.Errorf("receive buffer of a dialed connection changed from %d to %d", own, got)
 	}
@@ -38,11 +38,11 @@
 	if got := receiveBufferOf(t, accepted); got != 2*receiveBuffer {
 		t.Errorf("receive buffer %d, want %d", got, 2*receiveBuffer)
 	}
-	SetLarge(accepted, true)
+	SetLargeBuffer(accepted, true)
 	if got := receiveBufferOf(t, accepted); got != 2*bodyReceiveBuffer {
 		t.Errorf("receive buffer %d for a large body, want %d", got, 2*bodyReceiveBuffer)
 	}
-	SetLarge(accepted, false)
+	SetLargeBuffer(accepted, false)
 	if got := receiveBufferOf(t, accepted); got != 2*receiveBuffer {
 		t.Errorf("receive buffer %d after a large body, want %d", got, 2*receiveBuffer)
 	}
--- a/io/rgwire/frame.go
+++ b/io/rgwire/frame.go
@@ -83,7 +83,7 @@
 		fb.conns = map[rgintake.BodyID]net.Conn{}
 	}
 	fb.conns[id] = con
-	rgserver.SetLarge(con, true)
+	rgserver.SetLargeBuffer(con, true)
 	return frame{budget: fb, id: id}, nil
 }
 
@@ -145,7 +145,7 @@
 func (fm frame) close() {
 	fm.budget.mutex.Lock()
 	defer fm.budget.mutex.Unlock()
-	rgserver.SetLarge(fm.budget.conns[fm.id], false)
+	rgserver.SetLargeBuffer(fm.budget.conns[fm.id], false)
 	delete(fm.budget.conns, fm.id)
 	rgintake.Close(&fm.budget.state, fm.id)
 }
--- a/io/rgwire/peer.go
+++ b/io/rgwire/peer.go
@@ -42,7 +42,7 @@
 // of its own.
 func ServeRequests(ctx context.Context, con net.Conn, hdl Handler) *Peer {
 	// The size of requests is not limited.
-	rgserver.SetLarge(con, true)
+	rgserver.SetLargeBuffer(con, true)
 	per := &Peer{}
 	ready := make(chan struct{})
 	han := jsonrpc2.HandlerWithError(func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
