--- a/io/rgflood/flood.go
+++ b/io/rgflood/flood.go
@@ -47,7 +47,7 @@
 		Clients             int
 		// Whole makes all clients send their whole body. Otherwise most of them stop just short of its end.
 		Whole bool
-		// PieceBytes makes the clients send their bodies in pieces of this size, each after all others have sent theirs. Zero means at once.
+		// PieceBytes makes the clients send in pieces of this size, all of them one piece after the other. Zero means at once.
 		PieceBytes int
 		// Raw replaces the request, for clients that send something else. All of them send it as it is.
 		Raw string
--- a/io/rgproof/bodies_test.go
+++ b/io/rgproof/bodies_test.go
@@ -30,6 +30,7 @@
 	const format = `{"team":"team","kind":"work","deadline":"5s","tasks":[%s]}`
 	large := fmt.Sprintf(format, `"`+strings.Repeat("x", rgapi.MaxBodyBytes-len(format))+`"`)
 	many := fmt.Sprintf(format, strings.Repeat("1,", (rgapi.MaxBodyBytes-len(format))/2)+"1")
+	lines := strings.Repeat("A: "+strings.Repeat("b", 1000)+"\r\n", headBytes/1000)
 	tests := map[string]rgflood.Load{
 		"length":       {Body: large, Clients: floodClients},
 		"large chunks": {Body: large, Clients: floodClients, Framing: rgflood.LargeChunks},
@@ -39,11 +40,8 @@
 		"header line without end": {
 			Clients: headClients, Raw: "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nA: " + strings.Repeat("b", headBytes),
 		},
-		"head over the limit": {
-			Clients: headClients,
-			Raw:     "POST /v1/jobs HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("A: "+strings.Repeat("b", 1000)+"\r\n", headBytes/1000) + "\r\n",
-		},
-		"empty lines": {Clients: headClients, Raw: strings.Repeat("\r\n", headBytes/2)},
+		"head over the limit": {Clients: headClients, Raw: "POST /v1/jobs HTTP/1.1\r\nHost: a\r\n" + lines + "\r\n"},
+		"empty lines":         {Clients: headClients, Raw: strings.Repeat("\r\n", headBytes/2)},
 	}
 	for name, lod := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/io/rgserver/listen.go
+++ b/io/rgserver/listen.go
@@ -15,8 +15,8 @@
 	// kernel doubles it for its own data, and holds up to 12 KB of bytes that were not read. Without a bound, it would hold several MB.
 	// Ordinary jobs fit into it.
 	receiveBuffer = 8 << 10
-	// bodyReceiveBuffer is the same while a large body or message is read. The kernel holds up to 24 KB then, so that a body of 256 KB takes
-	// 11 round trips.
+	// bodyReceiveBuffer is the same while a large body or message is read. The kernel holds up to 24 KB then, so that a body of 256 KB
+	// takes 11 round trips.
 	bodyReceiveBuffer = 16 << 10
 	// maxPending bounds the connections that the kernel holds until they are accepted. The kernel's own bound would let 4,096 of them hold
 	// 48 MB.
