rgexecutor: a start only on an incarnation that is known to be there

Cause: a start order names an executor by its id only. An executor that has restarted under its id carries out the order that its sidecar means for the last incarnation, although it is of another kind by now. An idle executor is not polled, so the sidecar learns of the restart by the first heartbeat; a busy machine makes that window longer.

Change: a task starts only within 25 ms of a reply to a poll, or while a poll that was sent by then waits at the executor, which fails when its process ends. Otherwise the sidecar polls first and starts with the reply. If nothing listens and nothing runs, the queue is returned at once, as after a refused start before.

Cost: one more call on the same machine, and its time, for the first start on an executor that was idle.

--- a/core/rgexecutor/command_executor.go
+++ b/core/rgexecutor/command_executor.go
@@ -50,7 +50,7 @@
 	}
 	sta.Executor = exe
 	sta.Undescribed, sta.Restored = false, false
-	sta.ClockReadAt = readAt
+	sta.ClockReadAt, sta.ListedAt = readAt, time.Time{}
 	sta.Slowdown = 0
 	sta.Health = Health{}
 	sta.PollUnanswered = true
--- a/core/rgexecutor/command_poll.go
+++ b/core/rgexecutor/command_poll.go
@@ -103,10 +103,11 @@
 	}
 	if !rep.Replied {
 		sta.LastMissingReply, sta.PollUnanswered = now, true
+		efs := pollAgainBeforeStart(sta, now, ord, rep)
 		if sta.Phase == PhaseFencing || now.Sub(ord.Sent) < pollWait {
-			return sendPollsIfUrgent(sta, now)
+			return append(efs, sendPollsIfUrgent(sta, now)...)
 		}
-		return sendPolls(sta, now)
+		return append(efs, sendPolls(sta, now)...)
 	}
 	if rep.Refusal == rgmodel.RefusalWrongIncarnation {
 		return loseReplaced(sta, now)
@@ -125,7 +126,7 @@
 	if !sta.TokenRaised {
 		return raiseToken(sta, now)
 	}
-	sta.PollUnanswered = false
+	sta.PollUnanswered, sta.ListedAt = false, now
 	sta.Counts.MalformedRuns += uint64(rep.MalformedRunning + rep.MalformedEnded)
 	efs := handleEnds(sta, now, rep.Ended)
 	if outdated && sta.Phase == PhaseServing {
@@ -140,6 +141,29 @@
 	return append(efs, startQueued(sta, now)...)
 }
 
+// pollBeforeStart asks the executor whether the known incarnation is still there, if that is not known and a task could start otherwise. A
+// start order names an incarnation by its id only, so the next one would carry it out, of whatever kind it is.
+func pollBeforeStart(sta *State, now time.Time) []Effect {
+	if len(sta.Queue) == 0 || !canStart(sta, now) || isKnownAlive(sta, now) {
+		return nil
+	}
+	return pollWithoutLease(sta, now)
+}
+
+// pollAgainBeforeStart handles the failure of a poll before a start. If nothing listens and nothing runs, the queue is returned, as after a
+// refused start. A poll that failed at once is not repeated before the next tick.
+func pollAgainBeforeStart(sta *State, now time.Time, ord rgmodel.PollOrder, rep rgmodel.OrderReply) []Effect {
+	switch {
+	case rep.ConnectionRefused && len(sta.Runs) == 0:
+		orphanUnansweredStarts(sta, now, rgmodel.ReasonUpstreamUnreachable)
+		return returnQueue(sta, rgmodel.ReasonUpstreamUnreachable)
+	case now.Sub(ord.Sent) >= silentPollInterval:
+		return pollBeforeStart(sta, now)
+	default:
+		return nil
+	}
+}
+
 // newRunList returns the executor's list of running runs.
 func newRunList(rep rgmodel.OrderReply) runList {
 	lis := runList{listed: make(map[RunKey]bool, len(rep.Running)), incomplete: rep.MalformedRunning > 0}
--- a/core/rgexecutor/command_run.go
+++ b/core/rgexecutor/command_run.go
@@ -38,7 +38,8 @@
 func startQueued(sta *State, now time.Time) []Effect {
 	efs := append(returnSilent(sta, now), returnEvacuated(sta)...)
 	reorder(sta, now)
-	for len(sta.Queue) > 0 && canStart(sta, now) {
+	efs = append(efs, pollBeforeStart(sta, now)...)
+	for len(sta.Queue) > 0 && canStart(sta, now) && isKnownAlive(sta, now) {
 		act := sta.Queue[0]
 		if willMissDeadline(sta, now, act) {
 			sta.Queue = sta.Queue[1:]
--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -41,6 +41,11 @@
 	maxOrderDelay = 15 * time.Second
 	// maxRestarted is the number of ended incarnations that are remembered. Heartbeats are delayed by seconds at most.
 	maxRestarted = 8
+	// minRestartTime is the least time in which an executor crashes and listens again. A reply to a poll shows for as long that the known
+	// incarnation is there.
+	minRestartTime = 25 * time.Millisecond
+	// maxPollTime is how long a poll may wait at the executor until its reply counts as overdue.
+	maxPollTime = pollWait + 20*time.Millisecond
 	// stopRetryInterval is the time after which an unconfirmed stop is sent again.
 	stopRetryInterval = 100 * time.Millisecond
 	// stopConfirmTimeout is how long a stop may stay unconfirmed before the lease is no longer renewed. The run then ends when
@@ -262,6 +267,8 @@
 		UntrackedUntil time.Time
 		// HadControl is set once this process has controlled an incarnation of the executor.
 		HadControl bool
+		// ListedAt is when the known incarnation last replied to a poll, or zero.
+		ListedAt   time.Time
 		FenceToken uint64
 		// TokenRaised is set if FenceToken was taken from a clock that a reply of the known incarnation has shown.
 		TokenRaised bool
--- a/core/rgexecutor/return_test.go
+++ b/core/rgexecutor/return_test.go
@@ -51,6 +51,7 @@
 	"next start is refused": func(t *testing.T, har *harness) {
 		har.sta.Health.EjectedUntil = time.Time{}
 		har.advance(TickInterval)
+		har.replyToPoll(t, nil, nil)
 		if starts := har.replyToStarts(rgmodel.OrderReply{Replied: true, Refusal: rgmodel.RefusalNoCapacity}); starts != 1 {
 			t.Fatalf("%d starts, want 1", starts)
 		}
