--- a/io/rgorders/control.go
+++ b/io/rgorders/control.go
@@ -188,7 +188,7 @@
 		efs = rgexecutor.HandleStopReply(&sta.ExecutorState, now, ord, evt.Reply)
 	case rgmodel.PollOrder:
 		efs = rgexecutor.HandlePollReply(&sta.ExecutorState, now, ord, evt.Reply)
-		if ord.Conn != 0 {
+		if ord.Conn != 0 && evt.Reply.Replied {
 			pro.scope.Counter("startConnsOpened").Inc(1)
 		}
 	}
