--- a/core/rgexecutor/executor.go
+++ b/core/rgexecutor/executor.go
@@ -41,9 +41,6 @@
 	maxOrderDelay = 15 * time.Second
 	// maxRestarted is the number of ended incarnations that are remembered. Heartbeats are delayed by seconds at most.
 	maxRestarted = 8
-	// maxStartConns is the number of connections for start orders. More tasks than that are rarely started at the same moment, and an
-	// executor accepts a limited number of connections.
-	maxStartConns = 8
 	// stopRetryInterval is the time after which an unconfirmed stop is sent again.
 	stopRetryInterval = 100 * time.Millisecond
 	// stopConfirmTimeout is how long a stop may stay unconfirmed before the lease is no longer renewed. The run then ends when
@@ -158,16 +155,6 @@
 		Reason rgmodel.Reason
 	}
 
-	// StartConn is a connection to the executor over which start orders are sent. An order over it reaches no other incarnation than the
-	// one that has named its start time over it, however late it is sent.
-	StartConn struct {
-		ID rgmodel.ExecutorConnID
-		// Incarnation is the incarnation at the other end. It is zero until the poll that opens the connection is answered.
-		Incarnation rgmodel.ExecutorIncarnation
-		// Busy is set while an order is in flight.
-		Busy bool
-	}
-
 	// UntrackedRun is a run that is being stopped because this process does not track it.
 	UntrackedRun struct {
 		// StopRequested is when the executor first listed the run, and StopSent when the stop order was last sent.
@@ -220,9 +207,6 @@
 	// SendOrder sends an order to the executor.
 	SendOrder struct{ Order rgmodel.Order }
 
-	// CloseConn closes a connection for start orders.
-	CloseConn struct{ Conn rgmodel.ExecutorConnID }
-
 	// ReportEnd reports the end of a task to the entry that placed it.
 	ReportEnd struct {
 		Conn EntryConnID
@@ -332,7 +316,6 @@
 )
 
 func (SendOrder) isEffect()      {}
-func (CloseConn) isEffect()      {}
 func (ReportEnd) isEffect()      {}
 func (LogRequeue) isEffect()     {}
 func (LogLoss) isEffect()        {}
