--- a/core/rgsimulation/order_test.go
+++ b/core/rgsimulation/order_test.go
@@ -71,6 +71,7 @@
 	sc, ord := cll.sc, cll.ord
 	start, isStart := ord.(rgmodel.StartOrder)
 	bound := isStart && start.Conn != 0
+	// The end of a connection may not have been noticed yet. The order is then sent in vain.
 	if bound && (sc.orderConns[start.Conn] == nil || !sc.orderConns[start.Conn].up && sim.rnd.IntN(2) == 0) {
 		cll.finish(rgmodel.OrderReply{ConnectionEnded: true})
 		return
