--- a/review/standin-3/executor.go
+++ b/review/standin-3/executor.go
@@ -213,6 +213,7 @@
 	exe.closed[ord.Task] = max(exe.closed[ord.Task], ord.Run)
 	if run := exe.runs[ord.Task]; run != nil && run.number <= ord.Run && !run.stopping {
 		run.stopping = true
+		exe.rec.add(exe.id, "stop %s run %d", run.task, run.number)
 		time.AfterFunc(stopTime, func() {
 			exe.mutex.Lock()
 			defer exe.mutex.Unlock()
